--- /dev/null
+++ b/acaciawing/configuration/publication.py
@@ -0,0 +1,90 @@
+"""Publish records and the configuration in force.
+
+Of two publications based on the same version the fold accepts the first, so an
+operator who lost a race is told and overwrites nothing.
+"""
+
+from dataclasses import dataclass, replace
+from functools import singledispatch
+
+from acaciawing.configuration.model import Configuration
+from acaciawing.outcomes import Accepted, Ignored, Verdict
+from acaciawing.records import LogPosition, record_type
+
+NO_VERSION = -1
+
+
+@record_type("configuration-published", version=1)
+@dataclass(frozen=True)
+class ConfigurationPublished:
+    """A whole configuration, published by an operator.
+
+    Attributes:
+        publication_id: Unique id, kept over retries of the same publication.
+        based_on: Version (log offset) that the operator started from.
+        author: Name of the operator, for the audit.
+        configuration: The checked document.
+    """
+
+    publication_id: str
+    based_on: int
+    author: str
+    configuration: Configuration
+
+
+@dataclass(frozen=True)
+class ConfigurationState:
+    """The configuration in force.
+
+    Attributes:
+        version: Log offset of the accepted publication, or `NO_VERSION`.
+        publication_id: Id of that publication.
+        accepted_at: Time of its append on the log's clock, in seconds.
+        configuration: The document.
+    """
+
+    version: int = NO_VERSION
+    publication_id: str = ""
+    accepted_at: float = 0.0
+    configuration: Configuration = Configuration()
+
+
+@singledispatch
+def apply(
+    record: object, table: ConfigurationState, position: LogPosition
+) -> tuple[ConfigurationState, Verdict]:
+    """Applies a record to the configuration in force.
+
+    Args:
+        record: The decoded record.
+        table: The state before it.
+        position: Place of the record in the log.
+
+    Returns:
+        The state after it and the verdict.
+
+    Raises:
+        TypeError: If the record type does not concern configuration.
+    """
+    raise TypeError(type(record).__name__)
+
+
+@apply.register
+def _(
+    record: ConfigurationPublished,
+    table: ConfigurationState,
+    position: LogPosition,
+) -> tuple[ConfigurationState, Verdict]:
+    if record.publication_id == table.publication_id:
+        return table, Ignored("duplicate", "the publication is in force")
+    if record.based_on != table.version:
+        detail = f"based on {record.based_on}, in force is {table.version}"
+        return table, Ignored("lost-race", detail)
+    accepted = replace(
+        table,
+        version=position.offset,
+        publication_id=record.publication_id,
+        accepted_at=position.appended_at,
+        configuration=record.configuration,
+    )
+    return accepted, Accepted()
--- /dev/null
+++ b/acaciawing/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""Package exchange."""
--- /dev/null
+++ b/acaciawing/fold/__init__.py
@@ -0,0 +1,6 @@
+"""Deterministic fold of the control stream into the fleet's state."""
+
+from acaciawing.fold.state import FleetState
+from acaciawing.fold.steps import Step, step
+
+__all__ = ["FleetState", "Step", "step"]
--- /dev/null
+++ b/acaciawing/fold/state.py
@@ -0,0 +1,21 @@
+"""State of the fleet at one offset of the control stream."""
+
+from dataclasses import dataclass
+
+from acaciawing.configuration import ConfigurationState
+from acaciawing.membership import Roster
+
+
+@dataclass(frozen=True)
+class FleetState:
+    """What every reader of the control stream agrees on.
+
+    Attributes:
+        offset: Offset of the next record to apply.
+        configuration: The configuration in force.
+        roster: Entry instances.
+    """
+
+    offset: int = 0
+    configuration: ConfigurationState = ConfigurationState()
+    roster: Roster = Roster()
--- /dev/null
+++ b/acaciawing/outcomes/__init__.py
@@ -0,0 +1,19 @@
+"""Tagged outcomes that several packages share."""
+
+from acaciawing.outcomes.refusals import (
+    NotRun,
+    OutcomeUnknown,
+    RanAndFailed,
+    Refusal,
+)
+from acaciawing.outcomes.verdicts import Accepted, Ignored, Verdict
+
+__all__ = [
+    "Accepted",
+    "Ignored",
+    "NotRun",
+    "OutcomeUnknown",
+    "RanAndFailed",
+    "Refusal",
+    "Verdict",
+]
--- /dev/null
+++ b/acaciawing/platform/listing.py
@@ -0,0 +1,91 @@
+"""Client of the platform's lagging list of instances."""
+
+from dataclasses import dataclass
+from typing import Protocol, TypeAlias
+
+import msgspec
+import urllib3
+
+_TIMEOUT = urllib3.Timeout(connect=0.5, read=1.5)
+
+
+@dataclass(frozen=True)
+class ListedInstance:
+    """An instance as the platform lists it.
+
+    Attributes:
+        instance: Id of the instance.
+        incarnation: Start number; grows with each replacement or reboot.
+        pool: Pool that the platform started it in.
+        zone: Availability zone.
+        rack: Rack within the zone.
+        address: ``ip:port`` of its endpoint.
+        state: ``live`` or ``leaving``.
+    """
+
+    instance: str
+    incarnation: int
+    pool: str
+    zone: str
+    rack: str
+    address: str
+    state: str
+
+
+@dataclass(frozen=True)
+class Listing:
+    """One answer of the list.
+
+    Attributes:
+        as_of: Time on the platform's clock that the list describes, seconds.
+        instances: Listed instances, in no order.
+    """
+
+    as_of: float
+    instances: tuple[ListedInstance, ...]
+
+
+@dataclass(frozen=True)
+class ListUnavailable:
+    """The list did not answer or answered with an error."""
+
+    detail: str
+
+
+ListOutcome: TypeAlias = Listing | ListUnavailable
+
+
+class InstanceList(Protocol):
+    """What the tasks need of the list; tests use an in-memory fake."""
+
+    def fetch(self) -> ListOutcome:
+        """Reads the list once."""
+        ...
+
+
+class ListClient:
+    """Client of the instance list over HTTP with JSON.
+
+    Args:
+        base_url: For example ``http://192.0.2.1:7000``.
+    """
+
+    def __init__(self, base_url: str) -> None:
+        """Keeps the address; connects on first use."""
+        self._url = base_url.rstrip("/") + "/v1/instances"
+        self._http = urllib3.PoolManager(
+            num_pools=1, timeout=_TIMEOUT, retries=False
+        )
+        self._decoder = msgspec.json.Decoder(Listing)
+
+    def fetch(self) -> ListOutcome:
+        """Reads the list once."""
+        try:
+            answer = self._http.request("GET", self._url)
+            if answer.status != 200:
+                return ListUnavailable(f"status {answer.status}")
+            return self._decoder.decode(answer.data)
+        except urllib3.exceptions.HTTPError as error:
+            return ListUnavailable(str(error))
+        except msgspec.DecodeError as error:
+            return ListUnavailable(f"answer not understood: {error}")
--- /dev/null
+++ b/acaciawing/records/__init__.py
@@ -0,0 +1,19 @@
+"""Typed, versioned records of the platform's log."""
+
+from acaciawing.records.envelope import (
+    Envelope,
+    LogPosition,
+    Malformed,
+    decode,
+    encode,
+    record_type,
+)
+
+__all__ = [
+    "Envelope",
+    "LogPosition",
+    "Malformed",
+    "decode",
+    "encode",
+    "record_type",
+]
--- /dev/null
+++ b/acaciawing/records/tests/test_envelope.py
@@ -0,0 +1,23 @@
+"""Tests of the record envelope."""
+
+from acaciawing.membership import EntryLeft
+from acaciawing.records import Envelope, Malformed, decode, encode
+
+
+class TestEnvelope:
+    """Guards against a record that another release cannot read."""
+
+    def test_round_trip(self) -> None:
+        record = EntryLeft("entry-1", 3)
+        assert decode(encode(record, "entry-1/3")) == Envelope(
+            "entry-1/3", record
+        )
+
+    def test_wrong_body_is_reported_and_not_raised(self) -> None:
+        payload = (
+            b'{"type":"entry-left","version":1,"writer":"a/1",'
+            b'"body":{"instance":5}}'
+        )
+        outcome = decode(payload)
+        assert isinstance(outcome, Malformed)
+        assert outcome.reason == "invalid-body"
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration launcher."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,4 @@
+"""Small stand-ins for the platform and for endpoints.
+
+The product never imports this package.
+"""
