Add measures and availability budgets with one gate

Cause: every disruptive action must ask one gate, and two instances must not spend the same budget from one stale count.

Ruled out: counts as increments (a repeat counts twice, a lost record is never made good); one epoch for the whole ledger (reservations on different plans would race for no reason); moving the epoch with each count record (about one a second at 9 instances, so nearly every reservation would lose).

Counts are totals for each incarnation, so the fold adds differences. Reservations name the plan's epoch and the failures that their writer saw and held back; the fold refuses them when more failures were counted meanwhile.

--- /dev/null
+++ b/acaciawing/budgets/__init__.py
@@ -0,0 +1,58 @@
+"""Availability budget per plan and the gate for disruptive actions."""
+
+from acaciawing.budgets.gate import (
+    COUNTS_LAG_S,
+    COUNTS_STALE_S,
+    Action,
+    Budget,
+    BudgetSnapshot,
+    DenialReason,
+    Denied,
+    DisruptionRequest,
+    GateDecision,
+    Granted,
+    achieved,
+    ask,
+    budget,
+    burn_rate,
+    counts_age,
+)
+from acaciawing.budgets.ledger import (
+    BudgetReleased,
+    BudgetReserved,
+    Ledger,
+    PlanAmount,
+    PlanCount,
+    PlanCounts,
+    Reservation,
+    reserved,
+)
+from acaciawing.budgets.series import INTERVAL_S, Series
+
+__all__ = [
+    "COUNTS_LAG_S",
+    "COUNTS_STALE_S",
+    "INTERVAL_S",
+    "Action",
+    "Budget",
+    "BudgetReleased",
+    "BudgetReserved",
+    "BudgetSnapshot",
+    "DenialReason",
+    "Denied",
+    "DisruptionRequest",
+    "GateDecision",
+    "Granted",
+    "Ledger",
+    "PlanAmount",
+    "PlanCount",
+    "PlanCounts",
+    "Reservation",
+    "Series",
+    "achieved",
+    "ask",
+    "budget",
+    "burn_rate",
+    "counts_age",
+    "reserved",
+]
--- /dev/null
+++ b/acaciawing/budgets/series.py
@@ -0,0 +1,133 @@
+"""Requests and failures of one plan over time, in buckets that age coarser.
+
+Recent buckets are narrow for the burn rate, old ones wide, so that a window of
+35 days needs about 350 buckets. This is the resolution scheme of round-robin
+databases (Oetiker 1998), applied on each append.
+"""
+
+from dataclasses import dataclass, replace
+
+INTERVAL_S = 10.0
+
+# (age from which buckets of this tier merge, width of the merged bucket), s.
+_TIERS = ((600.0, 600.0), (86_400.0, 21_600.0))
+_LONGEST_WINDOW_S = 35 * 86_400.0
+
+
+@dataclass(frozen=True)
+class Bucket:
+    """Counts of one span of time.
+
+    Attributes:
+        start: Start on the log's clock, in seconds.
+        width: Length, in seconds.
+        requests: Requests that ended.
+        failed: Those that failed or were refused.
+    """
+
+    start: float
+    width: float
+    requests: int
+    failed: int
+
+
+@dataclass(frozen=True)
+class Series:
+    """Counts of one plan, oldest bucket first.
+
+    Attributes:
+        buckets: Disjoint buckets in time order.
+        requests_total: Requests ever counted.
+        failed_total: Failures ever counted.
+    """
+
+    buckets: tuple[Bucket, ...] = ()
+    requests_total: int = 0
+    failed_total: int = 0
+
+
+def add(series: Series, at: float, requests: int, failed: int) -> Series:
+    """Counts requests at a time.
+
+    Args:
+        series: Counts so far.
+        at: Time on the log's clock, in seconds. A time before the newest
+            bucket counts in the newest bucket.
+        requests: Requests that ended.
+        failed: Those that failed or were refused.
+
+    Returns:
+        The series with the counts.
+    """
+    totals = replace(
+        series,
+        requests_total=series.requests_total + requests,
+        failed_total=series.failed_total + failed,
+    )
+    buckets = series.buckets
+    start = at - at % INTERVAL_S
+    if buckets and buckets[-1].start >= start:
+        last = buckets[-1]
+        merged = replace(
+            last,
+            requests=last.requests + requests,
+            failed=last.failed + failed,
+        )
+        return replace(totals, buckets=(*buckets[:-1], merged))
+    bucket = Bucket(start, INTERVAL_S, requests, failed)
+    return replace(totals, buckets=(*_aged(buckets, start), bucket))
+
+
+def sums(series: Series, now: float, window_s: float) -> tuple[int, int]:
+    """Requests and failures of a window that ends now.
+
+    A bucket that lies partly in the window counts whole.
+
+    Args:
+        series: Counts of the plan.
+        now: End of the window, in seconds.
+        window_s: Length of the window, in seconds.
+
+    Returns:
+        Requests and failures.
+
+    >>> sums(add(Series(), 5.0, 10, 1), 60.0, 60.0)
+    (10, 1)
+    >>> sums(add(Series(), 5.0, 10, 1), 71.0, 60.0)
+    (0, 0)
+    """
+    requests = failed = 0
+    for bucket in reversed(series.buckets):
+        if bucket.start + bucket.width <= now - window_s:
+            break
+        requests += bucket.requests
+        failed += bucket.failed
+    return requests, failed
+
+
+def _aged(buckets: tuple[Bucket, ...], now: float) -> tuple[Bucket, ...]:
+    """Merges old buckets; touches nothing while none crosses a boundary."""
+    kept: list[Bucket] = []
+    for bucket in buckets:
+        if bucket.start + bucket.width <= now - _LONGEST_WINDOW_S:
+            continue
+        bucket = _widened(bucket, now)
+        if kept and kept[-1].start == bucket.start:
+            bucket = replace(
+                bucket,
+                requests=bucket.requests + kept[-1].requests,
+                failed=bucket.failed + kept[-1].failed,
+            )
+            kept[-1] = bucket
+        else:
+            kept.append(bucket)
+    return tuple(kept)
+
+
+def _widened(bucket: Bucket, now: float) -> Bucket:
+    for age, width in reversed(_TIERS):
+        start = bucket.start - bucket.start % width
+        # Whole spans only, so that a wide bucket never overlaps a narrow one.
+        if start + width <= now - age and bucket.width < width:
+            return replace(bucket, start=start, width=width)
+    return bucket
--- a/acaciawing/fold/state.py
+++ b/acaciawing/fold/state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from acaciawing.budgets import Ledger
 from acaciawing.configuration import ConfigurationState
 from acaciawing.membership import Roster
 
@@ -14,8 +15,10 @@
         offset: Offset of the next record to apply.
         configuration: The configuration in force.
         roster: Entry instances.
+        budgets: Counts and reservations of the plans.
     """
 
     offset: int = 0
     configuration: ConfigurationState = ConfigurationState()
     roster: Roster = Roster()
+    budgets: Ledger = Ledger()
--- a/acaciawing/fold/steps.py
+++ b/acaciawing/fold/steps.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from acaciawing.budgets import ledger
 from acaciawing.configuration import publication
 from acaciawing.fold.state import FleetState
 from acaciawing.membership import roster
@@ -22,6 +23,9 @@
     publication.ConfigurationPublished: ("configuration", publication.apply),
     roster.EntryJoined: ("roster", roster.apply),
     roster.EntryLeft: ("roster", roster.apply),
+    ledger.PlanCounts: ("budgets", ledger.apply),
+    ledger.BudgetReserved: ("budgets", ledger.apply),
+    ledger.BudgetReleased: ("budgets", ledger.apply),
 }
 
 
