Add maintenance waves that any instance can continue

Cause: a wave must survive its controller and stay within rack, zone, pool and budget bounds, whatever fails meanwhile.

Ruled out: progress in the memory of a process (the naive version reboots three of eight instances twice after a kill); bounds checked only by the controller (two pools that read the same state pass the zone bound together); putting an instance that never drains through a reboot (it would interrupt work).

Each step names the member's epoch and the lease's token, and the fold checks the bounds again. Budget is reserved before each drain and released after it. The platform needs an `undrain` call to put an instance back into service without a reboot.

Tests: killed after each record of a wave over 8 instances, another finishes with one reboot each; random failures and kills keep the bounds.

--- a/acaciawing/fold/state.py
+++ b/acaciawing/fold/state.py
@@ -4,6 +4,7 @@
 
 from acaciawing.budgets import Ledger
 from acaciawing.configuration import ConfigurationState
+from acaciawing.maintenance import WaveTable
 from acaciawing.membership import Roster
 
 
@@ -16,9 +17,11 @@
         configuration: The configuration in force.
         roster: Entry instances.
         budgets: Counts and reservations of the plans.
+        waves: Maintenance waves and outages.
     """
 
     offset: int = 0
     configuration: ConfigurationState = ConfigurationState()
     roster: Roster = Roster()
     budgets: Ledger = Ledger()
+    waves: WaveTable = WaveTable()
--- a/acaciawing/fold/steps.py
+++ b/acaciawing/fold/steps.py
@@ -11,6 +11,7 @@
 from acaciawing.budgets import ledger
 from acaciawing.configuration import publication
 from acaciawing.fold.state import FleetState
+from acaciawing.maintenance import waves
 from acaciawing.membership import roster
 from acaciawing.outcomes import Ignored, Verdict
 from acaciawing.records import LogPosition, Malformed, decode
@@ -26,6 +27,11 @@
     ledger.PlanCounts: ("budgets", ledger.apply),
     ledger.BudgetReserved: ("budgets", ledger.apply),
     ledger.BudgetReleased: ("budgets", ledger.apply),
+    waves.WavePlanned: ("waves", waves.apply),
+    waves.WaveStep: ("waves", waves.apply),
+    waves.OutageChanged: ("waves", waves.apply),
+    waves.WaveStopped: ("waves", waves.apply),
+    waves.WaveResumed: ("waves", waves.apply),
 }
 
 
--- /dev/null
+++ b/acaciawing/maintenance/rounds.py
@@ -0,0 +1,476 @@
+"""One control round of maintenance over a pool.
+
+The decision depends only on the fold and on what was observed, never on what an
+earlier round decided, so any instance can continue a wave at any record.
+"""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import TypeAlias
+
+from acaciawing.budgets import (
+    Action,
+    BudgetReleased,
+    BudgetReserved,
+    BudgetSnapshot,
+    Denied,
+    DisruptionRequest,
+    ask,
+)
+from acaciawing.maintenance.waves import (
+    Bounds,
+    Member,
+    OutageChanged,
+    Place,
+    Stage,
+    Wave,
+    WavePlanned,
+    WaveStep,
+    WaveTable,
+    exceeded,
+)
+
+PERIOD_S = 21 * 86_400.0
+
+# A wave starts when the oldest instance reaches two thirds of the period; the
+# last third is left for blocked budgets, stops and outages.
+_DUE_AGE_S = 14 * 86_400.0
+
+# Instances maintained within this time are left out of the pool's next wave.
+_FRESH_AGE_S = 7 * 86_400.0
+
+# Pause between two waves of a pool, so that an instance that can't be drained
+# is tried once a day and not without end.
+_RETRY_S = 86_400.0
+
+# A leaving endpoint may get new work for 3 s (design 1.1); two seconds more
+# cover the status that lags behind.
+_LEAVE_S = 5.0
+
+
+@dataclass(frozen=True)
+class StepLimits:
+    """How long each stage may take, in seconds.
+
+    Attributes:
+        drain_s: Until a drain is given up and the instance serves again.
+        reboot_s: Until a reboot counts as failed.
+        verify_s: Until a verification counts as failed.
+        wait_s: Until a member that can't be drained is left for the next wave.
+        drains: Drains that are tried in one wave.
+    """
+
+    drain_s: float = 600.0
+    reboot_s: float = 600.0
+    verify_s: float = 300.0
+    wait_s: float = 4 * 86_400.0
+    drains: int = 2
+
+
+@dataclass(frozen=True)
+class ObservedInstance:
+    """An instance as listed, with its status.
+
+    Attributes:
+        place: Where it is, with its present incarnation.
+        pool: Pool that owns it.
+        serving: Whether it is up, draining or not.
+        draining: Whether it refuses new work.
+        moving: Whether it is leaving the pool for a loan or its return.
+        in_flight: Requests that it runs, or None when unknown.
+        verified: Whether it passed its checks since its start.
+    """
+
+    place: Place
+    pool: str
+    serving: bool
+    draining: bool = False
+    moving: bool = False
+    in_flight: int | None = None
+    verified: bool = False
+
+
+@dataclass(frozen=True)
+class MaintenanceSnapshot:
+    """What a round looks at.
+
+    Attributes:
+        waves: The fold's waves.
+        budgets: Ledger, plans and roster for the gate.
+        observed: Every listed instance by id; one that failed is missing or
+            not serving.
+        impact: Requests that draining an instance may fail, by plan.
+        limits: Limits of the stages.
+    """
+
+    waves: WaveTable
+    budgets: BudgetSnapshot
+    observed: Mapping[str, ObservedInstance]
+    impact: Mapping[str, Mapping[str, float]] = field(default_factory=dict)
+    limits: StepLimits = StepLimits()
+
+
+@dataclass(frozen=True)
+class RoundRequest:
+    """The pool to look after.
+
+    Attributes:
+        pool: Name of the pool.
+        bounds: Bounds for a wave that this round may plan.
+        token: Fencing token of the pool's maintenance lease.
+    """
+
+    pool: str
+    bounds: Bounds
+    token: int
+
+
+@dataclass(frozen=True)
+class PlatformCall:
+    """A call to the worker interface; idempotent by its id.
+
+    Attributes:
+        operation: ``drain``, ``undrain`` or ``reboot``.
+        instance: Id of the instance.
+        request_id: The same in each round until the instance moves on.
+    """
+
+    operation: str
+    instance: str
+    request_id: str
+
+
+@dataclass(frozen=True)
+class Held:
+    """An instance that waits, and why.
+
+    Attributes:
+        instance: Its id.
+        reasons: Codes, for example ``zone-bound`` or ``budget-spent:gold``.
+    """
+
+    instance: str
+    reasons: tuple[str, ...]
+
+
+MaintenanceRecord: TypeAlias = (
+    WavePlanned | WaveStep | OutageChanged | BudgetReserved | BudgetReleased
+)
+
+
+@dataclass(frozen=True)
+class RoundDecision:
+    """What to do in a round.
+
+    Attributes:
+        records: Records to append, in order. None depends on another one of
+            the round being accepted.
+        calls: Calls for steps that are already accepted.
+        held: Instances that wait.
+    """
+
+    records: tuple[MaintenanceRecord, ...] = ()
+    calls: tuple[PlatformCall, ...] = ()
+    held: tuple[Held, ...] = ()
+
+
+def reservation_id(wave: Wave, member: Member) -> str:
+    """Id of the budget reservation for the member's present or next drain."""
+    drain = member.drains + (member.stage is Stage.WAITING)
+    prefix = _reservation_prefix(wave.pool)
+    return f"{prefix}{wave.number}/{member.place.instance}/{drain}"
+
+
+def _reservation_prefix(pool: str) -> str:
+    return f"wave/{pool}/"
+
+
+def decide(
+    snapshot: MaintenanceSnapshot, request: RoundRequest, now: float
+) -> RoundDecision:
+    """Decides one round over a pool.
+
+    Args:
+        snapshot: Waves, budgets and observed instances.
+        request: The pool, the bounds and the fencing token.
+        now: Time on the log's clock, in seconds.
+
+    Returns:
+        Records, calls and what is held up. With an unchanged fold and
+        unchanged observations a repeated round returns the same.
+    """
+    outages = tuple(_outages(snapshot, request))
+    wave = snapshot.waves.active.get(request.pool)
+    releases = tuple(_releases(snapshot, request.pool, wave))
+    if wave is None:
+        planned = _planned(snapshot, request, now)
+        return RoundDecision((*outages, *releases, *planned))
+    steps = tuple(_steps(snapshot, request, wave, now))
+    start, held = _start(snapshot, request, wave, now)
+    calls = tuple(_calls(snapshot, wave))
+    # While an outage is unrecorded the fold can't count it; starting waits.
+    starts = () if outages else start
+    return RoundDecision((*outages, *steps, *releases, *starts), calls, held)
+
+
+def _outages(
+    snapshot: MaintenanceSnapshot, request: RoundRequest
+) -> Iterator[OutageChanged]:
+    waves = snapshot.waves
+    for seen in snapshot.observed.values():
+        instance = seen.place.instance
+        if seen.pool != request.pool or instance in waves.in_progress:
+            continue
+        down = instance in waves.outages
+        if not seen.serving and not down:
+            yield OutageChanged(request.pool, seen.place, True, request.token)
+        elif seen.serving and down:
+            yield OutageChanged(request.pool, seen.place, False, request.token)
+    for instance, lost in waves.outages.items():
+        # The platform no longer lists it: it was replaced by another id.
+        if lost.pool == request.pool and instance not in snapshot.observed:
+            yield OutageChanged(request.pool, lost.place, False, request.token)
+
+
+def _planned(
+    snapshot: MaintenanceSnapshot, request: RoundRequest, now: float
+) -> tuple[WavePlanned, ...]:
+    if snapshot.waves.is_stopped(request.pool):
+        return ()
+    ages = {
+        seen.place: now - snapshot.waves.maintained.get(name, -PERIOD_S)
+        for name, seen in snapshot.observed.items()
+        if seen.pool == request.pool and seen.serving
+    }
+    if not ages or max(ages.values()) < _DUE_AGE_S:
+        return ()
+    ended = snapshot.waves.ended.get(request.pool)
+    if ended is not None and now - ended < _RETRY_S:
+        return ()
+    due = [place for place, age in ages.items() if age >= _FRESH_AGE_S]
+    due.sort(key=lambda place: place.instance)
+    epoch = snapshot.waves.epochs.get(request.pool, 0)
+    wave = WavePlanned(
+        request.pool, epoch, tuple(due), request.bounds, request.token
+    )
+    return (wave,)
+
+
+def _steps(
+    snapshot: MaintenanceSnapshot,
+    request: RoundRequest,
+    wave: Wave,
+    now: float,
+) -> Iterator[WaveStep]:
+    for instance, member in sorted(wave.members.items()):
+        if member.stage.final:
+            continue
+        passed = _passed(snapshot, wave, member, now)
+        if passed is not None:
+            stage, reason = passed
+            yield WaveStep(
+                wave.pool,
+                wave.number,
+                instance,
+                member.epoch,
+                stage,
+                request.token,
+                reason,
+            )
+
+
+def _passed(
+    snapshot: MaintenanceSnapshot, wave: Wave, member: Member, now: float
+) -> tuple[Stage, str] | None:
+    """The stage that a member has reached, with the reason."""
+    seen = snapshot.observed.get(member.place.instance)
+    if member.stage in _BEFORE_REBOOT:
+        if seen is None or _restarted(member, seen):
+            return Stage.REPLACED, "replaced"
+        if member.stage is Stage.WAITING:
+            return _passed_waiting(snapshot, wave, member, seen, now)
+        if not seen.serving:
+            return Stage.FAILED, "failed-while-draining"
+        if member.stage is Stage.DRAINING:
+            return _passed_draining(snapshot, wave, member, seen, now)
+        return _passed_restoring(snapshot, member, seen)
+    return _passed_reboot(snapshot, member, seen, now)
+
+
+_BEFORE_REBOOT = (Stage.WAITING, Stage.DRAINING, Stage.RESTORING)
+
+
+def _passed_waiting(
+    snapshot: MaintenanceSnapshot,
+    wave: Wave,
+    member: Member,
+    seen: ObservedInstance,
+    now: float,
+) -> tuple[Stage, str] | None:
+    if seen.pool != wave.pool:
+        return Stage.SKIPPED, "moved"
+    if now - member.since > snapshot.limits.wait_s:
+        return Stage.SKIPPED, "wait-timeout"
+    return None
+
+
+def _passed_draining(
+    snapshot: MaintenanceSnapshot,
+    wave: Wave,
+    member: Member,
+    seen: ObservedInstance,
+    now: float,
+) -> tuple[Stage, str] | None:
+    if snapshot.waves.is_stopped(wave.pool):
+        return Stage.RESTORING, "stopped"
+    passed = exceeded(snapshot.waves, wave.pool, member.place, wave.bounds)
+    if passed:
+        # An unplanned failure took the capacity that this drain counted on.
+        return Stage.RESTORING, passed[0]
+    age = now - member.since
+    if seen.draining and seen.in_flight == 0 and age >= _LEAVE_S:
+        return Stage.REBOOTING, ""
+    if age > snapshot.limits.drain_s:
+        return Stage.RESTORING, "drain-timeout"
+    return None
+
+
+def _passed_restoring(
+    snapshot: MaintenanceSnapshot, member: Member, seen: ObservedInstance
+) -> tuple[Stage, str] | None:
+    if seen.draining:
+        return None
+    if member.drains < snapshot.limits.drains:
+        return Stage.WAITING, ""
+    return Stage.SKIPPED, "drains-used-up"
+
+
+def _passed_reboot(
+    snapshot: MaintenanceSnapshot,
+    member: Member,
+    seen: ObservedInstance | None,
+    now: float,
+) -> tuple[Stage, str] | None:
+    serving = seen is not None and seen.serving and _restarted(member, seen)
+    limit = snapshot.limits.verify_s
+    if member.stage is Stage.REBOOTING:
+        limit = snapshot.limits.reboot_s
+        if serving:
+            return Stage.VERIFYING, ""
+    elif serving and seen is not None and seen.verified:
+        return Stage.RETURNED, ""
+    if now - member.since > limit:
+        return Stage.FAILED, f"{member.stage.value}-timeout"
+    return None
+
+
+def _restarted(member: Member, seen: ObservedInstance) -> bool:
+    return seen.place.incarnation > member.place.incarnation
+
+
+def _start(
+    snapshot: MaintenanceSnapshot,
+    request: RoundRequest,
+    wave: Wave,
+    now: float,
+) -> tuple[tuple[MaintenanceRecord, ...], tuple[Held, ...]]:
+    """Starts at most one drain: reserves its budget, then records it.
+
+    Two reservations of one round would name the same budget epoch, so that
+    the second would be refused.
+    """
+    held: list[Held] = []
+    waiting = [m for m in wave.members.values() if m.stage is Stage.WAITING]
+    # Members whose drain never ended come last; others by last maintenance.
+    known = snapshot.waves.maintained
+    waiting.sort(
+        key=lambda m: (
+            m.drains,
+            known.get(m.place.instance, -PERIOD_S),
+            m.place.instance,
+        )
+    )
+    for member in waiting:
+        reasons = _obstacles(snapshot, wave, member)
+        if not reasons:
+            outcome = _drain_or_reserve(snapshot, request, wave, member, now)
+            if isinstance(outcome, Denied):
+                reasons = tuple(
+                    f"{r.code}:{r.plan}" if r.plan else r.code
+                    for r in outcome.reasons
+                )
+            else:
+                return (outcome,), tuple(held)
+        held.append(Held(member.place.instance, reasons))
+    return (), tuple(held)
+
+
+def _obstacles(
+    snapshot: MaintenanceSnapshot, wave: Wave, member: Member
+) -> tuple[str, ...]:
+    if snapshot.waves.is_stopped(wave.pool):
+        return ("stopped",)
+    seen = snapshot.observed.get(member.place.instance)
+    if seen is None or not seen.serving or seen.pool != wave.pool:
+        return ("not-serving",)
+    if seen.moving:
+        return ("moving",)
+    return exceeded(snapshot.waves, wave.pool, member.place, wave.bounds)
+
+
+def _drain_or_reserve(
+    snapshot: MaintenanceSnapshot,
+    request: RoundRequest,
+    wave: Wave,
+    member: Member,
+    now: float,
+) -> WaveStep | BudgetReserved | Denied:
+    instance = member.place.instance
+    name = reservation_id(wave, member)
+    limits = snapshot.limits
+    duration = limits.drain_s + limits.reboot_s + limits.verify_s
+    made = snapshot.budgets.ledger.reservations.get(name)
+    # A reservation that lapses during the drain would not cover the reboot.
+    if made is not None and made.expires_at - now > duration / 2:
+        return WaveStep(
+            wave.pool,
+            wave.number,
+            instance,
+            member.epoch,
+            Stage.DRAINING,
+            request.token,
+        )
+    failures = snapshot.impact.get(instance, {})
+    decision = ask(
+        snapshot.budgets, DisruptionRequest(Action.REBOOT, failures), now
+    )
+    if isinstance(decision, Denied):
+        return decision
+    return BudgetReserved(name, decision.amounts, 2 * duration)
+
+
+def _releases(
+    snapshot: MaintenanceSnapshot, pool: str, wave: Wave | None
+) -> Iterator[BudgetReleased]:
+    """Releases every reservation of the pool that no member needs."""
+    members = wave.members.values() if wave else ()
+    needed = {
+        reservation_id(wave, member)
+        for member in members
+        if wave and not member.stage.final
+    }
+    for name, made in sorted(snapshot.budgets.ledger.reservations.items()):
+        mine = name.startswith(_reservation_prefix(pool))
+        if mine and not made.released and name not in needed:
+            yield BudgetReleased(name)
+
+
+def _calls(snapshot: MaintenanceSnapshot, wave: Wave) -> Iterator[PlatformCall]:
+    for instance, member in sorted(wave.members.items()):
+        request_id = f"wave/{wave.pool}/{wave.number}/{instance}/{member.epoch}"
+        if member.stage is Stage.DRAINING:
+            yield PlatformCall("drain", instance, request_id)
+        elif member.stage is Stage.REBOOTING:
+            yield PlatformCall("reboot", instance, request_id)
+        elif member.stage is Stage.RESTORING:
+            yield PlatformCall("undrain", instance, request_id)
--- /dev/null
+++ b/acaciawing/maintenance/tests/test_waves.py
@@ -0,0 +1,334 @@
+"""Tests of maintenance waves."""
+
+from dataclasses import replace
+
+import hypothesis.strategies as st
+from hypothesis import given, settings
+
+from acaciawing.maintenance import (
+    ALL_POOLS,
+    Bounds,
+    FleetShape,
+    OutageChanged,
+    ScheduleBounds,
+    Stage,
+    StepTimes,
+    WaveResumed,
+    WaveStep,
+    WaveStopped,
+    calculate,
+    decide,
+)
+from acaciawing.maintenance.rounds import RoundRequest
+from acaciawing.maintenance.tests.fake_fleet import POOL, FakeFleet, fleet
+from acaciawing.maintenance.tests.naive import naive_wave
+from acaciawing.outcomes import Accepted, Ignored
+
+_ROUNDS = 2000
+
+
+def _finish(fake: FakeFleet) -> None:
+    for _ in range(_ROUNDS):
+        fake.round()
+        if POOL in fake.state.waves.ended:
+            return
+    raise AssertionError("the wave did not end")
+
+
+def _assert_bounds(fake: FakeFleet, bounds: Bounds) -> None:
+    """What waves keep down stays within each bound."""
+    down = list(fake.state.waves.in_progress.values())
+    zones = [d.place.zone for d in down]
+    racks = [(d.place.zone, d.place.rack) for d in down]
+    assert len(down) <= bounds.pool
+    assert all(zones.count(zone) <= bounds.zone for zone in zones)
+    assert all(racks.count(rack) <= bounds.rack for rack in racks)
+
+
+def _stages(fake: FakeFleet, instance: str) -> list[Stage]:
+    return [
+        record.stage
+        for record, verdict in fake.log
+        if isinstance(record, WaveStep)
+        and record.instance == instance
+        and verdict == Accepted()
+    ]
+
+
+class TestResume:
+    """Guards against a wave that starts over or stalls with its controller."""
+
+    def test_naive_wave_maintains_twice_after_a_kill(self) -> None:
+        fake = fleet()
+        naive_wave(fake, killed_after=3)
+        naive_wave(fake)
+        assert max(i.rebooted for i in fake.instances.values()) == 2
+
+    def test_kill_after_each_record(self) -> None:
+        whole = fleet()
+        _finish(whole)
+        appends = sum(type(r).__name__ != "PlanCounts" for r, _ in whole.log)
+        assert appends > 8 * 5
+        for kill_at in range(1, appends):
+            fake = fleet()
+            done = 0
+            while True:
+                before = len(fake.log)
+                if fake.round(killed_after=kill_at - done):
+                    break
+                done += len(fake.log) - before - 1  # less the counts
+            fake.token += 1
+            _finish(fake)
+            counts = [i.rebooted for i in fake.instances.values()]
+            assert counts == [1] * 8, f"killed after record {kill_at}"
+
+    def test_paused_controller_changes_nothing(self) -> None:
+        fake = fleet()
+        fake.round()
+        old = RoundRequest(POOL, fake.bounds, fake.token)
+        stale = decide(fake.snapshot(), old, fake.now)
+        fake.token += 1
+        for _ in range(4):
+            fake.round()
+        table = fake.state.waves
+        assert table.in_progress
+        verdicts = [fake.append(r) for r in stale.records]
+        assert verdicts
+        assert all(isinstance(v, Ignored) for v in verdicts)
+        assert fake.state.waves is table
+
+    def test_equal_rounds_of_two_instances(self) -> None:
+        fake = fleet()
+        for _ in range(5):
+            fake.round()
+            request = RoundRequest(POOL, fake.bounds, fake.token)
+            decision = decide(fake.snapshot(), request, fake.now)
+            first = [fake.append(r) for r in decision.records]
+            second = [fake.append(r) for r in decision.records]
+            assert Accepted() not in second or not first
+
+    def test_old_token_is_refused_even_on_the_present_epoch(self) -> None:
+        fake = fleet()
+        fake.token = 5
+        fake.round()
+        step = WaveStep(POOL, 0, "w0", 0, Stage.DRAINING, 4)
+        assert fake.append(step) == Ignored("stale-token", "4, newest is 5")
+
+    def test_late_repeat_of_a_step_does_not_drain_again(self) -> None:
+        fake = fleet()
+        fake.round()
+        drain = WaveStep(POOL, 0, "w0", 0, Stage.DRAINING, 1)
+        later = [
+            replace(drain, epoch=1, stage=Stage.RESTORING),
+            replace(drain, epoch=2, stage=Stage.WAITING),
+        ]
+        verdicts = [fake.append(record) for record in (drain, *later)]
+        assert verdicts == [Accepted()] * 3
+        assert fake.append(drain) == Ignored("stale-epoch", "w0")
+
+
+class TestBounds:
+    """Guards against maintenance that takes out more than is allowed."""
+
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 7),
+                st.floats(10.0, 900.0),
+                st.integers(1, 12),
+                st.one_of(st.none(), st.integers(1, 3)),
+            ),
+            max_size=25,
+        ),
+        st.sampled_from([Bounds(2, 1, 1), Bounds(1, 1, 1), Bounds(4, 1, 2)]),
+    )
+    def test_random_failures_and_kills(
+        self,
+        events: list[tuple[int, float, int, int | None]],
+        bounds: Bounds,
+    ) -> None:
+        fake = fleet(bounds=bounds)
+        checked = 0
+
+        def check() -> None:
+            nonlocal checked
+            for record, verdict in fake.log[checked:]:
+                started = (
+                    isinstance(record, WaveStep)
+                    and record.stage is Stage.DRAINING
+                    and verdict == Accepted()
+                )
+                if started:
+                    waves = fake.state.waves
+                    # Unplanned failures count against the same bound.
+                    down = {**waves.outages, **waves.in_progress}
+                    assert len(down) <= bounds.pool
+            checked = len(fake.log)
+            _assert_bounds(fake, bounds)
+
+        for number, repair_s, rounds, killed_after in events:
+            fake.fail(f"w{number}", repair_s)
+            for _ in range(rounds):
+                if fake.round(killed_after):
+                    fake.token += 1
+                check()
+        for _ in range(_ROUNDS):
+            fake.round()
+            check()
+            if POOL in fake.state.waves.ended:
+                break
+        assert POOL in fake.state.waves.ended
+        assert max(i.rebooted for i in fake.instances.values()) <= 1
+
+    def test_two_pools_share_the_zone_bound(self) -> None:
+        """Two controllers that decide on the same state."""
+        fake = fleet(2, Bounds(2, 2, 1))
+        fake.instances["w1"].place = replace(
+            fake.instances["w1"].place, zone="z0"
+        )
+        fake.round()
+        steps = [
+            WaveStep(POOL, 0, name, 0, Stage.DRAINING, 1)
+            for name in ("w0", "w1")
+        ]
+        first, second = (fake.append(s) for s in steps)
+        assert first == Accepted()
+        assert second == Ignored("bound", "zone-bound")
+
+    def test_failure_returns_a_draining_instance(self) -> None:
+        fake = fleet(bounds=Bounds(1, 1, 1))
+        while not fake.state.waves.in_progress:
+            fake.round()
+        name = next(iter(fake.state.waves.in_progress))
+        fake.fail("w7" if name != "w7" else "w6", 300.0)
+        for _ in range(4):
+            fake.round()
+        assert _stages(fake, name)[:3] == [
+            Stage.DRAINING,
+            Stage.RESTORING,
+            Stage.WAITING,
+        ]
+        assert not fake.instances[name].draining
+
+    def test_nothing_starts_while_an_outage_is_unrecorded(self) -> None:
+        """The append of the outage may be the one that is lost."""
+        fake = fleet(bounds=Bounds(1, 1, 1))
+        fake.round()
+        fake.round()
+        request = RoundRequest(POOL, fake.bounds, fake.token)
+        ready = decide(fake.snapshot(), request, fake.now).records
+        assert [type(r) for r in ready] == [WaveStep]
+        fake.fail("w7", 300.0)
+        records = decide(fake.snapshot(), request, fake.now).records
+        assert [type(r) for r in records] == [OutageChanged]
+
+    def test_spent_budget_holds_the_wave(self) -> None:
+        fake = fleet()
+        fake.requests, fake.failed = 1000, 9
+        for _ in range(20):
+            fake.round()
+        assert not fake.state.waves.in_progress
+        request = RoundRequest(POOL, fake.bounds, fake.token)
+        held = decide(fake.snapshot(), request, fake.now).held
+        assert all(h.reasons == ("budget-spent:gold",) for h in held)
+        assert len(held) == 8
+
+    def test_reservations_are_released(self) -> None:
+        fake = fleet()
+        _finish(fake)
+        fake.round()
+        left = fake.state.budgets.reservations.values()
+        assert all(r.released for r in left)
+
+
+class TestOperator:
+    """Guards against a stop that is ignored or lifted by a late repeat."""
+
+    def test_stop_and_resume(self) -> None:
+        fake = fleet()
+        while not fake.state.waves.in_progress:
+            fake.round()
+        stop = WaveStopped(ALL_POOLS, "ana", "exams")
+        stopped_at = fake.offset
+        assert fake.append(stop) == Accepted()
+        for _ in range(100):
+            fake.round()
+        assert not fake.state.waves.in_progress
+        before = sum(i.rebooted for i in fake.instances.values())
+        assert before < 8
+        resume = WaveResumed(ALL_POOLS, "ana", stopped_at)
+        assert fake.append(resume) == Accepted()
+        assert fake.append(stop) == Accepted()
+        assert isinstance(fake.append(resume), Ignored)
+        assert fake.state.waves.is_stopped(POOL)
+        again = WaveResumed(ALL_POOLS, "ana", fake.offset - 2)
+        assert fake.append(again) == Accepted()
+        _finish(fake)
+        assert [i.rebooted for i in fake.instances.values()] == [1] * 8
+
+
+class TestDrain:
+    """Guards against drains that block the wave or cut off work."""
+
+    def test_endless_drain_is_given_up_and_the_rest_maintained(self) -> None:
+        fake = fleet()
+        fake.instances["w2"].drains = False
+        _finish(fake)
+        assert fake.instances["w2"].rebooted == 0
+        assert not fake.instances["w2"].draining
+        assert _stages(fake, "w2").count(Stage.DRAINING) == 2
+        assert _stages(fake, "w2")[-1] is Stage.SKIPPED
+        others = [i for n, i in fake.instances.items() if n != "w2"]
+        assert all(i.rebooted == 1 for i in others)
+        # It is not tried without end: the next wave waits a day.
+        for _ in range(100):
+            fake.round()
+        assert not fake.state.waves.active
+
+    def test_replaced_instance_is_not_rebooted(self) -> None:
+        fake = fleet()
+        for _ in range(3):
+            fake.round()
+        place = fake.instances["w7"].place
+        fake.instances["w7"].place = replace(place, incarnation=2)
+        _finish(fake)
+        assert fake.instances["w7"].rebooted == 0
+        assert _stages(fake, "w7") == [Stage.REPLACED]
+
+    def test_vanished_instance_does_not_block(self) -> None:
+        fake = fleet()
+        for _ in range(3):
+            fake.round()
+        del fake.instances["w7"]
+        _finish(fake)
+        assert _stages(fake, "w7") == [Stage.REPLACED]
+
+
+class TestSchedule:
+    """Guards against bounds that can't meet three weeks."""
+
+    def test_target_size_at_the_step_limits(self) -> None:
+        shape = FleetShape(1400, 349, 8, 4, 200)
+        limits = StepTimes(600.0, 600.0, 300.0, 30.0)
+        bounds = ScheduleBounds(1, 1, 2, zone_outages=0.5, open_share=0.5)
+        schedule = calculate(shape, limits, bounds)
+        assert schedule.in_time
+        assert schedule.per_hour_possible > schedule.per_hour_needed
+
+    def test_too_tight_bounds_are_seen(self) -> None:
+        shape = FleetShape(1400, 349, 8, 4, 1400)
+        limits = StepTimes(600.0, 600.0, 300.0, 30.0)
+        bounds = ScheduleBounds(1, 1, 1)
+        assert not calculate(shape, limits, bounds).in_time
+
+    def test_simulated_wave_is_within_the_calculation(self) -> None:
+        fake = fleet(bounds=Bounds(1, 1, 1))
+        _finish(fake)
+        # Observed: drain 20 s, reboot 60 s, and a round for each record.
+        schedule = calculate(
+            FleetShape(8, 1, 8, 1, 2),
+            StepTimes(20.0, 60.0, 5.0, 25.0),
+            ScheduleBounds(1, 1, 1),
+        )
+        assert fake.state.waves.ended[POOL] <= schedule.worst_s
