--- a/acaciawing/fold/state.py
+++ b/acaciawing/fold/state.py
@@ -4,6 +4,7 @@
 
 from acaciawing.budgets import Ledger
 from acaciawing.configuration import ConfigurationState
+from acaciawing.lending import LoanTable
 from acaciawing.maintenance import WaveTable
 from acaciawing.membership import Roster
 
@@ -18,6 +19,7 @@
         roster: Entry instances.
         budgets: Counts and reservations of the plans.
         waves: Maintenance waves and outages.
+        loans: Instances lent between pools.
     """
 
     offset: int = 0
@@ -25,3 +27,4 @@
     roster: Roster = Roster()
     budgets: Ledger = Ledger()
     waves: WaveTable = WaveTable()
+    loans: LoanTable = LoanTable()
--- a/acaciawing/fold/steps.py
+++ b/acaciawing/fold/steps.py
@@ -11,6 +11,7 @@
 from acaciawing.budgets import ledger
 from acaciawing.configuration import publication
 from acaciawing.fold.state import FleetState
+from acaciawing.lending import loans
 from acaciawing.maintenance import waves
 from acaciawing.membership import roster
 from acaciawing.outcomes import Ignored, Verdict
@@ -32,6 +33,10 @@
     waves.OutageChanged: ("waves", waves.apply),
     waves.WaveStopped: ("waves", waves.apply),
     waves.WaveResumed: ("waves", waves.apply),
+    loans.LoanBegun: ("loans", loans.apply),
+    loans.LoanExtended: ("loans", loans.apply),
+    loans.LoanReturnBegun: ("loans", loans.apply),
+    loans.LoanClosed: ("loans", loans.apply),
 }
 
 
