Serve requests end to end with separate stand-in and entry processes

Cause: nothing served a request yet. The entry daemon reads configuration from the log, is ready only then, admits and routes in one scheduler task, and drains on SIGTERM. Admission and routing are a thin first version: even shares and the least loaded endpoint of the own zone.

Found on the way: cheroot's header reader that drops names with an underscore compares bytes with str and fails on each request, so the check is our own.

Bookings are not claimed yet, so a repeat could still run twice.

--- /dev/null
+++ b/acaciawing/entry/observers.py
@@ -0,0 +1,157 @@
+"""Tasks that read the control stream and the instance list."""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from acaciawing.fold import FleetState, Step, step
+from acaciawing.platform import (
+    CONTROL_STREAM,
+    Batch,
+    Expired,
+    InstanceList,
+    ListUnavailable,
+    Log,
+    LogUnavailable,
+)
+from acaciawing.platform import Listing as PlatformListing
+
+# The roll-out goal is 2 s with the log up; a read each 0.5 s leaves time for
+# one failed read.
+POLL_S = 0.5
+LIST_POLL_S = 1.0
+_BATCH = 500
+
+
+@dataclass(frozen=True)
+class ReadResult:
+    """Result of one catch-up with the control stream.
+
+    Attributes:
+        state: State after the records read.
+        steps: A step for each record.
+        caught_up: Whether the end of the stream was reached.
+        problem: Why reading stopped, or an empty string.
+        expired: Whether the stream no longer holds the needed records.
+    """
+
+    state: FleetState
+    steps: tuple[Step, ...]
+    caught_up: bool
+    problem: str = ""
+    expired: bool = False
+
+
+def catch_up(log: Log, state: FleetState) -> ReadResult:
+    """Folds all records that the control stream holds beyond a state.
+
+    Args:
+        log: The platform's log.
+        state: State to go on from.
+
+    Returns:
+        The result; never raises on an unavailable log.
+    """
+    steps: list[Step] = []
+    while True:
+        batch = log.read(CONTROL_STREAM, state.offset, _BATCH)
+        if isinstance(batch, LogUnavailable):
+            return ReadResult(state, tuple(steps), False, batch.detail)
+        if isinstance(batch, Expired):
+            detail = f"oldest offset is {batch.first_offset}"
+            return ReadResult(state, tuple(steps), False, detail, expired=True)
+        state = _fold_batch(state, batch, steps)
+        if batch.next_offset >= batch.head_offset:
+            return ReadResult(state, tuple(steps), True)
+
+
+def _fold_batch(
+    state: FleetState, batch: Batch, steps: list[Step]
+) -> FleetState:
+    for entry in batch.entries:
+        result = step(state, entry.payload, entry.position)
+        steps.append(result)
+        state = result.state
+    return state
+
+
+class LogObserver(threading.Thread):
+    """Owns the fold; passes each new state on.
+
+    Args:
+        log: The platform's log.
+        state: State that recovery produced.
+        publish: Receives each result with new steps or a problem.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        state: FleetState,
+        publish: Callable[[ReadResult], None],
+    ) -> None:
+        """Keeps the arguments; `start` begins to read."""
+        super().__init__(name="log-observer", daemon=True)
+        self._log = log
+        self._state = state
+        self._publish = publish
+        self._adopted: FleetState | None = None
+        self._wake = threading.Event()
+        self._stopping = False
+
+    def adopt(self, state: FleetState) -> None:
+        """Takes a peer's state if it is newer; used while the log is away."""
+        self._adopted = state
+        self._wake.set()
+
+    def poke(self) -> None:
+        """Reads the log now, for example after an own append."""
+        self._wake.set()
+
+    def stop(self) -> None:
+        """Ends the task."""
+        self._stopping = True
+        self._wake.set()
+
+    def run(self) -> None:
+        """Reads until stopped."""
+        while not self._stopping:
+            adopted, self._adopted = self._adopted, None
+            if adopted is not None and adopted.offset > self._state.offset:
+                self._state = adopted
+                self._publish(ReadResult(adopted, (), False))
+            result = catch_up(self._log, self._state)
+            self._state = result.state
+            self._publish(result)
+            self._wake.wait(POLL_S)
+            self._wake.clear()
+
+
+class ListObserver(threading.Thread):
+    """Reads the instance list each second.
+
+    Args:
+        instances: Client of the list.
+        publish: Receives each answer.
+    """
+
+    def __init__(
+        self,
+        instances: InstanceList,
+        publish: Callable[[PlatformListing | ListUnavailable], None],
+    ) -> None:
+        """Keeps the arguments; `start` begins to read."""
+        super().__init__(name="list-observer", daemon=True)
+        self._instances = instances
+        self._publish = publish
+        self._stopping = threading.Event()
+
+    def stop(self) -> None:
+        """Ends the task."""
+        self._stopping.set()
+
+    def run(self) -> None:
+        """Reads until stopped."""
+        while not self._stopping.is_set():
+            self._publish(self._instances.fetch())
+            self._stopping.wait(LIST_POLL_S)
--- /dev/null
+++ b/acaciawing/entry/problems.py
@@ -0,0 +1,68 @@
+"""Refusals as problem documents (RFC 9457)."""
+
+import math
+from functools import singledispatch
+
+import msgspec
+
+from acaciawing.outcomes import NotRun, OutcomeUnknown, RanAndFailed, Refusal
+
+OUTCOME_HEADER = "Acaciawing-Outcome"
+
+
+@singledispatch
+def outcome_name(refusal: Refusal) -> str:
+    """Value of the member and header that name the outcome.
+
+    >>> outcome_name(NotRun("rate-limit", ""))
+    'not-run'
+    """
+    raise TypeError(type(refusal).__name__)
+
+
+@outcome_name.register
+def _(refusal: NotRun) -> str:
+    return "not-run"
+
+
+@outcome_name.register
+def _(refusal: RanAndFailed) -> str:
+    return "failed"
+
+
+@outcome_name.register
+def _(refusal: OutcomeUnknown) -> str:
+    return "unknown"
+
+
+def render(
+    refusal: Refusal, request_id: str
+) -> tuple[int, list[tuple[str, str]], bytes]:
+    """Renders a refusal.
+
+    Args:
+        refusal: The refusal.
+        request_id: Id of the request, to be quoted to the operators.
+
+    Returns:
+        Status, headers and body.
+    """
+    name = outcome_name(refusal)
+    body = msgspec.json.encode(
+        {
+            "type": f"urn:acaciawing:{refusal.code}",
+            "title": refusal.code,
+            "status": refusal.status,
+            "detail": refusal.detail,
+            "outcome": name,
+            "request": request_id,
+        }
+    )
+    headers = [
+        ("Content-Type", "application/problem+json"),
+        (OUTCOME_HEADER, name),
+    ]
+    retry_after_s = getattr(refusal, "retry_after_s", None)
+    if retry_after_s is not None:
+        headers.append(("Retry-After", str(max(1, math.ceil(retry_after_s)))))
+    return refusal.status, headers, body
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,147 @@
+"""Runs the demonstration; exit status 0 only if all promises held."""
+
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from demo.fleet import SERVICES, Fleet, start_fleet, start_log
+from demo.load import Balancer, Caller, CallerProfile, Sent
+from demo.operator import (
+    HTTP,
+    call,
+    publish,
+    roll_out_s,
+    runs_by_request,
+    wait_until,
+)
+from demo.processes import Processes
+from demo.report import (
+    Row,
+    integrity_rows,
+    plan_rows,
+    render,
+    timed_row,
+)
+
+PROMISED = {"doorstep": 0.999, "office": 0.99}
+_CALLERS = 12
+
+
+def main() -> int:
+    """Runs all steps and prints the table."""
+    begun = time.monotonic()
+    with tempfile.TemporaryDirectory(prefix="acaciawing-demo-") as folder:
+        processes = Processes(Path(folder))
+        try:
+            rows = _run(processes)
+        finally:
+            processes.close()
+    print(render(rows))
+    print(f"took {time.monotonic() - begun:.1f} s")
+    return 0 if all(row.held for row in rows) else 1
+
+
+def _run(processes: Processes) -> list[Row]:
+    fleet = start_fleet(processes)
+    wait_until(lambda: bool(call("GET", f"{fleet.log}/standin/state")), 10)
+    first = publish(fleet, 500.0, -1)
+    balancer = Balancer(fleet.entries)
+    started = wait_until(lambda: balancer.check(HTTP) == len(fleet.entries), 20)
+    if started is None:
+        raise RuntimeError("not all entry instances became ready")
+    print(f"{len(fleet.entries)} entry instances ready", flush=True)
+    callers = _start_callers(balancer)
+    rows = _steps(processes, fleet, balancer, first)
+    for caller in callers:
+        caller.stop()
+    for caller in callers:
+        caller.join(10)
+    sent = [entry for caller in callers for entry in caller.sent]
+    return [
+        *plan_rows(sent, PROMISED),
+        *integrity_rows(sent, runs_by_request(fleet)),
+        *rows,
+        _outcomes(sent),
+    ]
+
+
+def _start_callers(balancer: Balancer) -> list[Caller]:
+    profiles = [
+        CallerProfile("stylists", "doorstep", SERVICES[:3], 0.01, 0.3, 0.02),
+        CallerProfile("accounting", "office", SERVICES[3:], 0.01, 0.1, 0.0),
+    ]
+    callers = [
+        Caller(number, profiles[number % 2], balancer)
+        for number in range(_CALLERS)
+    ]
+    for caller in callers:
+        caller.start()
+    return callers
+
+
+def _steps(
+    processes: Processes, fleet: Fleet, balancer: Balancer, first: int
+) -> list[Row]:
+    time.sleep(2)
+    version = publish(fleet, 400.0, first)
+    changed = roll_out_s(fleet, list(fleet.entries), version)
+    print("configuration changed under load", flush=True)
+    drained = _drain_worker(fleet)
+    print("one worker drained", flush=True)
+    stopped = _stop_entry(processes, fleet, balancer)
+    print("one entry instance stopped", flush=True)
+    processes.signal("log", signal.SIGKILL)
+    print("log killed", flush=True)
+    time.sleep(4)
+    start_log(processes, fleet)
+    wait_until(lambda: bool(call("GET", f"{fleet.log}/standin/state")), 10)
+    again = publish(fleet, 300.0, version)
+    left = [name for name in fleet.entries if name != _STOPPED]
+    after = roll_out_s(fleet, left, again)
+    print("log back, configuration changed again", flush=True)
+    return [
+        timed_row("roll-out of a change", 2.0, changed),
+        timed_row("last new work at a leaving endpoint", 3.0, drained),
+        timed_row("planned stop of an entry instance", 30.0, stopped),
+        timed_row("roll-out after a log outage", 5.0, after),
+    ]
+
+
+def _drain_worker(fleet: Fleet) -> float:
+    name = "visits-2"
+    begun = time.time()
+    call(
+        "POST",
+        f"{fleet.instance_list}/v1/instances/{name}/drain",
+        {"operation_id": "demo-drain"},
+    )
+    time.sleep(4)
+    seen = call("GET", f"http://{fleet.endpoints[name]}/standin/runs")
+    return max(0.0, float(seen["last_arrival"]) - begun)
+
+
+_STOPPED = "entry-koper-2"
+
+
+def _stop_entry(
+    processes: Processes, fleet: Fleet, balancer: Balancer
+) -> float | None:
+    begun = time.monotonic()
+    processes.signal(_STOPPED, signal.SIGTERM)
+    wait_until(lambda: balancer.check(HTTP) == len(fleet.entries) - 1, 5)
+    status = processes.wait(_STOPPED, 30)
+    return time.monotonic() - begun if status == 0 else None
+
+
+def _outcomes(sent: list[Sent]) -> Row:
+    counts: dict[str, int] = {}
+    for entry in sent:
+        counts[entry.outcome] = counts.get(entry.outcome, 0) + 1
+    text = ", ".join(f"{k} {v}" for k, v in sorted(counts.items()))
+    return Row("answers by outcome", "", text, True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/demo/fleet.py
@@ -0,0 +1,155 @@
+"""Fleet of the demonstration: the Frizura deployment on loopback."""
+
+import hashlib
+import json
+from dataclasses import dataclass
+from pathlib import Path
+
+from acaciawing.configuration import Configuration, Customer, Plan, Service
+from demo.processes import Processes, free_ports
+
+ZONES = ("ljubljana", "maribor", "koper")
+SERVICES = ("visits", "routing", "supplies", "accounts", "portal")
+WORKERS_PER_SERVICE = 6
+ENTRIES_PER_ZONE = 2
+OPERATOR = "sample-operator"
+
+
+@dataclass(frozen=True)
+class Fleet:
+    """Addresses of the running fleet.
+
+    Attributes:
+        log: Base URL of the log stand-in.
+        instance_list: Base URL of the list stand-in.
+        entries: Callers' address by entry instance.
+        administration: Administration address by entry instance.
+        endpoints: Endpoint address by worker.
+    """
+
+    log: str
+    instance_list: str
+    entries: dict[str, str]
+    administration: dict[str, str]
+    endpoints: dict[str, str]
+
+
+def configuration(rate_per_s: float) -> Configuration:
+    """The operators' lists for the demonstration."""
+    services = tuple(
+        Service(name, name, spare=name == "portal") for name in SERVICES
+    )
+    plans = tuple(
+        Plan(name, rate, 604800.0, 5.0, rate_per_s, 300, 200, SERVICES)
+        for name, rate in (("doorstep", 0.999), ("office", 0.99))
+    )
+    customers = tuple(
+        Customer(name, plan, _digest(f"sample-{name}"))
+        for name, plan in (("stylists", "doorstep"), ("accounting", "office"))
+    )
+    return Configuration(customers, plans, services)
+
+
+def _digest(secret: str) -> str:
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+def start_fleet(processes: Processes) -> Fleet:
+    """Starts stand-ins and entry instances; returns their addresses."""
+    workers = [
+        f"{service}-{number}"
+        for service in SERVICES
+        for number in range(1, WORKERS_PER_SERVICE + 1)
+    ]
+    entries = [
+        f"entry-{zone}-{number}"
+        for zone in ZONES
+        for number in range(1, ENTRIES_PER_ZONE + 1)
+    ]
+    ports = free_ports(2 + len(workers) + 2 * len(entries))
+    addresses = [f"127.0.0.1:{port}" for port in ports]
+    log, instance_list = addresses[:2]
+    endpoints = dict(zip(workers, addresses[2:], strict=False))
+    rest = addresses[2 + len(workers) :]
+    fleet = Fleet(
+        f"http://{log}",
+        f"http://{instance_list}",
+        dict(zip(entries, rest[::2], strict=True)),
+        dict(zip(entries, rest[1::2], strict=True)),
+        endpoints,
+    )
+    start_log(processes, fleet)
+    _start_list(processes, fleet, workers)
+    for name, address in endpoints.items():
+        processes.start(
+            name,
+            "standins.endpoint",
+            *("--listen", address, "--instance", name, "--service-ms", "5"),
+        )
+    for name in entries:
+        processes.start(
+            name, "acaciawing.entry", _settings(processes, fleet, name)
+        )
+    return fleet
+
+
+def start_log(processes: Processes, fleet: Fleet) -> None:
+    """Starts the log stand-in; a restart finds its records in a journal."""
+    processes.start(
+        "log",
+        "standins.platform_service",
+        *("--listen", fleet.log.removeprefix("http://")),
+        *("--journal", str(processes.folder / "journal")),
+    )
+
+
+def _start_list(processes: Processes, fleet: Fleet, workers: list[str]) -> None:
+    listed = []
+    for position, name in enumerate(workers):
+        number = position % WORKERS_PER_SERVICE
+        zone = ZONES[number % len(ZONES)]
+        listed.append(
+            {
+                "instance": name,
+                "incarnation": 1,
+                "pool": name.rpartition("-")[0],
+                "zone": zone,
+                "rack": f"{zone}-r{position // (4 * len(ZONES))}",
+                "address": fleet.endpoints[name],
+            }
+        )
+    path = processes.folder / "instances.json"
+    path.write_text(json.dumps(listed), "utf-8")
+    processes.start(
+        "list",
+        "standins.platform_service",
+        *("--listen", fleet.instance_list.removeprefix("http://")),
+        *("--instances", str(path)),
+    )
+
+
+def _settings(processes: Processes, fleet: Fleet, name: str) -> str:
+    zone = name.split("-")[1]
+    lines = [
+        f'instance = "{name}"',
+        f'zone = "{zone}"',
+        'region = "slovenia"',
+        f'listen = "{fleet.entries[name]}"',
+        f'administration = "{fleet.administration[name]}"',
+        f'log = "{fleet.log}"',
+        f'list = "{fleet.instance_list}"',
+        f'administration_sha256 = "{_digest(OPERATOR)}"',
+        'peer_credential = "sample-peer"',
+        "threads = 64",
+    ]
+    for peer, address in fleet.administration.items():
+        if peer != name:
+            lines += [
+                "[[peers]]",
+                f'instance = "{peer}"',
+                f'zone = "{peer.split("-")[1]}"',
+                f'address = "{address}"',
+            ]
+    path: Path = processes.folder / f"{name}.toml"
+    path.write_text("\n".join(lines) + "\n", "utf-8")
+    return str(path)
--- /dev/null
+++ b/demo/load.py
@@ -0,0 +1,148 @@
+"""Callers of the demonstration and the platform's balancer in front of them."""
+
+import random
+import threading
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+import urllib3
+
+
+@dataclass
+class Sent:
+    """One request of a caller and what came back.
+
+    Attributes:
+        request_id: Id that endpoints count runs by.
+        plan: Plan of the customer.
+        method: HTTP method.
+        status: Final status, or 0 if the connection broke.
+        outcome: ``ok``, ``not-run``, ``failed``, ``unknown``, ``broken`` or
+            ``crossed``.
+        took_s: Time until the final answer, in seconds.
+    """
+
+    request_id: str
+    plan: str
+    method: str
+    status: int = 0
+    outcome: str = "broken"
+    took_s: float = 0.0
+
+
+@dataclass
+class Balancer:
+    """Chooses an entry instance that was ready at the last health check."""
+
+    entries: dict[str, str]
+    _ready: tuple[str, ...] = ()
+    _lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def check(self, http: urllib3.PoolManager) -> int:
+        """Asks each entry instance whether it is ready; returns how many."""
+        ready = []
+        for name, address in self.entries.items():
+            try:
+                answer = http.request("GET", f"http://{address}/readyz")
+            except urllib3.exceptions.HTTPError:
+                continue
+            if answer.status == 200:
+                ready.append(name)
+        with self._lock:
+            self._ready = tuple(ready)
+        return len(ready)
+
+    def choose(self, source: random.Random) -> str:
+        """Address of a ready entry instance."""
+        with self._lock:
+            return self.entries[source.choice(self._ready)]
+
+
+@dataclass(frozen=True)
+class CallerProfile:
+    """What one caller sends.
+
+    Attributes:
+        customer: Name; the credential is ``sample-NAME``.
+        plan: Plan of the customer.
+        services: Services to call, by turns.
+        period_s: Time between requests, in seconds.
+        write_share: Share of requests that are bookings (POST).
+        straggler_share: Share of requests that run 100 times longer.
+    """
+
+    customer: str
+    plan: str
+    services: tuple[str, ...]
+    period_s: float
+    write_share: float
+    straggler_share: float
+
+
+class Caller(threading.Thread):
+    """Sends requests one after the other and keeps what came back."""
+
+    def __init__(
+        self, number: int, profile: CallerProfile, balancer: Balancer
+    ) -> None:
+        """Keeps the arguments; `start` begins to send."""
+        super().__init__(name=f"caller-{number}", daemon=True)
+        self._number = number
+        self._profile = profile
+        self._balancer = balancer
+        self._random = random.Random(number)
+        self._http = urllib3.PoolManager(
+            num_pools=16, retries=False, timeout=urllib3.Timeout(total=10)
+        )
+        self._stopping = threading.Event()
+        self.sent: list[Sent] = []
+
+    def stop(self) -> None:
+        """Lets the request in flight end, then stops."""
+        self._stopping.set()
+
+    def run(self) -> None:
+        """Sends until stopped."""
+        count = 0
+        while not self._stopping.wait(self._profile.period_s):
+            count += 1
+            self.sent.append(self._send(f"c{self._number}-{count}"))
+
+    def _send(self, request_id: str) -> Sent:
+        profile = self._profile
+        write = self._random.random() < profile.write_share
+        sent = Sent(request_id, profile.plan, "POST" if write else "GET")
+        service = self._random.choice(profile.services)
+        url = f"http://{self._balancer.choose(self._random)}/{service}/next"
+        if self._random.random() < profile.straggler_share:
+            url += "?ms=500"
+        headers = {
+            "Authorization": f"Bearer sample-{profile.customer}",
+            "X-Request-Id": request_id,
+        }
+        if write:
+            headers["Idempotency-Key"] = request_id
+        begun = time.monotonic()
+        try:
+            answer = self._http.request(
+                sent.method, url, headers=headers, body=b"{}" if write else None
+            )
+        except urllib3.exceptions.HTTPError as error:
+            sent.outcome = f"broken: {type(error).__name__}"
+            return sent
+        sent.took_s = time.monotonic() - begun
+        sent.status = answer.status
+        sent.outcome = _outcome(answer, request_id)
+        return sent
+
+
+def _outcome(answer: Any, request_id: str) -> str:
+    refusal = answer.headers.get("Acaciawing-Outcome")
+    if refusal is not None:
+        return str(refusal)
+    if answer.status != 200:
+        return f"status {answer.status}"
+    if answer.json()["request"] != request_id:
+        return "crossed"
+    return "ok"
--- /dev/null
+++ b/standins/platform_state.py
@@ -0,0 +1,204 @@
+"""State of the platform stand-in: log streams and the instance list."""
+
+import base64
+import json
+import threading
+from dataclasses import asdict, dataclass, field, replace
+from pathlib import Path
+from typing import Any
+
+
+@dataclass(frozen=True)
+class StoredRecord:
+    """A record of a stream."""
+
+    offset: int
+    appended_at: float
+    payload: bytes
+
+
+@dataclass(frozen=True)
+class Instance:
+    """An instance that the platform runs."""
+
+    instance: str
+    incarnation: int
+    pool: str
+    zone: str
+    rack: str
+    address: str
+    state: str = "live"
+
+
+@dataclass(frozen=True)
+class Faults:
+    """Faults that a test or the demo asks for.
+
+    Attributes:
+        outage: Answer nothing but 500 to log calls.
+        refuse: Refuse appends with 503 before they take effect.
+        lose_answers: Number of appends whose answer is lost after effect.
+        delay_s: Delay of each log call, in seconds.
+        list_lag_s: Age of the instance list, in seconds.
+        retention: Records that a stream keeps.
+    """
+
+    outage: bool = False
+    refuse: bool = False
+    lose_answers: int = 0
+    delay_s: float = 0.0
+    list_lag_s: float = 0.0
+    retention: int = 1_000_000
+
+
+@dataclass
+class Stream:
+    """An append-only stream."""
+
+    first_offset: int = 0
+    records: list[StoredRecord] = field(default_factory=list)
+
+    @property
+    def head_offset(self) -> int:
+        """Offset that the next append gets."""
+        return self.first_offset + len(self.records)
+
+
+class PlatformState:
+    """Streams, instances and faults; safe for several threads."""
+
+    def __init__(self, journal: Path | None = None) -> None:
+        """Starts healthy, with the streams that the journal holds.
+
+        Args:
+            journal: File that keeps appended records over a restart of the
+                stand-in, or None.
+        """
+        self._lock = threading.Lock()
+        self._journal = journal
+        self._streams: dict[str, Stream] = {}
+        self._history: list[tuple[float, dict[str, Instance]]] = [(0.0, {})]
+        self._operations: set[str] = set()
+        self.faults = Faults()
+        self.appends = 0
+        self.reads = 0
+        if journal is not None and journal.exists():
+            for line in journal.read_text("utf-8").splitlines():
+                stream, appended_at, payload = json.loads(line)
+                self._store(stream, base64.b64decode(payload), appended_at)
+
+    def _store(self, stream: str, payload: bytes, now: float) -> int:
+        target = self._streams.setdefault(stream, Stream())
+        offset = target.head_offset
+        target.records.append(StoredRecord(offset, now, payload))
+        surplus = len(target.records) - self.faults.retention
+        if surplus > 0:
+            del target.records[:surplus]
+            target.first_offset += surplus
+        return offset
+
+    def set_faults(self, changes: dict[str, Any]) -> None:
+        """Changes some faults and keeps the others."""
+        with self._lock:
+            self.faults = replace(self.faults, **changes)
+
+    def append(
+        self, stream: str, payload: bytes, now: float
+    ) -> tuple[int, bool]:
+        """Appends a record.
+
+        Returns:
+            The offset, and whether the answer is to be lost.
+        """
+        with self._lock:
+            self.appends += 1
+            offset = self._store(stream, payload, now)
+            if self._journal is not None:
+                text = base64.b64encode(payload).decode()
+                with self._journal.open("a", encoding="utf-8") as file:
+                    file.write(json.dumps([stream, now, text]) + "\n")
+            lost = self.faults.lose_answers > 0
+            if lost:
+                self.faults = replace(
+                    self.faults, lose_answers=self.faults.lose_answers - 1
+                )
+            return offset, lost
+
+    def read(
+        self, stream: str, offset: int, limit: int
+    ) -> dict[str, Any] | None:
+        """Reads records; None if ``offset`` has expired."""
+        with self._lock:
+            self.reads += 1
+            source = self._streams.get(stream, Stream())
+            if offset < source.first_offset:
+                return None
+            begin = offset - source.first_offset
+            found = source.records[begin : begin + limit]
+            return {
+                "first_offset": source.first_offset,
+                "next_offset": offset + len(found),
+                "head_offset": source.head_offset,
+                "records": [
+                    {
+                        "offset": record.offset,
+                        "appended_at": record.appended_at,
+                        "payload": base64.b64encode(record.payload).decode(),
+                    }
+                    for record in found
+                ],
+            }
+
+    def first_offset(self, stream: str) -> int:
+        """Oldest offset that the stream keeps."""
+        with self._lock:
+            return self._streams.get(stream, Stream()).first_offset
+
+    def put_instance(self, instance: Instance, now: float) -> None:
+        """Adds or replaces an instance."""
+        with self._lock:
+            current = dict(self._history[-1][1])
+            current[instance.instance] = instance
+            self._history.append((now, current))
+
+    def change(
+        self, name: str, operation_id: str, now: float, **changes: Any
+    ) -> Instance | None:
+        """Changes an instance once for each operation id."""
+        with self._lock:
+            current = dict(self._history[-1][1])
+            instance = current.get(name)
+            if instance is None:
+                return None
+            if operation_id in self._operations:
+                return instance
+            self._operations.add(operation_id)
+            current[name] = replace(instance, **changes)
+            self._history.append((now, current))
+            return current[name]
+
+    def remove_instance(self, name: str, now: float) -> None:
+        """Takes an instance off the list."""
+        with self._lock:
+            current = dict(self._history[-1][1])
+            current.pop(name, None)
+            self._history.append((now, current))
+
+    def instance(self, name: str) -> Instance | None:
+        """The instance as it is now, without lag."""
+        with self._lock:
+            return self._history[-1][1].get(name)
+
+    def listing(self, now: float) -> dict[str, Any]:
+        """The list as it was ``list_lag_s`` ago."""
+        with self._lock:
+            as_of = now - self.faults.list_lag_s
+            seen = max(
+                (entry for entry in self._history if entry[0] <= as_of),
+                key=lambda entry: entry[0],
+                default=self._history[0],
+            )
+            return {
+                "as_of": as_of,
+                "instances": [asdict(i) for i in seen[1].values()],
+            }
--- /dev/null
+++ b/standins/server.py
@@ -0,0 +1,74 @@
+"""Start of a stand-in as a process of its own."""
+
+import json
+import signal
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from cheroot import wsgi
+
+StartResponse = Callable[..., Any]
+Answer = tuple[int, dict[str, str], bytes]
+Handler = Callable[[str, str, dict[str, str], bytes, dict[str, Any]], Answer]
+
+_REASONS = {200: "OK", 201: "Created", 404: "Not Found", 410: "Gone"}
+
+
+def json_answer(status: int, body: object, **headers: str) -> Answer:
+    """Builds a JSON answer; ``_`` in header names becomes ``-``."""
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    named["Content-Type"] = "application/json"
+    return status, named, json.dumps(body).encode()
+
+
+def wsgi_application(handler: Handler) -> Any:
+    """Wraps a handler of ``(method, path, query, body, environ)``."""
+
+    def application(
+        environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        query = dict(
+            part.partition("=")[::2]
+            for part in environ.get("QUERY_STRING", "").split("&")
+            if part
+        )
+        body = environ["wsgi.input"].read() if _has_body(environ) else b""
+        status, headers, content = handler(
+            environ["REQUEST_METHOD"],
+            environ["PATH_INFO"],
+            query,
+            body,
+            environ,
+        )
+        headers["Content-Length"] = str(len(content))
+        start_response(
+            f"{status} {_REASONS.get(status, 'Status')}", list(headers.items())
+        )
+        return [content]
+
+    return application
+
+
+def _has_body(environ: dict[str, Any]) -> bool:
+    return bool(
+        environ.get("CONTENT_LENGTH") or environ.get("HTTP_TRANSFER_ENCODING")
+    )
+
+
+def serve(host: str, port: int, handler: Handler, threads: int) -> None:
+    """Serves until SIGTERM or SIGINT."""
+    server = wsgi.Server(
+        (host, port),
+        wsgi_application(handler),
+        numthreads=threads,
+        request_queue_size=256,
+    )
+    server.shutdown_timeout = 2
+
+    def stop(*_: object) -> None:
+        threading.Thread(target=server.stop, daemon=True).start()
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    server.start()
