--- /dev/null
+++ b/acaciawing/telemetry/metrics.py
@@ -0,0 +1,89 @@
+"""OpenTelemetry instruments of an entry instance.
+
+All instruments are observable: the values are read from the scheduler's view
+when the metrics are collected, so that the request path pays nothing.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader
+from opentelemetry.sdk.resources import Resource
+
+Labels = tuple[tuple[str, str], ...]
+Reading = Mapping[Labels, float]
+
+# Name, unit and meaning of each instrument; docs/measures.md lists the same.
+COUNTERS = {
+    "acaciawing.requests": ("{request}", "Final answers by plan and verdict"),
+    "acaciawing.attempts": ("{attempt}", "Attempts at endpoints by result"),
+    "acaciawing.refusals": ("{request}", "Refusals by plan and code"),
+    "acaciawing.records": ("{record}", "Records of the log by verdict"),
+}
+GAUGES = {
+    "acaciawing.in_flight": ("{request}", "Attempts in flight"),
+    "acaciawing.waiting": ("{request}", "Requests in the queue"),
+    "acaciawing.configuration.version": ("{offset}", "Version in force"),
+    "acaciawing.plan.achieved": ("1", "Achieved success rate by plan"),
+    "acaciawing.plan.promised": ("1", "Promised success rate by plan"),
+    "acaciawing.members": ("{instance}", "Entry instances heard from"),
+}
+
+
+class Metrics:
+    """Instruments and their reader.
+
+    Args:
+        instance: Id of the entry instance.
+        zone: Its availability zone.
+        read: Returns the value of each instrument by labels.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        zone: str,
+        read: Callable[[], Mapping[str, Reading]],
+    ) -> None:
+        """Creates the instruments."""
+        self._read = read
+        self._values: Mapping[str, Reading] = {}
+        self._reader = InMemoryMetricReader()
+        resource = Resource.create(
+            {
+                "service.name": "acaciawing",
+                "service.instance.id": instance,
+                "cloud.availability_zone": zone,
+            }
+        )
+        provider = MeterProvider([self._reader], resource)
+        meter = provider.get_meter("acaciawing")
+        for name, (unit, meaning) in COUNTERS.items():
+            meter.create_observable_counter(
+                name, [self._callback(name)], unit, meaning
+            )
+        for name, (unit, meaning) in GAUGES.items():
+            meter.create_observable_gauge(
+                name, [self._callback(name)], unit, meaning
+            )
+
+    def _callback(
+        self, name: str
+    ) -> Callable[[CallbackOptions], Iterable[Observation]]:
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            for labels, value in self._values.get(name, {}).items():
+                yield Observation(value, dict(labels))
+
+        return observe
+
+    def collect(self) -> Any:
+        """Collects all instruments.
+
+        Returns:
+            The metrics data as a JSON string in OpenTelemetry's own form.
+        """
+        self._values = self._read()
+        data = self._reader.get_metrics_data()
+        return data.to_json(indent=None) if data is not None else "{}"
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -79,7 +79,7 @@
         endpoints,
     )
     start_log(processes, fleet)
-    _start_list(processes, fleet, workers)
+    start_list(processes, fleet, workers)
     for name, address in endpoints.items():
         processes.start(
             name,
@@ -88,7 +88,7 @@
         )
     for name in entries:
         processes.start(
-            name, "acaciawing.entry", _settings(processes, fleet, name)
+            name, "acaciawing.entry", entry_settings(processes, fleet, name)
         )
     return fleet
 
@@ -103,7 +103,8 @@
     )
 
 
-def _start_list(processes: Processes, fleet: Fleet, workers: list[str]) -> None:
+def start_list(processes: Processes, fleet: Fleet, workers: list[str]) -> None:
+    """Starts the list stand-in with all workers live."""
     listed = []
     for position, name in enumerate(workers):
         number = position % WORKERS_PER_SERVICE
@@ -128,7 +129,8 @@
     )
 
 
-def _settings(processes: Processes, fleet: Fleet, name: str) -> str:
+def entry_settings(processes: Processes, fleet: Fleet, name: str) -> str:
+    """Writes the settings of an entry instance; returns the file name."""
     zone = name.split("-")[1]
     lines = [
         f'instance = "{name}"',
