Add one HTTP exchange with an endpoint and its tagged outcomes

Cause: the daemon needs to know whether a request can have left the process before it may call it not run or send it again. Faults sorted by the type of urllib3's errors call a request unsent that the endpoint had read, and a 103 answer is taken for the final one.

NotSent is returned only while nothing was handed to the socket. The deadline covers the whole exchange, interim answers are skipped, and a connection is kept only after a whole answer that no byte follows.

Ruled out: HTTPConnectionPool with its checks on reuse. It does not see surplus bytes that were read into the buffer of the previous answer, and its timeout restarts with every read. urllib3's HTTPConnection is used directly instead.

--- /dev/null
+++ b/acaciawing/exchange/exchanger.py
@@ -0,0 +1,250 @@
+"""One HTTP exchange with an endpoint, ending in a tagged outcome.
+
+Whether a request may be repeated depends on one question: can a byte of it
+have left this process? It is answered by structure and not by the kind of
+error: `NotSent` is returned only while nothing was handed to the socket, that
+is after a failed connect or a request that could not be encoded. A reset
+while sending on a reused connection proves nothing, since the endpoint may
+have read the request before it closed.
+"""
+
+import http.client
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+
+import urllib3
+from urllib3 import BaseHTTPResponse, HTTPHeaderDict
+from urllib3.util import SKIP_HEADER
+
+from acaciawing.configuration import split_address
+from acaciawing.exchange.connection import EndpointConnection
+from acaciawing.exchange.fields import (
+    ENDPOINT_FIELD,
+    OUTCOME_FIELD,
+    answer_fields,
+    framing_fault,
+    request_fields,
+    retry_after_s,
+)
+from acaciawing.exchange.outcomes import (
+    Answer,
+    AnswerTimeout,
+    BadAnswer,
+    EndpointNotRun,
+    EndpointRequest,
+    ExchangeOutcome,
+    Interrupted,
+    NotSent,
+)
+
+MAX_ANSWER_BYTES = 1 << 20
+# Round trips inside a region take a few milliseconds; an endpoint that does
+# not accept within a second is down or unreachable.
+_CONNECT_S = 1.0
+# Endpoints close idle connections after about 10 s. Staying well below makes
+# it rare that a request meets a connection that is being closed.
+_MAX_IDLE_S = 3.0
+# 64 request threads with two idle connections each, over the 30 workers of
+# the smaller user and 9 entry instances, are 38 per worker of its 64.
+_MAX_IDLE_CONNECTIONS = 2
+
+_FAILURES = (
+    OSError,
+    http.client.HTTPException,
+    urllib3.exceptions.HTTPError,
+    ValueError,
+)
+
+
+class Exchanger:
+    """Sends requests to endpoints; owned by one request thread.
+
+    Args:
+        clock: Monotonic clock, in seconds.
+        max_idle: Idle connections kept in total.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        max_idle: int = _MAX_IDLE_CONNECTIONS,
+    ) -> None:
+        """Opens no connection yet."""
+        self._clock = clock
+        self._max_idle = max_idle
+        self._idle: OrderedDict[str, EndpointConnection] = OrderedDict()
+
+    def send(
+        self, address: str, request: EndpointRequest, timeout_s: float
+    ) -> ExchangeOutcome:
+        """Sends one request and reads the whole answer.
+
+        Args:
+            address: ``ip:port`` of the endpoint.
+            request: The request.
+            timeout_s: Seconds left until the caller's deadline.
+
+        Returns:
+            The outcome; no exception is raised for a fault of the endpoint.
+        """
+        deadline = self._clock() + timeout_s
+        if timeout_s <= 0:
+            return NotSent("the deadline passed before connecting")
+        try:
+            connection = self._connected(address, timeout_s)
+        except _FAILURES as error:
+            return NotSent(f"no connection to {address}: {error}")
+        connection.begin_exchange(deadline)
+        outcome, reusable = _exchange(connection, request)
+        if reusable:
+            self._keep(address, connection)
+        else:
+            connection.abandon()
+        return outcome
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        while self._idle:
+            self._idle.popitem()[1].close()
+
+    def close_idle(self) -> None:
+        """Closes connections idle for too long; for an idle thread."""
+        for address, connection in tuple(self._idle.items()):
+            if not self._fresh(connection):
+                del self._idle[address]
+                connection.close()
+
+    def _connected(self, address: str, left: float) -> EndpointConnection:
+        connection = self._idle.pop(address, None)
+        if connection is not None:
+            if self._fresh(connection) and connection.is_connected:
+                return connection
+            connection.close()
+        connection = EndpointConnection(*split_address(address), self._clock)
+        connection.timeout = min(left, _CONNECT_S)
+        connection.connect()
+        return connection
+
+    def _fresh(self, connection: EndpointConnection) -> bool:
+        return self._clock() - connection.idle_since < _MAX_IDLE_S
+
+    def _keep(self, address: str, connection: EndpointConnection) -> None:
+        connection.idle_since = self._clock()
+        self._idle[address] = connection
+        while len(self._idle) > self._max_idle:
+            self._idle.popitem(last=False)[1].close()
+
+
+def _exchange(
+    connection: EndpointConnection, request: EndpointRequest
+) -> tuple[ExchangeOutcome, bool]:
+    """Runs the exchange; tells also whether the connection can be reused."""
+    whole_request = True
+    try:
+        _send(connection, request)
+    except TimeoutError as error:
+        if not connection.began_sending:
+            return NotSent(str(error)), False
+        return AnswerTimeout(f"while sending: {error}"), False
+    except _FAILURES as error:
+        if not connection.began_sending:
+            return NotSent(f"request not sent: {error}"), False
+        # The endpoint may have answered early and closed its reading side.
+        whole_request = False
+    try:
+        response = connection.getresponse()
+    except (TimeoutError, urllib3.exceptions.TimeoutError) as error:
+        return AnswerTimeout(f"waiting for an answer: {error}"), False
+    except urllib3.exceptions.InvalidHeader as error:
+        return BadAnswer(str(error)), False
+    except _FAILURES as error:
+        return Interrupted(f"{type(error).__name__}: {error}"), False
+    outcome = _read(connection, request, response)
+    reusable = (
+        whole_request
+        and isinstance(outcome, Answer | EndpointNotRun)
+        and connection.sock is not None
+        and connection.ended_exactly
+    )
+    return outcome, reusable
+
+
+def _send(connection: EndpointConnection, request: EndpointRequest) -> None:
+    fields = HTTPHeaderDict()
+    for name in ("Accept-Encoding", "User-Agent"):
+        fields[name] = SKIP_HEADER
+    for name, value in request_fields(request.headers, connection.remaining()):
+        if fields.get(name) == SKIP_HEADER:
+            del fields[name]
+        fields.add(name, value)
+    connection.request(
+        request.method,
+        request.target,
+        body=request.body or None,
+        headers=fields,
+        preload_content=False,
+        decode_content=False,
+    )
+
+
+def _read(
+    connection: EndpointConnection,
+    request: EndpointRequest,
+    response: BaseHTTPResponse,
+) -> ExchangeOutcome:
+    answer = connection.answer
+    assert answer is not None
+    status, headers = answer.status, answer.headers
+    leaving = headers.get(ENDPOINT_FIELD, "").strip().lower() == "leaving"
+    has_body = request.method != "HEAD" and status not in (204, 304)
+    fault = framing_fault(
+        headers.get_all("transfer-encoding", []),
+        headers.get_all("content-length", []),
+        has_body,
+    )
+    if headers.defects or headers.get_payload():
+        fault = "malformed header section"
+    if status == 101 or not 200 <= status <= 599:
+        fault = f"unexpected status {status}"
+    said = headers.get(OUTCOME_FIELD, "").strip().lower()
+    if status == 503 and said == "not-run":
+        wait = retry_after_s(headers.get("retry-after"))
+        if not fault:
+            _read_body(response, answer, has_body)
+        return EndpointNotRun("the endpoint refused", wait, leaving)
+    if fault:
+        return BadAnswer(fault)
+    body = _read_body(response, answer, has_body)
+    if not isinstance(body, bytes):
+        return body
+    fields = answer_fields(headers.items(), request.method, status, len(body))
+    return Answer(status, fields, body, leaving)
+
+
+def _read_body(
+    response: BaseHTTPResponse,
+    answer: http.client.HTTPResponse,
+    has_body: bool,
+) -> bytes | BadAnswer | AnswerTimeout:
+    if not has_body:
+        answer.close()
+        return b""
+    too_large = BadAnswer(
+        f"answer longer than {MAX_ANSWER_BYTES} bytes", "response-too-large"
+    )
+    if (answer.length or 0) > MAX_ANSWER_BYTES:
+        return too_large
+    parts: list[bytes] = []
+    size = 0
+    try:
+        while part := response.read(MAX_ANSWER_BYTES + 1 - size):
+            parts.append(part)
+            size += len(part)
+            if size > MAX_ANSWER_BYTES:
+                return too_large
+    except (TimeoutError, urllib3.exceptions.TimeoutError) as error:
+        return AnswerTimeout(f"reading the body: {error}")
+    except _FAILURES as error:
+        return BadAnswer(f"body cut short: {error}", "answer-incomplete")
+    return b"".join(parts)
--- /dev/null
+++ b/acaciawing/exchange/fields.py
@@ -0,0 +1,138 @@
+"""Header fields that end at this hop, and the framing of an answer."""
+
+import re
+from collections.abc import Iterable
+
+from acaciawing.exchange.outcomes import Headers
+
+TIMEOUT_FIELD = "X-Request-Timeout"
+OUTCOME_FIELD = "Acaciawing-Outcome"
+ENDPOINT_FIELD = "Acaciawing-Endpoint"
+
+# RFC 9110 section 7.6.1; Proxy-Auth* by section 11.7. Trailers are dropped
+# because whole bodies are passed on, so Trailer would announce nothing.
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authentication-info",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+# The exchange frames the request itself, sends the body without waiting for
+# 100 (Continue), and sets the time left.
+_SET_BY_EXCHANGE = frozenset(
+    ("content-length", "expect", TIMEOUT_FIELD.lower())
+)
+_FOLD = re.compile(r"[ \t]*\r?\n[ \t]+")
+
+
+def end_to_end(headers: Iterable[tuple[str, str]]) -> Headers:
+    """Removes hop-by-hop fields, those named in Connection included.
+
+    >>> end_to_end([("Connection", "close, X-Hop"), ("x-hop", "1"), ("A", "b")])
+    (('A', 'b'),)
+    """
+    fields = tuple(headers)
+    named = {
+        token.strip().lower()
+        for name, value in fields
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    return tuple(
+        (name, _FOLD.sub(" ", value).strip())
+        for name, value in fields
+        if name.lower() not in _HOP_BY_HOP and name.lower() not in named
+    )
+
+
+def request_fields(headers: Headers, timeout_s: float) -> Headers:
+    """Builds the header fields to send.
+
+    Args:
+        headers: Fields of the caller.
+        timeout_s: Time left for the exchange, in seconds.
+
+    Returns:
+        End-to-end fields with the time left.
+    """
+    kept = tuple(
+        field
+        for field in end_to_end(headers)
+        if field[0].lower() not in _SET_BY_EXCHANGE
+    )
+    return (*kept, (TIMEOUT_FIELD, f"{timeout_s:.3f}"))
+
+
+def answer_fields(
+    headers: Iterable[tuple[str, str]], method: str, status: int, length: int
+) -> Headers:
+    """Builds the header fields to pass to the caller.
+
+    Content-Length is set from the body that was read, since a chunked answer
+    has none. The field describes the selected representation, not a body, in
+    answers to HEAD and in 304, and is kept there.
+    """
+    kept = end_to_end(headers)
+    if method == "HEAD" or status == 304:
+        return kept
+    kept = tuple(f for f in kept if f[0].lower() != "content-length")
+    if status == 204:
+        return kept
+    return (*kept, ("Content-Length", str(length)))
+
+
+def framing_fault(
+    transfer_codings: list[str], lengths: list[str], has_body: bool
+) -> str:
+    """Finds why an answer's framing can't be trusted (RFC 9112 section 6.3).
+
+    Args:
+        transfer_codings: Values of Transfer-Encoding.
+        lengths: Values of Content-Length.
+        has_body: Whether method and status allow a body.
+
+    Returns:
+        The fault, or an empty string.
+
+    >>> framing_fault([], ["3", "4"], True)
+    'conflicting Content-Length'
+    >>> framing_fault([], [], True)
+    'no length given, so a cut answer could not be told from a whole one'
+    >>> framing_fault(["chunked"], [], True)
+    ''
+    """
+    values = {v.strip() for value in lengths for v in value.split(",")}
+    if transfer_codings and lengths:
+        return "both Content-Length and Transfer-Encoding"
+    if len(values) > 1:
+        return "conflicting Content-Length"
+    if any(not v.isascii() or not v.isdigit() for v in values):
+        return "Content-Length is not a number"
+    codings = [value.strip().lower() for value in transfer_codings]
+    if codings not in ([], ["chunked"]):
+        return "transfer coding other than chunked"
+    if has_body and not codings and not values:
+        return (
+            "no length given, so a cut answer could not be told from a whole"
+            " one"
+        )
+    return ""
+
+
+def retry_after_s(value: str | None) -> float | None:
+    """Reads Retry-After in seconds; dates are not used between our parts.
+
+    >>> retry_after_s("2"), retry_after_s("Fri, 31 Dec 1999 23:59:59 GMT")
+    (2.0, None)
+    """
+    if value is None or not value.isascii() or not value.strip().isdigit():
+        return None
+    return float(value)
