Add routing decision with credits and health of endpoints

Cause: the daemon needs an endpoint for each request within some tens of microseconds, whatever the size of the pool.

Each zone of a pool keeps the set of endpoints with a free slot, numbered without gaps, so that a uniform draw and a change of one endpoint cost O(log n). Ruled out: sampling from all endpoints, which misses the last free slot of a busy pool; and scanning, which costs O(n).

--- a/acaciawing/routing/__init__.py
+++ b/acaciawing/routing/__init__.py
@@ -1,1 +1,48 @@
-"""Package routing."""
+"""Choice of an endpoint for a request."""
+
+from acaciawing.routing.choice import choose
+from acaciawing.routing.credits import divide_credits, long_slots
+from acaciawing.routing.model import (
+    Avoid,
+    Choice,
+    Credit,
+    Endpoint,
+    NoEndpoint,
+    Result,
+    Route,
+    RouteRequest,
+    Status,
+)
+from acaciawing.routing.state import (
+    LeaveMark,
+    RoutingState,
+    observe_leaving,
+    observe_listing,
+    observe_result,
+    release,
+    reserve,
+    set_credits,
+)
+
+__all__ = [
+    "Avoid",
+    "Choice",
+    "Credit",
+    "Endpoint",
+    "LeaveMark",
+    "NoEndpoint",
+    "Result",
+    "Route",
+    "RouteRequest",
+    "RoutingState",
+    "Status",
+    "choose",
+    "divide_credits",
+    "long_slots",
+    "observe_leaving",
+    "observe_listing",
+    "observe_result",
+    "release",
+    "reserve",
+    "set_credits",
+]
--- /dev/null
+++ b/acaciawing/routing/state.py
@@ -0,0 +1,336 @@
+"""What this entry instance knows of all endpoints."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+
+from immutables import Map
+
+from acaciawing.platform import ListedInstance, Listing
+from acaciawing.routing.model import (
+    Credit,
+    Endpoint,
+    Result,
+    Route,
+    Status,
+)
+from acaciawing.routing.pool import (
+    Cell,
+    Pool,
+    advance,
+    end_probe,
+    observe,
+    put,
+    within_half,
+)
+
+# A list that lags longer than this has been down for most of the time.
+LEAVING_KEPT_S = 3600.0
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveMark:
+    """The highest incarnation of an instance that is known to leave.
+
+    Attributes:
+        incarnation: This and each lower incarnation get no new work.
+        since: Time of the first signal, in seconds.
+        seen: Last time that a list or a signal named it, in seconds.
+    """
+
+    incarnation: int
+    since: float
+    seen: float
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingState:
+    """Endpoints, their health and the work in flight to them.
+
+    Attributes:
+        as_of: Platform time of the newest list, in seconds.
+        pools: Pools by name.
+        pool_of: Pool of each listed instance.
+        leaving: Leave marks by instance.
+        credit: Credit of an endpoint for which `set_credits` gave none.
+    """
+
+    as_of: float = float("-inf")
+    pools: Map[str, Pool] = Map()
+    pool_of: Map[str, str] = Map()
+    leaving: Map[str, LeaveMark] = Map()
+    credit: Credit = field(default_factory=lambda: Credit(8, 6))
+
+
+def observe_listing(
+    state: RoutingState,
+    listing: Listing,
+    pool_of: Mapping[str, str],
+    now: float,
+) -> RoutingState:
+    """Applies an answer of the platform's list.
+
+    A list older than one seen before adds only its leave signals, since a leave
+    stays true for its incarnation. A newer list says which instances exist.
+
+    Args:
+        state: The state before.
+        listing: The list.
+        pool_of: Pool by instance where the ownership table has one; it takes
+            precedence over the list's. An empty name takes the instance out
+            of all pools, for example during a move, without a leave mark.
+        now: Time in seconds.
+
+    Returns:
+        The state after. Costs one comparison for each listed instance and
+        O(log n) for each that changed.
+    """
+    for listed in listing.instances:
+        if listed.state == "leaving":
+            state = observe_leaving(
+                state, listed.instance, listed.incarnation, now
+            )
+    if listing.as_of < state.as_of:
+        return state
+    touched: set[str] = set()
+    for listed in listing.instances:
+        pool = pool_of.get(listed.instance, listed.pool)
+        state = _observe_listed(state, listed, pool, touched)
+    listed_ids = {listed.instance for listed in listing.instances}
+    for instance in [i for i in state.pool_of if i not in listed_ids]:
+        touched.add(state.pool_of[instance])
+        state = _removed(state, instance)
+    pools = state.pools
+    for name in touched:
+        pools = pools.set(name, within_half(pools[name]))
+    return replace(
+        state,
+        as_of=listing.as_of,
+        pools=pools,
+        leaving=_pruned(state.leaving, listed_ids, now),
+    )
+
+
+def _pruned(
+    leaving: Map[str, LeaveMark], listed: set[str], now: float
+) -> Map[str, LeaveMark]:
+    for instance, mark in leaving.items():
+        if instance in listed:
+            leaving = leaving.set(instance, replace(mark, seen=now))
+        elif now - mark.seen > LEAVING_KEPT_S:
+            leaving = leaving.delete(instance)
+    return leaving
+
+
+def _is_same(known: Endpoint, listed: ListedInstance, pool: str) -> bool:
+    return (
+        known.incarnation == listed.incarnation
+        and known.pool == pool
+        and known.address == listed.address
+        and known.zone == listed.zone
+        and known.rack == listed.rack
+    )
+
+
+def _observe_listed(
+    state: RoutingState, listed: ListedInstance, pool: str, touched: set[str]
+) -> RoutingState:
+    instance = listed.instance
+    old_pool = state.pool_of.get(instance)
+    old = None
+    if old_pool is not None:
+        old = state.pools[old_pool].cells[instance]
+        if _is_same(old.endpoint, listed, pool):
+            return state
+        if old.endpoint.incarnation > listed.incarnation:
+            return state
+        touched.add(old_pool)
+    touched.add(pool)
+    endpoint = Endpoint(
+        instance,
+        listed.incarnation,
+        pool,
+        listed.zone,
+        listed.rack,
+        listed.address,
+    )
+    mark = state.leaving.get(instance)
+    leaves = mark is not None and mark.incarnation >= listed.incarnation
+    cell = Cell(
+        endpoint,
+        old.credit if old else state.credit,
+        Status.LEAVING if leaves else Status.OPEN,
+    )
+    if old is not None and old.endpoint.incarnation == listed.incarnation:
+        # Work in flight goes on when an instance moves to another pool.
+        cell = replace(
+            cell,
+            in_flight=old.in_flight,
+            long_in_flight=old.long_in_flight,
+        )
+    state = _removed(state, instance)
+    changed = put(state.pools.get(pool) or Pool(), instance, cell)
+    return replace(
+        state,
+        pools=state.pools.set(pool, changed),
+        pool_of=state.pool_of.set(instance, pool),
+    )
+
+
+def _removed(state: RoutingState, instance: str) -> RoutingState:
+    name = state.pool_of.get(instance)
+    if name is None:
+        return state
+    changed = put(state.pools[name], instance, None)
+    return replace(
+        state,
+        pools=state.pools.set(name, changed),
+        pool_of=state.pool_of.delete(instance),
+    )
+
+
+def observe_leaving(
+    state: RoutingState, instance: str, incarnation: int, now: float
+) -> RoutingState:
+    """Applies a leave signal of the list, the endpoint or a peer.
+
+    The endpoint gets no new work from now on. The mark is sticky: nothing but a
+    higher incarnation makes the instance usable again.
+
+    Args:
+        state: The state before.
+        instance: Id of the instance.
+        incarnation: The incarnation that leaves.
+        now: Time in seconds.
+
+    Returns:
+        The state after.
+    """
+    mark = state.leaving.get(instance)
+    if mark is not None and mark.incarnation >= incarnation:
+        return state
+    leaving = state.leaving.set(instance, LeaveMark(incarnation, now, now))
+    state = replace(state, leaving=leaving)
+    name = state.pool_of.get(instance)
+    if name is None:
+        return state
+    pool = state.pools[name]
+    cell = pool.cells[instance]
+    if cell.endpoint.incarnation > incarnation:
+        return state
+    left = replace(cell, status=Status.LEAVING)
+    pool = within_half(put(pool, instance, left))
+    return replace(state, pools=state.pools.set(name, pool))
+
+
+def set_credits(
+    state: RoutingState, credit_of: Mapping[str, Credit]
+) -> RoutingState:
+    """Sets the credits of the named instances; see `divide_credits`."""
+    pools = state.pools
+    for instance, credit in credit_of.items():
+        name = state.pool_of.get(instance)
+        if name is None:
+            continue
+        cell = pools[name].cells[instance]
+        if cell.credit != credit:
+            changed = replace(cell, credit=credit)
+            pools = pools.set(name, put(pools[name], instance, changed))
+    return replace(state, pools=pools)
+
+
+def _cell(state: RoutingState, endpoint: Endpoint) -> tuple[str, Cell] | None:
+    """Finds the endpoint, also after a move to another pool."""
+    name = state.pool_of.get(endpoint.instance)
+    if name is None:
+        return None
+    cell = state.pools[name].cells[endpoint.instance]
+    if cell.endpoint.incarnation != endpoint.incarnation:
+        return None
+    return name, cell
+
+
+def observe_result(
+    state: RoutingState,
+    endpoint: Endpoint,
+    result: Result,
+    run_time_s: float,
+    now: float,
+) -> RoutingState:
+    """Applies the result of an exchange; call it before `release`.
+
+    Args:
+        state: The state before.
+        endpoint: The endpoint of the exchange.
+        result: How it ended.
+        run_time_s: Time between sending and the end, in seconds. Not used: a
+            fast failure must not look better than a slow success.
+        now: Time in seconds.
+
+    Returns:
+        The state after; unchanged for an incarnation that is gone.
+    """
+    del run_time_s
+    found = _cell(state, endpoint)
+    if found is None:
+        return state
+    name, cell = found
+    pool = observe(state.pools[name], cell, result, now)
+    return replace(state, pools=state.pools.set(name, pool))
+
+
+def reserve(state: RoutingState, route: Route, now: float) -> RoutingState:
+    """Takes the slot of a route.
+
+    Args:
+        state: The state that `choose` saw, or a later one.
+        route: The decision.
+        now: Time in seconds.
+
+    Returns:
+        The state after.
+    """
+    found = _cell(state, route.endpoint)
+    if found is None:
+        return state
+    name, cell = found
+    pool = advance(state.pools[name], now)
+    cell = pool.cells[route.endpoint.instance]
+    probes = route.probe and cell.status is Status.PROBE_DUE
+    taken = replace(
+        cell,
+        in_flight=cell.in_flight + 1,
+        long_in_flight=cell.long_in_flight + route.long,
+        status=Status.PROBING if probes else cell.status,
+    )
+    pool = put(pool, route.endpoint.instance, taken)
+    return replace(state, pools=state.pools.set(name, pool))
+
+
+def release(state: RoutingState, route: Route, now: float) -> RoutingState:
+    """Gives back the slot of a route.
+
+    A probe that ended without `observe_result` is made again by the next
+    request.
+
+    Args:
+        state: The state before.
+        route: The decision that `reserve` got.
+        now: Time in seconds.
+
+    Returns:
+        The state after; unchanged for an incarnation that is gone.
+    """
+    found = _cell(state, route.endpoint)
+    if found is None:
+        return state
+    name, cell = found
+    pool = state.pools[name]
+    freed = replace(
+        cell,
+        in_flight=max(0, cell.in_flight - 1),
+        long_in_flight=max(0, cell.long_in_flight - route.long),
+    )
+    pool = put(pool, route.endpoint.instance, freed)
+    if route.probe and freed.status is Status.PROBING:
+        pool = end_probe(pool, freed, Result.CANCELLED, now)
+    return replace(state, pools=state.pools.set(name, pool))
