Add admission by plan with shares of gossiped demand

Cause: a plan's rate, concurrency and queue hold for the whole fleet, while each entry instance decides alone.

--- /dev/null
+++ b/acaciawing/admission/admit.py
@@ -0,0 +1,306 @@
+"""Limits of plans in one entry instance."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from typing import TypeAlias
+
+from immutables import Map
+
+from acaciawing.admission.shares import DemandHistory, observe_demand
+from acaciawing.configuration import Plan
+from acaciawing.outcomes import NotRun
+
+# Depth of the token bucket in seconds of the share; longer bursts are what the
+# queue is for.
+BURST_S = 1.0
+# A retry sooner than the next gossip round would meet the same share.
+RETRY_LEAST_S = 0.5
+RETRY_LONGEST_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlanUse:
+    """What a plan uses of this entry instance.
+
+    Attributes:
+        tokens: Requests that may arrive now, or None before the first one.
+        refilled_at: Time of the last refill, in seconds.
+        running: Requests that hold a slot.
+        waiting: Requests in the queue.
+        arrived: Requests since the last `close_step`, refused ones included.
+        history: Demand of the last seconds.
+    """
+
+    tokens: float | None = None
+    refilled_at: float = 0.0
+    running: int = 0
+    waiting: int = 0
+    arrived: int = 0
+    history: DemandHistory = field(default_factory=DemandHistory)
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionState:
+    """Use by plan.
+
+    Attributes:
+        uses: Use by plan name.
+        step_began: Time of the last `close_step`, in seconds, or None.
+    """
+
+    uses: Map[str, PlanUse] = Map()
+    step_began: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that asks for admission.
+
+    Attributes:
+        plan: Plan of the customer.
+        share: This instance's part of the plan's limits, from `share`.
+        can_start: Whether a slot is free, so that it would not wait.
+        wait_s: Estimated wait, from `queueing.expected_wait_s`.
+        least_s: Shortest recent run time, from `queueing.RunClass.least_s`.
+        remaining_s: Time until its deadline, in seconds.
+        overloaded: Whether the queue of the pool can take no more.
+    """
+
+    plan: Plan
+    share: float
+    can_start: bool
+    wait_s: float
+    least_s: float
+    remaining_s: float
+    overloaded: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The request may wait for a slot, or start.
+
+    Attributes:
+        shed: Plan that must give up its newest waiting request for this one,
+            or None; see `queueing.newest_of`.
+        reasons: Codes for the log line.
+    """
+
+    shed: str | None = None
+    reasons: tuple[str, ...] = ()
+
+
+Decision: TypeAlias = Admitted | NotRun
+
+
+def whole_share(limit: int, part: float) -> int:
+    """Part of a limit that counts requests.
+
+    A limit below the number of entry instances acts as one for each, since
+    otherwise some instances would refuse a plan that is within its limit.
+
+    >>> whole_share(40, 0.12), whole_share(4, 0.12), whole_share(0, 0.12)
+    (4, 1, 0)
+    """
+    return max(1, int(limit * part + 1e-9)) if limit else 0
+
+
+def admit(
+    state: AdmissionState,
+    arrival: Arrival,
+    now: float,
+    share_of: Mapping[str, tuple[Plan, float]] | None = None,
+) -> tuple[AdmissionState, Decision]:
+    """Decides whether a request is admitted.
+
+    Checks, in this order: rate, concurrency and queue, deadline, overload. A
+    refused request takes no token.
+
+    Args:
+        state: The state before.
+        arrival: The request.
+        now: Time in seconds.
+        share_of: Plan and share by plan name; needed only under overload, to
+            find the plan furthest above its allowance.
+
+    Returns:
+        The state after and the decision. An admitted request counts as waiting
+        until `start` or `leave`.
+    """
+    plan = arrival.plan
+    use = _refilled(state.uses.get(plan.name) or PlanUse(), arrival, now)
+    use = replace(use, arrived=use.arrived + 1)
+    refusal = (
+        _over_rate(use, arrival)
+        or _over_count(use, arrival)
+        or _too_late(arrival)
+    )
+    shed = None
+    if refusal is None and arrival.overloaded:
+        shed = _plan_to_shed(state, arrival, share_of or {})
+        if shed is None or shed == plan.name:
+            refusal = NotRun(
+                "overload",
+                "the service is overloaded and the plan is above its allowance",
+                503,
+                _retry_after(arrival.wait_s),
+            )
+    if refusal is not None:
+        uses = state.uses.set(plan.name, use)
+        return replace(state, uses=uses), refusal
+    use = replace(
+        use, tokens=(use.tokens or 0.0) - 1.0, waiting=use.waiting + 1
+    )
+    reasons = ("within-limits",) if shed is None else (f"shed:{shed}",)
+    uses = state.uses.set(plan.name, use)
+    return replace(state, uses=uses), Admitted(shed, reasons)
+
+
+def _refilled(use: PlanUse, arrival: Arrival, now: float) -> PlanUse:
+    rate = arrival.plan.rate_per_s * arrival.share
+    depth = max(1.0, rate * BURST_S)
+    if use.tokens is None:
+        # A new instance starts with one token, not a full bucket, so that
+        # replacing many instances at once does not add their bursts.
+        return replace(use, tokens=1.0, refilled_at=now)
+    elapsed = max(0.0, now - use.refilled_at)
+    tokens = min(depth, use.tokens + rate * elapsed)
+    return replace(use, tokens=tokens, refilled_at=max(now, use.refilled_at))
+
+
+def _retry_after(seconds: float) -> float:
+    return min(RETRY_LONGEST_S, max(RETRY_LEAST_S, seconds))
+
+
+def _over_rate(use: PlanUse, arrival: Arrival) -> NotRun | None:
+    missing = 1.0 - (use.tokens or 0.0)
+    # Refills add up in floating point; a millionth of a token is not refused.
+    if missing <= 1e-6:
+        return None
+    rate = arrival.plan.rate_per_s * arrival.share
+    wait_s = missing / rate if rate else RETRY_LONGEST_S
+    return NotRun(
+        "rate-limit",
+        f"plan {arrival.plan.name} is above its rate",
+        429,
+        _retry_after(wait_s),
+    )
+
+
+def _over_count(use: PlanUse, arrival: Arrival) -> NotRun | None:
+    plan = arrival.plan
+    starts = (
+        arrival.can_start
+        and not use.waiting
+        and use.running < whole_share(plan.concurrency, arrival.share)
+    )
+    if starts or use.waiting < whole_share(plan.queue, arrival.share):
+        return None
+    return NotRun(
+        "queue-limit",
+        f"plan {plan.name} has as many requests waiting as it may",
+        429,
+        _retry_after(arrival.wait_s),
+    )
+
+
+def _too_late(arrival: Arrival) -> NotRun | None:
+    wait_s = 0.0 if arrival.can_start else arrival.wait_s
+    late_s = wait_s + arrival.least_s - arrival.remaining_s
+    if late_s <= 0.0:
+        return None
+    return NotRun(
+        "deadline-unreachable",
+        f"the wait is about {wait_s:.3f} s; {arrival.remaining_s:.3f} s are"
+        " left",
+        503,
+        _retry_after(late_s),
+    )
+
+
+def _allowance(plan: Plan, part: float) -> float:
+    return max(1e-6, plan.concurrency * part)
+
+
+def _plan_to_shed(
+    state: AdmissionState,
+    arrival: Arrival,
+    share_of: Mapping[str, tuple[Plan, float]],
+) -> str | None:
+    """Finds the plan whose use is the highest part of its allowance.
+
+    The new request counts for its own plan. Other plans count only if they have
+    a waiting request to give up.
+    """
+    name = arrival.plan.name
+    own = state.uses.get(name) or PlanUse()
+    allowed = _allowance(arrival.plan, arrival.share)
+    worst, worst_part = name, (own.running + own.waiting + 1) / allowed
+    for other, use in state.uses.items():
+        known = share_of.get(other)
+        if other == name or not use.waiting or known is None:
+            continue
+        part = (use.running + use.waiting) / _allowance(*known)
+        if part > worst_part:
+            worst, worst_part = other, part
+    return worst
+
+
+def may_start(state: AdmissionState, plan: Plan, part: float) -> bool:
+    """Whether the plan is below its limit of concurrency."""
+    use = state.uses.get(plan.name) or PlanUse()
+    return use.running < whole_share(plan.concurrency, part)
+
+
+def start(state: AdmissionState, plan: str) -> AdmissionState:
+    """Counts a waiting request as running."""
+    use = state.uses[plan]
+    changed = replace(
+        use, waiting=max(0, use.waiting - 1), running=use.running + 1
+    )
+    return replace(state, uses=state.uses.set(plan, changed))
+
+
+def leave(state: AdmissionState, plan: str) -> AdmissionState:
+    """Counts out a request that left the queue without running."""
+    use = state.uses[plan]
+    changed = replace(use, waiting=max(0, use.waiting - 1))
+    return replace(state, uses=state.uses.set(plan, changed))
+
+
+def end(state: AdmissionState, plan: str) -> AdmissionState:
+    """Counts out a request that ran."""
+    use = state.uses[plan]
+    changed = replace(use, running=max(0, use.running - 1))
+    return replace(state, uses=state.uses.set(plan, changed))
+
+
+def close_step(state: AdmissionState, now: float) -> AdmissionState:
+    """Turns the arrivals since the last call into a demand sample.
+
+    Args:
+        state: The state before.
+        now: Time in seconds; call it before each gossip round (0.5 s).
+
+    Returns:
+        The state after. Costs some microseconds for each plan that was used.
+    """
+    if state.step_began is None or now <= state.step_began:
+        return replace(state, step_began=now)
+    elapsed = now - state.step_began
+    uses = state.uses
+    for plan, use in state.uses.items():
+        history = observe_demand(use.history, use.arrived / elapsed, now)
+        uses = uses.set(plan, replace(use, arrived=0, history=history))
+    return AdmissionState(uses, now)
+
+
+def published_demand(state: AdmissionState) -> dict[str, float]:
+    """Demand by plan to gossip; plans without demand are left out."""
+    demand = {p: u.history.highest() for p, u in state.uses.items()}
+    return {plan: d for plan, d in demand.items() if d > 0.0}
+
+
+def lowest_demand(state: AdmissionState, plan: str, now: float) -> float:
+    """Own demand to count on in `share`."""
+    use = state.uses.get(plan)
+    return use.history.lowest(now) if use is not None else 0.0
