Decide admission, queueing and routing by the pure packages

Cause: the thin first version shared limits evenly, had no queue order, no ejection and no retry that widens the failure domain.

--- a/acaciawing/configuration/model.py
+++ b/acaciawing/configuration/model.py
@@ -57,6 +57,8 @@
         slots: Requests that one worker runs at a time.
         connections: Connections that one worker accepts.
         spare: Whether the pool lends its instances first.
+        spill: Whether instances of spare pools may run its requests without
+            a move.
         idempotent_operations: POST or PATCH operations that may be repeated.
     """
 
@@ -65,6 +67,7 @@
     slots: int = 8
     connections: int = 64
     spare: bool = False
+    spill: bool = False
     idempotent_operations: tuple[str, ...] = ()
 
 
--- a/acaciawing/entry/administration.py
+++ b/acaciawing/entry/administration.py
@@ -104,7 +104,7 @@
             "offset": view.state.offset,
             "in_flight": view.in_flight,
             "waiting": view.waiting,
-            "instances": view.instances,
+            "endpoints": view.endpoints,
             "plans": plans,
             "moves": [],
             "waves": [],
--- a/acaciawing/entry/daemon.py
+++ b/acaciawing/entry/daemon.py
@@ -3,6 +3,7 @@
 import signal
 import threading
 import time
+from collections.abc import Mapping
 
 from acaciawing.configuration import (
     ConfigurationIndex,
@@ -12,11 +13,12 @@
 )
 from acaciawing.entry.administration import Administration
 from acaciawing.entry.callers import Callers, Directory
+from acaciawing.entry.dispatcher import Dispatcher
 from acaciawing.entry.engine import Engine
 from acaciawing.entry.framing import make_server
 from acaciawing.entry.messages import ListingSeen, StateChanged, Stop
 from acaciawing.entry.observers import ListObserver, LogObserver, ReadResult
-from acaciawing.entry.recorder import Recorder
+from acaciawing.entry.recorder import Decision, Recorder
 from acaciawing.entry.scheduler import Scheduler
 from acaciawing.fold import FleetState
 from acaciawing.outcomes import Ignored
@@ -46,10 +48,15 @@
         self._settings = settings
         self._directory = Directory(ConfigurationIndex())
         self._recorder = Recorder()
-        self._scheduler = Scheduler(Engine(settings.zone))
-        self._callers = Callers(
-            settings.instance, self._directory, self._scheduler, self._recorder
+        engine = Engine(
+            settings.instance,
+            settings.zone,
+            settings.threads * 3 // 4,
+            self._record_routing,
         )
+        self._scheduler = Scheduler(engine)
+        dispatcher = Dispatcher(self._scheduler, self._recorder)
+        self._callers = Callers(settings.instance, self._directory, dispatcher)
         self._administration = Administration(
             settings, self._directory, self._scheduler, self._recorder
         )
@@ -97,6 +104,13 @@
         log_event(Event.ENTRY_STOPPED)
         self._recorder.stop()
 
+    def _record_routing(
+        self, request: str, event: Event, reasons: Mapping[str, object]
+    ) -> None:
+        self._recorder.post(
+            Decision("request", request, time.time(), event, dict(reasons))
+        )
+
     def _drain(self) -> None:
         """Stops being ready, then waits for the requests in flight."""
         self._directory.draining = True
--- a/acaciawing/entry/engine.py
+++ b/acaciawing/entry/engine.py
@@ -1,54 +1,67 @@
-"""Decisions of the scheduler task on one message at a time.
+"""Decisions of the scheduler task, one message at a time.
 
-Thin first version: even shares of plan limits, least loaded endpoint in the
-own zone first.
+The decisions themselves are pure functions of `acaciawing.admission`,
+`acaciawing.queueing` and `acaciawing.routing`; the engine keeps their states.
 """
 
-from collections import deque
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from random import Random
 
-from acaciawing.configuration import ConfigurationIndex, index
+from acaciawing import admission, queueing, routing
+from acaciawing.configuration import ConfigurationIndex, Plan, index
+from acaciawing.entry.counts import PlanCounts
+from acaciawing.entry.credits import credits_of
 from acaciawing.entry.messages import (
     Completed,
     Finished,
     Granted,
     ListingSeen,
+    MembersSeen,
     StateChanged,
     Submit,
 )
-from acaciawing.entry.recorder import Decision
 from acaciawing.fold import FleetState
 from acaciawing.outcomes import NotRun
-from acaciawing.platform import ListedInstance
+from acaciawing.queueing import Queue, Waiting, WorkKey
+from acaciawing.routing import Result, Route, RouteRequest
+from acaciawing.telemetry import Event
 
-
-@dataclass
-class PlanCounts:
-    """Counts of one plan since the start of the daemon."""
-
-    succeeded: int = 0
-    failed: int = 0
-    refused: int = 0
-    in_flight: int = 0
+Record = Callable[[str, Event, Mapping[str, object]], None]
 
 
-@dataclass(frozen=True)
+@dataclass
 class _Attempt:
     submit: Submit
-    instance: str
-    pool: str
+    route: Route
+    key: WorkKey
+    begun: float
+    seen_long: bool = False
 
 
-@dataclass
+@dataclass(frozen=True)
 class EngineView:
-    """State shown by the administration API."""
+    """State shown to other tasks.
+
+    Attributes:
+        state: State of the fold.
+        plans: Counts by plan.
+        demand: Published demand by plan, in requests a second.
+        loads: Requests running or waiting here, by pool.
+        waiting: Requests in the queues.
+        in_flight: Attempts in flight.
+        endpoints: Number of endpoints by status.
+        members: Entry instances heard of, this one included.
+    """
 
     state: FleetState
     plans: dict[str, PlanCounts]
+    demand: dict[str, float]
+    loads: dict[str, float]
     waiting: int
     in_flight: int
-    instances: int = 0
+    endpoints: dict[str, int]
+    members: int
 
 
 @dataclass
@@ -56,137 +69,361 @@
     """State of the scheduler task; used by that task only.
 
     Attributes:
-        zone: Zone of the entry instance.
-        record: Receives each decision.
+        instance: Id of the entry instance.
+        zone: Its availability zone.
+        queue_limit: Waiting requests that a pool's queue may hold; each one
+            holds a request thread.
+        record: Receives each decision about a request.
         source: Random source of the decisions.
     """
 
+    instance: str
     zone: str
-    record: "deque[Decision] | None" = None
+    queue_limit: int = 48
+    record: Record = lambda request, event, reasons: None
     source: Random = field(default_factory=lambda: Random(1))
     state: FleetState = FleetState()
     index: ConfigurationIndex = field(default_factory=ConfigurationIndex)
-    plans: dict[str, PlanCounts] = field(default_factory=dict)
-    members: int = 1
-    _instances: dict[str, ListedInstance] = field(default_factory=dict)
-    _pools: dict[str, list[str]] = field(default_factory=dict)
-    _leaving: set[tuple[str, int]] = field(default_factory=set)
-    _load: dict[str, int] = field(default_factory=dict)
+    counts: dict[str, PlanCounts] = field(default_factory=dict)
+    _routing: routing.RoutingState = field(default_factory=routing.RoutingState)
+    _admission: admission.AdmissionState = admission.AdmissionState()
+    _run_times: queueing.RunTimes = queueing.RunTimes()
+    _queues: dict[str, Queue] = field(default_factory=dict)
     _attempts: dict[int, _Attempt] = field(default_factory=dict)
-    _waiting: deque[Submit] = field(default_factory=deque)
+    _submits: dict[str, Submit] = field(default_factory=dict)
+    _started: set[str] = field(default_factory=set)
+    _shares: dict[str, float] = field(default_factory=dict)
+    _members: MembersSeen | None = None
+    _spares: tuple[str, ...] = ()
     _tickets: int = 0
-    _as_of: float = 0.0
-
-    @property
-    def in_flight(self) -> int:
-        """Number of granted attempts that have not ended."""
-        return len(self._attempts)
 
-    def view(self) -> EngineView:
-        """A copy for other tasks."""
-        plans = {name: PlanCounts(**vars(c)) for name, c in self.plans.items()}
-        return EngineView(
-            self.state,
-            plans,
-            len(self._waiting),
-            len(self._attempts),
-            len(self._instances),
-        )
+    # Messages that change what is known.
 
-    def state_changed(self, message: StateChanged) -> None:
+    def state_changed(self, message: StateChanged, now: float) -> None:
         """Takes a newer state of the fold."""
         old = self.state.configuration
         self.state = message.state
         if message.state.configuration is not old:
             self.index = index(message.state.configuration.configuration)
+            self._spares = tuple(
+                service.pool
+                for service in self.index.services.values()
+                if service.spare
+            )
+            self._share_again(now)
 
-    def listing_seen(self, message: ListingSeen) -> None:
-        """Takes a newer instance list; a leave is sticky per incarnation."""
-        if message.listing.as_of < self._as_of:
+    def listing_seen(self, message: ListingSeen, now: float) -> None:
+        """Takes an answer of the platform's list."""
+        self._routing = routing.observe_listing(
+            self._routing, message.listing, self._pool_of(), now
+        )
+        self._credit_again()
+
+    def members_seen(self, message: MembersSeen, now: float) -> None:
+        """Takes a newer view of the entry instances."""
+        self._members = message
+        self._share_again(now)
+        self._credit_again()
+
+    def leaving_seen(self, instance: str, incarnation: int, now: float) -> None:
+        """Takes a peer's word that an instance is leaving."""
+        self._routing = routing.observe_leaving(
+            self._routing, instance, incarnation, now
+        )
+
+    def _pool_of(self) -> Mapping[str, str]:
+        return {}
+
+    def _share_again(self, now: float) -> None:
+        view = admission.EntryView(self.instance)
+        if self._members is not None:
+            view = self._members.view
+        self._shares = {
+            name: admission.share(
+                view, name, admission.lowest_demand(self._admission, name, now)
+            )
+            for name in self.index.plans
+        }
+
+    def _credit_again(self) -> None:
+        if self._members is None:
             return
-        self._as_of = message.listing.as_of
-        self._instances = {i.instance: i for i in message.listing.instances}
-        self._pools = {}
-        for listed in message.listing.instances:
-            if listed.state != "live":
-                self._leaving.add((listed.instance, listed.incarnation))
-            self._pools.setdefault(listed.pool, []).append(listed.instance)
+        given = credits_of(
+            self._routing,
+            self.index.services.values(),
+            self.instance,
+            self._members.zones,
+            self._members.loads,
+        )
+        self._routing = routing.set_credits(self._routing, given)
+
+    # Requests.
 
     def submit(self, message: Submit, now: float) -> None:
         """Grants, queues or refuses a request."""
-        counts = self.plans.setdefault(message.plan, PlanCounts())
-        plan = self.index.plans[message.plan]
-        limit = max(1, plan.concurrency // self.members)
-        if message.attempt == 1 and counts.in_flight >= limit:
-            refusal = NotRun("concurrency-limit", "", 429, 1.0)
-            message.reply.put(refusal)
+        plan = self.index.plans.get(message.plan)
+        service = self.index.services.get(message.service)
+        if plan is None or service is None:
+            detail = "the plan or the service has just been withdrawn"
+            message.reply.put(NotRun("configuration-changed", detail))
             return
-        if not self._grant(message, now):
-            self._waiting.append(message)
+        key = WorkKey(message.service, message.operation, message.customer)
+        run = queueing.classify(self._run_times, key)
+        waiting = Waiting(
+            message.request_id, key, plan.name, run, now, message.deadline
+        )
+        route = None
+        if not self._others_first(service.pool, run.long):
+            route = self._choose(message, run.long, now)
+        if message.attempt == 1:
+            refusal = self._admit(plan, service.pool, waiting, route, now)
+            if refusal is not None:
+                message.reply.put(refusal)
+                return
+        part = self._share(plan.name)
+        first = message.request_id not in self._started
+        if first and not admission.may_start(self._admission, plan, part):
+            route = None
+        if route is not None:
+            self._grant(message, route, key, now)
+            return
+        self._submits[message.request_id] = message
+        self._queues[service.pool] = queueing.enqueue(
+            self._queue(service.pool), waiting
+        )
 
-    def _grant(self, message: Submit, now: float) -> bool:
-        service = self.index.services[message.service]
-        candidates = [
-            name
-            for name in self._pools.get(service.pool, ())
-            if self._usable(name, service.slots) and name not in message.avoid
-        ]
-        if not candidates:
+    def _others_first(self, pool: str, long: bool) -> bool:
+        queue = self._queues.get(pool)
+        if queue is None or not len(queue):
             return False
-        chosen = min(candidates, key=self._cost)
-        listed = self._instances[chosen]
-        self._tickets += 1
-        self._attempts[self._tickets] = _Attempt(message, chosen, service.pool)
-        self._load[chosen] = self._load.get(chosen, 0) + 1
-        self.plans[message.plan].in_flight += 1
-        message.reply.put(
-            Granted(
-                self._tickets,
-                chosen,
-                listed.incarnation,
-                listed.address,
-                message.plan,
-                message.deadline,
-            )
+        return bool(queue.short) or long
+
+    def _admit(
+        self,
+        plan: Plan,
+        pool: str,
+        waiting: Waiting,
+        route: Route | None,
+        now: float,
+    ) -> NotRun | None:
+        queue = self._queue(pool)
+        arrival = admission.Arrival(
+            plan,
+            self._share(plan.name),
+            route is not None,
+            queueing.expected_wait_s(queue, waiting.run, self._slots(pool)),
+            waiting.run.least_s,
+            waiting.deadline - now,
+            len(queue) >= self.queue_limit,
+        )
+        shares = {
+            name: (self.index.plans[name], part)
+            for name, part in self._shares.items()
+        }
+        self._admission, decision = admission.admit(
+            self._admission, arrival, now, shares
         )
-        return True
+        if isinstance(decision, NotRun):
+            return decision
+        if decision.shed is not None:
+            self._shed(decision.shed, pool)
+        return None
 
-    def _usable(self, name: str, slots: int) -> bool:
-        listed = self._instances[name]
-        if (name, listed.incarnation) in self._leaving:
-            return False
-        return self._load.get(name, 0) < slots
+    def _shed(self, plan: str, pool: str) -> None:
+        newest = queueing.newest_of(self._queue(pool), plan)
+        if newest is None:
+            return
+        refusal = NotRun(
+            "shed", f"plan {plan} is above its allowance", 503, 1.0
+        )
+        self._drop(pool, newest.request, refusal)
 
-    def _cost(self, name: str) -> tuple[bool, int, float]:
-        away = self._instances[name].zone != self.zone
-        return away, self._load.get(name, 0), self.source.random()
+    def _drop(self, pool: str, request_id: str, refusal: NotRun) -> None:
+        self._queues[pool] = queueing.remove(self._queue(pool), request_id)
+        message = self._submits.pop(request_id)
+        if request_id not in self._started:
+            self._admission = admission.leave(self._admission, message.plan)
+        message.reply.put(refusal)
+
+    def _choose(self, message: Submit, long: bool, now: float) -> Route | None:
+        service = self.index.services[message.service]
+        request = RouteRequest(
+            service.pool,
+            self.zone,
+            long,
+            message.avoid,
+            self._spares if service.spill and not service.spare else (),
+            message.idempotent,
+        )
+        choice = routing.choose(self._routing, request, now, self.source)
+        return choice if isinstance(choice, Route) else None
+
+    def _grant(
+        self, message: Submit, route: Route, key: WorkKey, now: float
+    ) -> None:
+        self._routing = routing.reserve(self._routing, route, now)
+        if message.request_id not in self._started:
+            self._started.add(message.request_id)
+            self._admission = admission.start(self._admission, message.plan)
+        self._tickets += 1
+        self._attempts[self._tickets] = _Attempt(message, route, key, now)
+        message.reply.put(
+            Granted(self._tickets, route.endpoint, message.deadline)
+        )
+        self.record(
+            message.request_id,
+            Event.REQUEST_ROUTED,
+            {
+                "service": message.service,
+                "plan": message.plan,
+                "attempt": message.attempt,
+                "endpoint": route.endpoint.instance,
+                "zone": route.endpoint.zone,
+                "long": route.long,
+                "reasons": route.reasons,
+            },
+        )
 
     def completed(self, message: Completed, now: float) -> None:
         """Frees the slot of an attempt and serves the queue."""
         attempt = self._attempts.pop(message.ticket)
-        self._load[attempt.instance] -= 1
-        self.plans[attempt.submit.plan].in_flight -= 1
+        route = attempt.route
+        self._routing = routing.observe_result(
+            self._routing,
+            route.endpoint,
+            message.result,
+            message.run_time_s,
+            now,
+        )
+        self._routing = routing.release(self._routing, route, now)
         if message.leaving:
-            listed = self._instances.get(attempt.instance)
-            if listed is not None:
-                self._leaving.add((listed.instance, listed.incarnation))
-        self.serve_queue(now)
-
-    def serve_queue(self, now: float) -> None:
-        """Grants waiting requests in order; drops those past the deadline."""
-        for _ in range(len(self._waiting)):
-            message = self._waiting.popleft()
-            if message.deadline <= now:
-                message.reply.put(NotRun("deadline", "", 503, 1.0))
-            elif not self._grant(message, now):
-                self._waiting.append(message)
+            self.leaving_seen(
+                route.endpoint.instance, route.endpoint.incarnation, now
+            )
+        if message.result is not Result.NOT_RUN:
+            self._run_times = queueing.observe_run(
+                self._run_times,
+                attempt.key,
+                message.run_time_s,
+                message.result is Result.SUCCESS,
+            )
+        self.serve_queues(now)
 
     def finished(self, message: Finished) -> None:
         """Counts the final answer of a request."""
-        counts = self.plans.setdefault(message.plan, PlanCounts())
+        if message.request_id in self._started:
+            self._started.discard(message.request_id)
+            self._admission = admission.end(self._admission, message.plan)
+        counts = self.counts.setdefault(message.plan, PlanCounts())
         if message.verdict == "succeeded":
             counts.succeeded += 1
         elif message.verdict == "failed":
             counts.failed += 1
         else:
             counts.refused += 1
+        if message.code:
+            counts.codes[message.code] = counts.codes.get(message.code, 0) + 1
+
+    # The queues.
+
+    def serve_queues(self, now: float) -> None:
+        """Grants waiting requests and drops those that are too late."""
+        for pool, queue in self._queues.items():
+            if len(queue):
+                self._expire(pool, now)
+                self._serve(pool, now)
+
+    def _expire(self, pool: str, now: float) -> None:
+        due = queueing.next_expiry(self._queues[pool])
+        if due is None or due >= now:
+            return
+        _, dropped = queueing.expire(self._queues[pool], now)
+        for entry in dropped:
+            self._drop(pool, entry.waiting.request, entry.refusal)
+
+    def _serve(self, pool: str, now: float) -> None:
+        long_free = True
+        blocked = self._blocked_plans()
+        while True:
+            waiting = queueing.next_work(
+                self._queues[pool], now, long_free, blocked
+            )
+            if waiting is None:
+                return
+            message = self._submits[waiting.request]
+            route = self._choose(message, waiting.run.long, now)
+            if route is None:
+                if not waiting.run.long:
+                    return
+                long_free = False
+                continue
+            self._queues[pool] = queueing.remove(
+                self._queues[pool], waiting.request
+            )
+            del self._submits[waiting.request]
+            self._grant(message, route, waiting.key, now)
+            blocked = self._blocked_plans()
+
+    def _blocked_plans(self) -> frozenset[str]:
+        return frozenset(
+            name
+            for name, plan in self.index.plans.items()
+            if not admission.may_start(self._admission, plan, self._share(name))
+        )
+
+    def tick(self, now: float) -> None:
+        """Regular work: deadlines, demand samples, long-running attempts."""
+        self._see_long_runs(now)
+        self.serve_queues(now)
+
+    def close_step(self, now: float) -> None:
+        """Takes a demand sample; called before each gossip round."""
+        self._admission = admission.close_step(self._admission, now)
+        self._share_again(now)
+
+    def _see_long_runs(self, now: float) -> None:
+        for attempt in self._attempts.values():
+            limit = queueing.long_after_s(
+                self._run_times, attempt.submit.service
+            )
+            ran = now - attempt.begun
+            if limit is not None and ran >= limit and not attempt.seen_long:
+                attempt.seen_long = True
+                self._run_times = queueing.observe_run(
+                    self._run_times, attempt.key, ran, finished=False
+                )
+
+    # Views.
+
+    def view(self) -> EngineView:
+        """A frozen view for other tasks."""
+        endpoints: dict[str, int] = {}
+        loads: dict[str, float] = {}
+        for name, pool in self._routing.pools.items():
+            loads[name] = float(len(self._queue(name)))
+            for cell in pool.cells.values():
+                status = cell.status.value
+                endpoints[status] = endpoints.get(status, 0) + 1
+                loads[name] += cell.in_flight
+        return EngineView(
+            self.state,
+            {name: counts.copy() for name, counts in self.counts.items()},
+            admission.published_demand(self._admission),
+            loads,
+            sum(len(queue) for queue in self._queues.values()),
+            len(self._attempts),
+            endpoints,
+            self._members.view.size if self._members else 1,
+        )
+
+    def _queue(self, pool: str) -> Queue:
+        return self._queues.get(pool) or Queue()
+
+    def _share(self, plan: str) -> float:
+        return self._shares.get(plan, 1.0)
+
+    def _slots(self, name: str) -> int:
+        pool = self._routing.pools.get(name)
+        if pool is None:
+            return 0
+        return sum(view.slots for view in pool.zones.values())
--- a/acaciawing/entry/messages.py
+++ b/acaciawing/entry/messages.py
@@ -1,12 +1,15 @@
 """Messages between the tasks of the daemon."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from queue import SimpleQueue
 from typing import Any, TypeAlias
 
+from acaciawing.admission import EntryView
 from acaciawing.fold import FleetState
 from acaciawing.outcomes import Refusal
 from acaciawing.platform import Listing
+from acaciawing.routing import Avoid, Endpoint, Result
 
 
 @dataclass(frozen=True)
@@ -15,18 +18,12 @@
 
     Attributes:
         ticket: Number of the attempt, to be named in `Completed`.
-        instance: Instance that serves the endpoint.
-        incarnation: Its incarnation.
-        address: ``ip:port`` of the endpoint.
-        plan: Plan that the request runs under.
+        endpoint: Where to send it.
         deadline: Time by which it must end, monotonic seconds.
     """
 
     ticket: int
-    instance: str
-    incarnation: int
-    address: str
-    plan: str
+    endpoint: Endpoint
     deadline: float
 
 
@@ -43,7 +40,7 @@
         idempotent: Whether a repeat does no harm.
         deadline: Time by which it must end, monotonic seconds.
         attempt: 1 for the first.
-        avoid: Instances that earlier attempts used.
+        avoid: Failure domains of earlier attempts.
         reply: Receives `Granted` or a refusal.
     """
 
@@ -55,7 +52,7 @@
     idempotent: bool
     deadline: float
     attempt: int
-    avoid: tuple[str, ...]
+    avoid: Avoid
     reply: "SimpleQueue[Granted | Refusal]" = field(compare=False)
 
 
@@ -65,13 +62,13 @@
 
     Attributes:
         ticket: Number of the attempt.
-        result: ``ok``, ``error``, ``not-run``, ``not-sent`` or ``unknown``.
+        result: How the exchange ended.
         run_time_s: Time from sending to the whole answer.
         leaving: Whether the endpoint said that it is leaving.
     """
 
     ticket: int
-    result: str
+    result: Result
     run_time_s: float
     leaving: bool
 
@@ -81,12 +78,16 @@
     """A request has got its final answer.
 
     Attributes:
+        request_id: Id of the request.
         plan: Name of the plan.
         verdict: ``succeeded``, ``failed`` or ``refused``.
+        code: Code of the refusal, or an empty string.
     """
 
+    request_id: str
     plan: str
     verdict: str
+    code: str = ""
 
 
 @dataclass(frozen=True)
@@ -103,11 +104,40 @@
     listing: Listing
 
 
+@dataclass(frozen=True)
+class MembersSeen:
+    """The entry instances heard of have changed.
+
+    Attributes:
+        view: Members and their demand by plan.
+        zones: Zone of each member.
+        loads: Requests running or waiting, by pool and member.
+    """
+
+    view: EntryView
+    zones: Mapping[str, str]
+    loads: Mapping[str, Mapping[str, float]]
+
+
+@dataclass(frozen=True)
+class LeavingSeen:
+    """A peer said that an instance is leaving."""
+
+    instance: str
+    incarnation: int
+
+
 @dataclass(frozen=True)
 class Query:
-    """Asks the scheduler for a frozen view of its state."""
+    """Asks the scheduler for a frozen view of its state.
+
+    Attributes:
+        reply: Receives the view.
+        close_step: Whether to take a demand sample first.
+    """
 
     reply: "SimpleQueue[Any]" = field(compare=False)
+    close_step: bool = False
 
 
 @dataclass(frozen=True)
@@ -116,5 +146,13 @@
 
 
 Message: TypeAlias = (
-    Submit | Completed | Finished | StateChanged | ListingSeen | Query | Stop
+    Submit
+    | Completed
+    | Finished
+    | StateChanged
+    | ListingSeen
+    | MembersSeen
+    | LeavingSeen
+    | Query
+    | Stop
 )
--- a/acaciawing/entry/scheduler.py
+++ b/acaciawing/entry/scheduler.py
@@ -1,8 +1,9 @@
-"""Task that owns admission, queue and routing of one entry instance."""
+"""Task that owns admission, queues and routing of one entry instance."""
 
 import threading
 import time
 from collections.abc import Callable
+from functools import singledispatch
 from queue import Empty, SimpleQueue
 
 from acaciawing.entry.engine import Engine, EngineView
@@ -10,7 +11,9 @@
     Completed,
     Finished,
     Granted,
+    LeavingSeen,
     ListingSeen,
+    MembersSeen,
     Message,
     Query,
     StateChanged,
@@ -20,7 +23,7 @@
 from acaciawing.outcomes import Refusal
 
 # Longest time between two looks at the queue's deadlines.
-_TICK_S = 0.1
+TICK_S = 0.05
 
 
 class Scheduler(threading.Thread):
@@ -39,6 +42,7 @@
         self._engine = engine
         self._clock = clock
         self._inbox: SimpleQueue[Message] = SimpleQueue()
+        self._ticked = 0.0
 
     def post(self, message: Message) -> None:
         """Sends a message; returns at once."""
@@ -49,37 +53,91 @@
         self._inbox.put(message)
         return message.reply.get()
 
-    def view(self) -> EngineView:
-        """A frozen view of the state."""
+    def view(self, close_step: bool = False) -> EngineView:
+        """A frozen view of the state.
+
+        Args:
+            close_step: Whether to take a demand sample first.
+        """
         reply: SimpleQueue[EngineView] = SimpleQueue()
-        self._inbox.put(Query(reply))
+        self._inbox.put(Query(reply, close_step))
         return reply.get()
 
     def run(self) -> None:
         """Handles messages until stopped."""
         while True:
             try:
-                message = self._inbox.get(timeout=_TICK_S)
+                message = self._inbox.get(timeout=TICK_S)
             except Empty:
-                self._engine.serve_queue(self._clock())
+                self._tick(self._clock())
                 continue
             if isinstance(message, Stop):
                 return
-            self._handle(message)
-
-    def _handle(self, message: Message) -> None:
-        match message:
-            case Submit():
-                self._engine.submit(message, self._clock())
-            case Completed():
-                self._engine.completed(message, self._clock())
-            case Finished():
-                self._engine.finished(message)
-            case StateChanged():
-                self._engine.state_changed(message)
-                self._engine.serve_queue(self._clock())
-            case ListingSeen():
-                self._engine.listing_seen(message)
-                self._engine.serve_queue(self._clock())
-            case Query():
-                message.reply.put(self._engine.view())
+            now = self._clock()
+            handle(message, self._engine, now)
+            if now - self._ticked >= TICK_S:
+                self._tick(now)
+
+    def _tick(self, now: float) -> None:
+        self._ticked = now
+        self._engine.tick(now)
+
+
+@singledispatch
+def handle(message: Message, engine: Engine, now: float) -> None:
+    """Applies one message to the engine.
+
+    Args:
+        message: The message.
+        engine: State and decisions.
+        now: Monotonic time in seconds.
+
+    Raises:
+        TypeError: If the message is not for the scheduler.
+    """
+    raise TypeError(type(message).__name__)
+
+
+@handle.register
+def _(message: Submit, engine: Engine, now: float) -> None:
+    engine.submit(message, now)
+
+
+@handle.register
+def _(message: Completed, engine: Engine, now: float) -> None:
+    engine.completed(message, now)
+
+
+@handle.register
+def _(message: Finished, engine: Engine, now: float) -> None:
+    engine.finished(message)
+
+
+@handle.register
+def _(message: StateChanged, engine: Engine, now: float) -> None:
+    engine.state_changed(message, now)
+    engine.serve_queues(now)
+
+
+@handle.register
+def _(message: ListingSeen, engine: Engine, now: float) -> None:
+    engine.listing_seen(message, now)
+    engine.serve_queues(now)
+
+
+@handle.register
+def _(message: MembersSeen, engine: Engine, now: float) -> None:
+    engine.members_seen(message, now)
+    engine.serve_queues(now)
+
+
+@handle.register
+def _(message: LeavingSeen, engine: Engine, now: float) -> None:
+    engine.leaving_seen(message.instance, message.incarnation, now)
+
+
+@handle.register
+def _(message: Query, engine: Engine, now: float) -> None:
+    if message.close_step:
+        engine.close_step(now)
+    message.reply.put(engine.view())
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -138,7 +138,8 @@
 def _outcomes(sent: list[Sent]) -> Row:
     counts: dict[str, int] = {}
     for entry in sent:
-        counts[entry.outcome] = counts.get(entry.outcome, 0) + 1
+        name = f"{entry.outcome} {entry.code}".strip()
+        counts[name] = counts.get(name, 0) + 1
     text = ", ".join(f"{k} {v}" for k, v in sorted(counts.items()))
     return Row("answers by outcome", "", text, True)
 
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -37,7 +37,8 @@
 def configuration(rate_per_s: float) -> Configuration:
     """The operators' lists for the demonstration."""
     services = tuple(
-        Service(name, name, spare=name == "portal") for name in SERVICES
+        Service(name, name, spare=name == "portal", spill=True)
+        for name in SERVICES
     )
     plans = tuple(
         Plan(name, rate, 604800.0, 5.0, rate_per_s, 300, 200, SERVICES)
--- a/demo/load.py
+++ b/demo/load.py
@@ -21,6 +21,7 @@
         outcome: ``ok``, ``not-run``, ``failed``, ``unknown``, ``broken`` or
             ``crossed``.
         took_s: Time until the final answer, in seconds.
+        code: Code of a refusal, or an empty string.
     """
 
     request_id: str
@@ -29,6 +30,7 @@
     status: int = 0
     outcome: str = "broken"
     took_s: float = 0.0
+    code: str = ""
 
 
 @dataclass
@@ -134,6 +136,8 @@
         sent.took_s = time.monotonic() - begun
         sent.status = answer.status
         sent.outcome = _outcome(answer, request_id)
+        if "Acaciawing-Outcome" in answer.headers:
+            sent.code = answer.json()["title"]
         return sent
 
 
--- a/standins/platform_state.py
+++ b/standins/platform_state.py
@@ -7,6 +7,9 @@
 from pathlib import Path
 from typing import Any
 
+# An instance that reboots is off the list until it is returned.
+_LISTED = ("live", "leaving")
+
 
 @dataclass(frozen=True)
 class StoredRecord:
@@ -200,5 +203,9 @@
             )
             return {
                 "as_of": as_of,
-                "instances": [asdict(i) for i in seen[1].values()],
+                "instances": [
+                    asdict(instance)
+                    for instance in seen[1].values()
+                    if instance.state in _LISTED
+                ],
             }
