Keep request log lines alive and share idle connections among threads

Cause: a routing line carries 'zone', and so did the context of every line; the call failed with a repeated keyword and ended the recorder task at the first routed request, so no routing line was ever written. Events now carry a mapping, and the context uses 'entry' and 'entry_zone'.

Second cause: connections kept for each request thread were nearly never reused (64 threads, 30 endpoints). They are now shared, bounded in total and by endpoint.

--- a/acaciawing/entry/daemon.py
+++ b/acaciawing/entry/daemon.py
@@ -90,7 +90,7 @@
             thread = threading.Thread(target=server.serve, daemon=True)
             thread.start()
             servers.append((server, thread))
-        log_event(Event.ENTRY_STARTED, listen=settings.listen)
+        log_event(Event.ENTRY_STARTED, {"listen": settings.listen})
         self._log_observer.start()
         self._list_observer.start()
         self._terminate.wait()
@@ -101,7 +101,7 @@
         self._log_observer.stop()
         self._list_observer.stop()
         self._scheduler.post(Stop())
-        log_event(Event.ENTRY_STOPPED)
+        log_event(Event.ENTRY_STOPPED, {})
         self._recorder.stop()
 
     def _record_routing(
@@ -114,7 +114,7 @@
     def _drain(self) -> None:
         """Stops being ready, then waits for the requests in flight."""
         self._directory.draining = True
-        log_event(Event.ENTRY_DRAINING, in_flight=self._callers.in_flight)
+        log_event(Event.ENTRY_DRAINING, {"in_flight": self._callers.in_flight})
         begun = time.monotonic()
         pause = threading.Event()
         while True:
@@ -131,9 +131,11 @@
             if isinstance(step.verdict, Ignored):
                 log_event(
                     Event.RECORD_IGNORED,
-                    reason=step.verdict.reason,
-                    detail=step.verdict.detail,
-                    writer=step.writer,
+                    {
+                        "reason": step.verdict.reason,
+                        "detail": step.verdict.detail,
+                        "writer": step.writer,
+                    },
                 )
         if result.steps or not self._directory.ready:
             self._adopt_state(result.state)
@@ -144,7 +146,7 @@
         up = not result.problem
         if up != self._log_up:
             event = Event.LOG_AVAILABLE if up else Event.LOG_UNAVAILABLE
-            log_event(event, detail=result.problem)
+            log_event(event, {"detail": result.problem})
         self._log_up = up
 
     def _adopt_state(self, state: FleetState) -> None:
@@ -156,21 +158,25 @@
         self._directory.index = index(state.configuration.configuration)
         log_event(
             Event.CONFIGURATION_IN_FORCE,
-            version=version,
-            age_s=round(time.time() - state.configuration.accepted_at, 3),
+            {
+                "version": version,
+                "age_s": round(
+                    time.time() - state.configuration.accepted_at, 3
+                ),
+            },
         )
 
     def _become_ready(self) -> None:
         if not self._directory.ready:
             self._directory.ready = True
-            log_event(Event.ENTRY_READY, version=self._version)
+            log_event(Event.ENTRY_READY, {"version": self._version})
 
     def _list_read(self, outcome: Listing | ListUnavailable) -> None:
         up = isinstance(outcome, Listing)
         if isinstance(outcome, Listing):
             self._scheduler.post(ListingSeen(outcome))
         elif self._list_up:
-            log_event(Event.LIST_UNAVAILABLE, detail=outcome.detail)
+            log_event(Event.LIST_UNAVAILABLE, {"detail": outcome.detail})
         self._list_up = up
 
 
@@ -181,6 +187,6 @@
         settings: Its settings.
     """
     configure_logs(
-        settings.log_format, instance=settings.instance, zone=settings.zone
+        settings.log_format, entry=settings.instance, entry_zone=settings.zone
     )
     Daemon(settings).run()
--- a/acaciawing/entry/dispatcher.py
+++ b/acaciawing/entry/dispatcher.py
@@ -1,6 +1,5 @@
 """Path of one checked request: endpoint, exchange, retry, final answer."""
 
-import threading
 import time
 from collections.abc import Callable
 from functools import singledispatch
@@ -49,7 +48,7 @@
         self._scheduler = scheduler
         self._recorder = recorder
         self._clock = clock
-        self._local = threading.local()
+        self._exchanger = Exchanger(clock)
 
     def serve(self, request: CallerRequest) -> Answer | Refusal:
         """Serves one request.
@@ -117,7 +116,7 @@
         self, request: CallerRequest, granted: Granted
     ) -> ExchangeOutcome:
         begun = self._clock()
-        outcome = self._exchanger().send(
+        outcome = self._exchanger.send(
             granted.endpoint.address,
             EndpointRequest(
                 request.method,
@@ -140,12 +139,6 @@
         )
         return outcome
 
-    def _exchanger(self) -> Exchanger:
-        exchanger: Exchanger | None = getattr(self._local, "exchanger", None)
-        if exchanger is None:
-            exchanger = self._local.exchanger = Exchanger(self._clock)
-        return exchanger
-
     def _record(self, request: CallerRequest, code: str, detail: str) -> None:
         self._recorder.post(
             Decision(
--- a/acaciawing/entry/recorder.py
+++ b/acaciawing/entry/recorder.py
@@ -71,8 +71,7 @@
     def _record(self, decision: Decision) -> None:
         log_event(
             decision.event,
-            **{decision.kind: decision.subject},
-            **decision.reasons,
+            {decision.kind: decision.subject, **decision.reasons},
         )
         key = (decision.kind, decision.subject)
         events = self._kept.setdefault(key, [])
--- a/acaciawing/exchange/__init__.py
+++ b/acaciawing/exchange/__init__.py
@@ -1,6 +1,7 @@
 """One HTTP exchange with an endpoint."""
 
 from acaciawing.exchange.exchanger import MAX_ANSWER_BYTES, Exchanger
+from acaciawing.exchange.idle import IdleConnections
 from acaciawing.exchange.outcomes import (
     Answer,
     AnswerTimeout,
@@ -23,6 +24,7 @@
     "ExchangeOutcome",
     "Exchanger",
     "Headers",
+    "IdleConnections",
     "Interrupted",
     "NotSent",
 ]
--- a/acaciawing/exchange/exchanger.py
+++ b/acaciawing/exchange/exchanger.py
@@ -10,7 +10,6 @@
 
 import http.client
 import time
-from collections import OrderedDict
 from collections.abc import Callable
 
 import urllib3
@@ -27,6 +26,7 @@
     request_fields,
     retry_after_s,
 )
+from acaciawing.exchange.idle import IdleConnections
 from acaciawing.exchange.outcomes import (
     Answer,
     AnswerTimeout,
@@ -42,12 +42,6 @@
 # Round trips inside a region take a few milliseconds; an endpoint that does
 # not accept within a second is down or unreachable.
 _CONNECT_S = 1.0
-# Endpoints close idle connections after about 10 s. Staying well below makes
-# it rare that a request meets a connection that is being closed.
-_MAX_IDLE_S = 3.0
-# 64 request threads with two idle connections each, over the 30 workers of
-# the smaller user and 9 entry instances, are 38 per worker of its 64.
-_MAX_IDLE_CONNECTIONS = 2
 
 _FAILURES = (
     OSError,
@@ -58,22 +52,21 @@
 
 
 class Exchanger:
-    """Sends requests to endpoints; owned by one request thread.
+    """Sends requests to endpoints; may be shared by request threads.
 
     Args:
         clock: Monotonic clock, in seconds.
-        max_idle: Idle connections kept in total.
+        idle: Connections to reuse; by default its own.
     """
 
     def __init__(
         self,
         clock: Callable[[], float] = time.monotonic,
-        max_idle: int = _MAX_IDLE_CONNECTIONS,
+        idle: IdleConnections | None = None,
     ) -> None:
         """Opens no connection yet."""
         self._clock = clock
-        self._max_idle = max_idle
-        self._idle: OrderedDict[str, EndpointConnection] = OrderedDict()
+        self._idle = IdleConnections() if idle is None else idle
 
     def send(
         self, address: str, request: EndpointRequest, timeout_s: float
@@ -98,43 +91,29 @@
         connection.begin_exchange(deadline)
         outcome, reusable = _exchange(connection, request)
         if reusable:
-            self._keep(address, connection)
+            connection.idle_since = self._clock()
+            self._idle.keep(address, connection)
         else:
             connection.abandon()
         return outcome
 
     def close(self) -> None:
         """Closes all idle connections."""
-        while self._idle:
-            self._idle.popitem()[1].close()
+        self._idle.close()
 
     def close_idle(self) -> None:
-        """Closes connections idle for too long; for an idle thread."""
-        for address, connection in tuple(self._idle.items()):
-            if not self._fresh(connection):
-                del self._idle[address]
-                connection.close()
+        """Closes connections that were idle for too long."""
+        self._idle.close_idle(self._clock())
 
     def _connected(self, address: str, left: float) -> EndpointConnection:
-        connection = self._idle.pop(address, None)
+        connection = self._idle.take(address, self._clock())
         if connection is not None:
-            if self._fresh(connection) and connection.is_connected:
-                return connection
-            connection.close()
+            return connection
         connection = EndpointConnection(*split_address(address), self._clock)
         connection.timeout = min(left, _CONNECT_S)
         connection.connect()
         return connection
 
-    def _fresh(self, connection: EndpointConnection) -> bool:
-        return self._clock() - connection.idle_since < _MAX_IDLE_S
-
-    def _keep(self, address: str, connection: EndpointConnection) -> None:
-        connection.idle_since = self._clock()
-        self._idle[address] = connection
-        while len(self._idle) > self._max_idle:
-            self._idle.popitem(last=False)[1].close()
-
 
 def _exchange(
     connection: EndpointConnection, request: EndpointRequest
--- a/acaciawing/exchange/tests/test_exchanger.py
+++ b/acaciawing/exchange/tests/test_exchanger.py
@@ -16,6 +16,7 @@
     EndpointRequest,
     ExchangeOutcome,
     Exchanger,
+    IdleConnections,
     Interrupted,
     NotSent,
 )
@@ -399,7 +400,7 @@
 
             return script
 
-        exchanger = Exchanger(max_idle=2)
+        exchanger = Exchanger(idle=IdleConnections(total=2))
         servers = [ScriptedServer([watch(event)]) for event in closed]
         for server in servers:
             exchanger.send(server.address, _POST, _WAIT_S)
--- a/acaciawing/telemetry/logs.py
+++ b/acaciawing/telemetry/logs.py
@@ -2,21 +2,29 @@
 
 import logging
 import sys
-from typing import Any
+from collections.abc import Mapping
+from typing import Any, TextIO
 
+import msgspec
 import structlog
 
 from acaciawing.telemetry.events import Event
 
+_context: dict[str, str] = {}
+_encoder = msgspec.json.Encoder(enc_hook=str)
+
 
-def configure_logs(style: str, **context: str) -> None:
+def configure_logs(
+    style: str, stream: TextIO | None = None, **context: str
+) -> None:
     """Sets up structlog for the process.
 
     Args:
         style: ``json`` or ``console``.
-        **context: Values that each line carries, for example ``instance``.
+        stream: Receives the lines; standard error by default.
+        **context: Values that each line carries, for example ``entry``.
     """
-    renderer: Any = structlog.processors.JSONRenderer()
+    renderer: Any = structlog.processors.JSONRenderer(serializer=_serialize)
     if style == "console":
         renderer = structlog.dev.ConsoleRenderer(colors=False)
     structlog.configure(
@@ -26,22 +34,28 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
-        cache_logger_on_first_use=True,
+        logger_factory=structlog.WriteLoggerFactory(file=stream or sys.stderr),
+        cache_logger_on_first_use=False,
     )
+    _context.clear()
     _context.update(context)
+    global _logger
+    _logger = structlog.get_logger().bind()
 
 
-_context: dict[str, str] = {}
+def _serialize(values: Any, **_: Any) -> str:
+    return _encoder.encode(values).decode()
 
 
-def log_event(event: Event, **values: Any) -> None:
+_logger: Any = structlog.get_logger()
+
+
+def log_event(event: Event, values: Mapping[str, object]) -> None:
     """Writes one numbered event.
 
     Args:
         event: Entry of the catalogue.
-        **values: Values of the event; must hold no secret.
+        values: Values of the event; must hold no secret. A value takes the
+            place of a context value with the same name.
     """
-    structlog.get_logger().info(
-        event.text, number=event.number, **_context, **values
-    )
+    _logger.info(event.text, **{**_context, **values, "number": event.number})
