--- a/acaciawing/routing/__init__.py
+++ b/acaciawing/routing/__init__.py
@@ -1,6 +1,6 @@
 """Choice of an endpoint for a request."""
 
-from acaciawing.routing.choice import choose
+from acaciawing.routing.choice import choose, next_opening
 from acaciawing.routing.credits import divide_credits, long_slots
 from acaciawing.routing.model import (
     Avoid,
@@ -39,6 +39,7 @@
     "choose",
     "divide_credits",
     "long_slots",
+    "next_opening",
     "observe_leaving",
     "observe_listing",
     "observe_result",
--- a/acaciawing/routing/choice.py
+++ b/acaciawing/routing/choice.py
@@ -60,6 +60,16 @@
     return NoEndpoint(failed)
 
 
+def next_opening(state: RoutingState, pool: str) -> float | None:
+    """Time in seconds at which the next rest or ejection of a pool ends.
+
+    A queue that got `NoEndpoint` tries again then, since no release of a slot
+    may come before.
+    """
+    known = state.pools.get(pool)
+    return known.timers[0][0] if known is not None and known.timers else None
+
+
 def _probe(pool: Pool, request: RouteRequest) -> Route | None:
     if not pool.probes_due or not request.may_probe:
         return None
--- a/acaciawing/routing/pool.py
+++ b/acaciawing/routing/pool.py
@@ -12,9 +12,9 @@
 EJECT_AFTER = 10  # fewer answers say too little
 EJECT_FIRST_S = 5.0
 EJECT_LONGEST_S = 60.0
-# Both counts are halved here, so that a rate describes the last 10 to 20
-# answers and a worker that recovers regains its weight.
-ANSWERS_KEPT = 20
+# Results kept for each endpoint. A worker that turns bad must be found by its
+# last answers, however many good ones came before.
+ANSWERS_KEPT = 16
 REST_FIRST_S = 0.05
 # Gossip renews credits every 0.5 s, so a longer rest only wastes slots.
 REST_LONGEST_S = 0.8
@@ -34,8 +34,8 @@
         status: Whether it takes requests.
         in_flight: Requests in flight from this entry instance.
         long_in_flight: Long requests among them.
-        answers: Recent answers that count for the success rate.
-        successes: Successes among them.
+        answers: Answers that count for the success rate.
+        recent: The last answers as bits, the newest lowest; 1 is a success.
         ejected_s: Last ejection period, or 0.
         rest_s: Last rest after a "not run" of the endpoint, or 0.
     """
@@ -45,8 +45,8 @@
     status: Status = Status.OPEN
     in_flight: int = 0
     long_in_flight: int = 0
-    answers: float = 0.0
-    successes: float = 0.0
+    answers: int = 0
+    recent: int = 0
     ejected_s: float = 0.0
     rest_s: float = 0.0
 
@@ -60,6 +60,11 @@
         """Whether long work may go there."""
         return self.free and self.long_in_flight < self.credit.long
 
+    @property
+    def successes(self) -> int:
+        """Successes among the answers that count."""
+        return self.recent.bit_count()
+
     @property
     def score(self) -> float:
         """Load over success weight; the lower one of two choices wins."""
@@ -67,6 +72,22 @@
         load = (self.in_flight + 1) / max(1, self.credit.slots)
         return load / max(LEAST_WEIGHT, weight)
 
+    # Four changes of a cell lie on the path of each request; a constructor call
+    # costs a third of dataclasses.replace.
+    def with_load(self, requests: int, long: int, status: Status) -> "Cell":
+        """Adds to the requests in flight and sets the status."""
+        return Cell(
+            self.endpoint,
+            self.credit,
+            status,
+            max(0, self.in_flight + requests),
+            max(0, self.long_in_flight + long),
+            self.answers,
+            self.recent,
+            self.ejected_s,
+            self.rest_s,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class ZoneView:
@@ -216,7 +237,7 @@
     while pool.ejected > pool.size // 2:
         out = [c for c in pool.cells.values() if c.status in _OUT]
         best = min(out, key=lambda c: (c.ejected_s, c.endpoint.instance))
-        opened = replace(best, status=Status.OPEN, answers=0.0, successes=0.0)
+        opened = replace(best, status=Status.OPEN, answers=0, recent=0)
         pool = put(pool, best.endpoint.instance, opened)
     return pool
 
@@ -225,7 +246,16 @@
     answers, successes = pool.answers + 1.0, pool.successes + success
     if answers >= max(100, EJECT_AFTER * pool.size):
         answers, successes = answers / 2, successes / 2
-    return replace(pool, answers=answers, successes=successes)
+    return Pool(
+        pool.cells,
+        pool.zones,
+        pool.timers,
+        pool.probes_due,
+        pool.ejected,
+        pool.size,
+        answers,
+        successes,
+    )
 
 
 def _rest(pool: Pool, cell: Cell, now: float) -> Pool:
@@ -251,7 +281,7 @@
 def end_probe(pool: Pool, cell: Cell, result: Result, now: float) -> Pool:
     """Ends a probe by its result; one without a result is made again."""
     if result is Result.SUCCESS:
-        opened = replace(cell, status=Status.OPEN, answers=1.0, successes=1.0)
+        opened = replace(cell, status=Status.OPEN, answers=1, recent=1)
         return put(pool, cell.endpoint.instance, opened)
     if result is Result.FAILURE:
         return _eject(pool, cell, now)
@@ -286,19 +316,23 @@
 def _answered(
     pool: Pool, cell: Cell, instance: str, success: bool, now: float
 ) -> Pool:
-    answers, successes = cell.answers + 1.0, cell.successes + success
-    if answers >= ANSWERS_KEPT:
-        answers, successes = answers / 2, successes / 2
-    cell = replace(
-        cell,
-        answers=answers,
-        successes=successes,
-        rest_s=0.0 if success else cell.rest_s,
+    answers = min(ANSWERS_KEPT, cell.answers + 1)
+    kept = (1 << ANSWERS_KEPT) - 1
+    cell = Cell(
+        cell.endpoint,
+        cell.credit,
+        cell.status,
+        cell.in_flight,
+        cell.long_in_flight,
+        answers,
+        (cell.recent << 1 | success) & kept,
+        cell.ejected_s,
+        0.0 if success else cell.rest_s,
     )
-    if not success and _is_outlier(pool, cell):
-        if pool.ejected + 1 <= pool.size // 2:
-            return _eject(pool, cell, now)
-    elif answers >= EJECT_AFTER and cell.ejected_s:
-        # Only a run of good answers, not one probe, ends the doubling.
-        cell = replace(cell, ejected_s=0.0)
+    if not _is_outlier(pool, cell):
+        if answers >= EJECT_AFTER and cell.ejected_s:
+            # Only a run of good answers, not one probe, ends the doubling.
+            cell = replace(cell, ejected_s=0.0)
+    elif not success and pool.ejected + 1 <= pool.size // 2:
+        return _eject(pool, cell, now)
     return put(pool, instance, cell)
--- a/acaciawing/routing/state.py
+++ b/acaciawing/routing/state.py
@@ -238,6 +238,16 @@
     return replace(state, pools=pools)
 
 
+def _with_pool(state: RoutingState, name: str, pool: Pool) -> RoutingState:
+    return RoutingState(
+        state.as_of,
+        state.pools.set(name, pool),
+        state.pool_of,
+        state.leaving,
+        state.credit,
+    )
+
+
 def _cell(state: RoutingState, endpoint: Endpoint) -> tuple[str, Cell] | None:
     """Finds the endpoint, also after a move to another pool."""
     name = state.pool_of.get(endpoint.instance)
@@ -275,7 +285,7 @@
         return state
     name, cell = found
     pool = observe(state.pools[name], cell, result, now)
-    return replace(state, pools=state.pools.set(name, pool))
+    return _with_pool(state, name, pool)
 
 
 def reserve(state: RoutingState, route: Route, now: float) -> RoutingState:
@@ -296,14 +306,10 @@
     pool = advance(state.pools[name], now)
     cell = pool.cells[route.endpoint.instance]
     probes = route.probe and cell.status is Status.PROBE_DUE
-    taken = replace(
-        cell,
-        in_flight=cell.in_flight + 1,
-        long_in_flight=cell.long_in_flight + route.long,
-        status=Status.PROBING if probes else cell.status,
+    taken = cell.with_load(
+        1, int(route.long), Status.PROBING if probes else cell.status
     )
-    pool = put(pool, route.endpoint.instance, taken)
-    return replace(state, pools=state.pools.set(name, pool))
+    return _with_pool(state, name, put(pool, route.endpoint.instance, taken))
 
 
 def release(state: RoutingState, route: Route, now: float) -> RoutingState:
@@ -325,12 +331,8 @@
         return state
     name, cell = found
     pool = state.pools[name]
-    freed = replace(
-        cell,
-        in_flight=max(0, cell.in_flight - 1),
-        long_in_flight=max(0, cell.long_in_flight - route.long),
-    )
+    freed = cell.with_load(-1, -int(route.long), cell.status)
     pool = put(pool, route.endpoint.instance, freed)
     if route.probe and freed.status is Status.PROBING:
         pool = end_probe(pool, freed, Result.CANCELLED, now)
-    return replace(state, pools=state.pools.set(name, pool))
+    return _with_pool(state, name, pool)
