--- a/acaciawing/routing/credits.py
+++ b/acaciawing/routing/credits.py
@@ -54,14 +54,15 @@
     slots: int,
     member: str,
     demand_of: Mapping[str, float],
+    own_zone: bool = True,
 ) -> dict[str, Credit]:
     """Computes the credits of one entry instance in one pool and zone.
 
     The slots that long work may use and the last quarter of each worker are
     divided separately by the same weights, so that the reserve holds for each
-    worker over all entry instances without any message. Each member has at least
-    one slot for short work, and one for long work, even if the pool has fewer
-    slots than there are members.
+    worker over all entry instances without any message. In its own zone each member
+    has at least one slot for short work, and one for long work, even if there are
+    fewer slots than members.
 
     Args:
         pool: Name of the pool; varies the order of the workers.
@@ -69,7 +70,8 @@
         slots: Slots of each worker.
         member: Id of this entry instance.
         demand_of: Gossiped demand of each live entry instance, this one
-            included, in requests running or waiting.
+            included, in requests running in this zone or waiting for it.
+        own_zone: Whether the workers are in the zone of this entry instance.
 
     Returns:
         Credit by instance.
@@ -92,15 +94,13 @@
         for m in members
     ]
     count = len(order)
-    for_long = _at_least_one(
-        _run(weights, index, long_slots(slots) * count), index, count
-    )
     reserve = (slots - long_slots(slots)) * count
-    for_short = (0, 0)
-    if reserve:
-        for_short = _at_least_one(
-            _run(weights, index, reserve), index + count // 2, count
-        )
+    for_long = _run(weights, index, long_slots(slots) * count)
+    for_short = _run(weights, index, reserve)
+    if own_zone:
+        for_long = _at_least_one(for_long, index, count)
+    if own_zone and reserve:
+        for_short = _at_least_one(for_short, index + count // 2, count)
     credit_of = {}
     for place, worker in enumerate(order):
         long = _in_run(*for_long, place, count)
