Check lists and process settings, findings with places

Cause: the lists were not read at all, and read_settings raised at the first fault without a place, so an operator would have found faults one at a time.

A file that tomllib rejects is divided at its headers and statements, and what remains readable is still checked. Missing keys and undefined names are reported only where the unreadable part cannot hold them.

Ruled out: the error nodes of one tree for the whole file (a broken header makes one node of the rest of the file); reading values from tree-sitter (a second interpretation of TOML).

--- /dev/null
+++ b/acaciawing/configuration/customers.py
@@ -0,0 +1,107 @@
+"""Reading of ``customers.toml``."""
+
+from dataclasses import dataclass
+
+from acaciawing.configuration.document import Document
+from acaciawing.configuration.fields import (
+    Fields,
+    Key,
+    Parsed,
+    array,
+    digest,
+    name,
+    read_fields,
+    rejected,
+    table,
+)
+from acaciawing.configuration.findings import Code, Finding, Findings, Place
+from acaciawing.configuration.values import Placed, Table
+
+
+def _plan(placed: Placed) -> Parsed:
+    if isinstance(placed.value, tuple) and len(placed.value) > 1:
+        text = "a customer holds one plan"
+        return rejected(placed.place, Code.CUSTOMER_WITH_TWO_PLANS, text)
+    return name(placed)
+
+
+_ROOT = (Key("customers", array),)
+_CUSTOMER = (
+    Key("name", name),
+    Key("plan", _plan),
+    Key("credential_sha256", digest),
+)
+
+
+@dataclass(frozen=True)
+class CustomerList:
+    """The customers as far as they could be read.
+
+    Attributes:
+        customers: Keys of each customer.
+        findings: Faults of the list on its own.
+    """
+
+    customers: tuple[Fields, ...]
+    findings: Findings
+
+
+def read_customers(document: Document) -> CustomerList:
+    """Reads the list of customers."""
+    root = read_fields(document.root, _ROOT, "the file")
+    findings = list(root.findings)
+    elements = root.values.get("customers", ())
+    if not elements and "customers" in root.values:
+        text = "the list has no customer; publishing it would refuse everyone"
+        place = root.places["customers"]
+        findings.append(Finding(place, Code.EMPTY_LIST, text))
+    customers = []
+    for element in elements:
+        value = table(element)
+        if isinstance(value, Table):
+            fields = read_fields(value, _CUSTOMER, "a customer")
+            customers.append(fields)
+            findings.extend(fields.findings)
+        else:
+            findings.extend(value.findings)
+    findings.extend(_repeated_names(customers))
+    findings.extend(_repeated_credentials(customers))
+    return CustomerList(tuple(customers), tuple(findings))
+
+
+def _repeated_names(customers: list[Fields]) -> list[Finding]:
+    first: dict[str, Fields] = {}
+    findings = []
+    for customer in customers:
+        title = customer.values.get("name")
+        if title is None:
+            continue
+        before = first.setdefault(title, customer)
+        if before is customer:
+            continue
+        line = before.places["name"].line
+        plans = {before.values.get("plan"), customer.values.get("plan")}
+        place: Place = customer.places["name"]
+        if None not in plans and len(plans) == 2:
+            text = f"{title!r} has another plan at line {line}"
+            code = Code.CUSTOMER_WITH_TWO_PLANS
+        else:
+            text = f"customer {title!r} is already at line {line}"
+            code = Code.DUPLICATE_NAME
+        findings.append(Finding(place, code, text))
+    return findings
+
+
+def _repeated_credentials(customers: list[Fields]) -> list[Finding]:
+    first: dict[str, Place] = {}
+    findings = []
+    for customer in customers:
+        value = customer.values.get("credential_sha256")
+        if value is None:
+            continue
+        place = customer.places["credential_sha256"]
+        before = first.setdefault(value, place)
+        if before is not place:
+            text = f"the customer at line {before.line} has the same credential"
+            findings.append(Finding(place, Code.DUPLICATE_CREDENTIAL, text))
+    return findings
--- /dev/null
+++ b/acaciawing/configuration/plans.py
@@ -0,0 +1,112 @@
+"""Reading of ``plans.toml``."""
+
+from dataclasses import dataclass
+
+from acaciawing.configuration.document import Document
+from acaciawing.configuration.fields import (
+    NAME_RULE,
+    Fields,
+    Key,
+    array_of,
+    boolean,
+    count,
+    duration,
+    is_name,
+    name,
+    rate,
+    read_fields,
+    share,
+    table,
+    text,
+)
+from acaciawing.configuration.findings import Code, Finding, Findings
+from acaciawing.configuration.values import Table
+
+_ROOT = (Key("plans", table), Key("services", table))
+_PLAN = (
+    Key("success_rate", share),
+    Key("window", duration),
+    Key("deadline", duration),
+    Key("rate", rate),
+    Key("concurrency", count(0)),
+    Key("queue", count(0)),
+    Key("services", array_of(name)),
+    Key("team", name, required=False),
+    Key("urgent", boolean, required=False),
+)
+_SERVICE = (
+    Key("pool", name),
+    Key("slots", count(1, 4096), required=False),
+    Key("connections", count(1, 65535), required=False),
+    Key("spare", boolean, required=False),
+    Key("idempotent_operations", array_of(text), required=False),
+)
+
+Named = tuple[str, Fields]
+
+
+@dataclass(frozen=True)
+class PlanList:
+    """Plans and services as far as they could be read.
+
+    Attributes:
+        plans: Name and keys of each plan.
+        services: Name and keys of each service.
+        findings: Faults of the list on its own.
+        unreadable: Groups (``plans``, ``services``) of which an entry may
+            stand in an unreadable part of the file.
+    """
+
+    plans: tuple[Named, ...] = ()
+    services: tuple[Named, ...] = ()
+    findings: Findings = ()
+    unreadable: frozenset[str] = frozenset(("plans", "services"))
+
+
+def read_plans(document: Document) -> PlanList:
+    """Reads the list of plans and services."""
+    root = read_fields(document.root, _ROOT, "the file")
+    findings = list(root.findings)
+    read = {}
+    for group, keys in (("plans", _PLAN), ("services", _SERVICE)):
+        entries = root.values.get(group)
+        read[group] = _read_group(
+            entries, keys, group.removesuffix("s"), findings
+        )
+    unreadable = frozenset(
+        group for group in read if not _whole(document, root.values.get(group))
+    )
+    return PlanList(
+        read["plans"], read["services"], tuple(findings), unreadable
+    )
+
+
+def _whole(document: Document, group: Table | None) -> bool:
+    return document.root.whole and (group is None or group.whole)
+
+
+def _read_group(
+    group: Table | None,
+    keys: tuple[Key, ...],
+    title: str,
+    findings: list[Finding],
+) -> tuple[Named, ...]:
+    if group is None:
+        return ()
+    if not group.entries and group.whole:
+        problem = f"the list has no {title}"
+        findings.append(Finding(group.place, Code.EMPTY_LIST, problem))
+    named = []
+    for entry in group.entries:
+        if not is_name(entry.key):
+            findings.append(
+                Finding(entry.place, Code.MALFORMED_NAME, NAME_RULE)
+            )
+        value = table(entry.value)
+        if not isinstance(value, Table):
+            findings.extend(value.findings)
+            continue
+        fields = read_fields(value, keys, f"a {title}")
+        findings.extend(fields.findings)
+        named.append((entry.key, fields))
+    return tuple(named)
--- /dev/null
+++ b/acaciawing/configuration/rules.py
@@ -0,0 +1,134 @@
+"""Rules over plans, services and customers taken together."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from acaciawing.configuration.customers import CustomerList
+from acaciawing.configuration.fields import Fields
+from acaciawing.configuration.findings import Code, Finding
+from acaciawing.configuration.model import Service
+from acaciawing.configuration.plans import Named, PlanList
+
+
+def undefined_plans(
+    customers: CustomerList, plans: PlanList
+) -> Iterator[Finding]:
+    """Finds customers whose plan is not in the list of plans."""
+    if "plans" in plans.unreadable:
+        return
+    names = {name for name, _ in plans.plans}
+    for customer in customers.customers:
+        plan = customer.values.get("plan")
+        if plan is not None and plan not in names:
+            text = f"there is no plan {plan!r}"
+            yield Finding(customer.places["plan"], Code.UNDEFINED_PLAN, text)
+
+
+def undefined_services(plans: PlanList) -> Iterator[Finding]:
+    """Finds plans that name a service which is not in the list."""
+    if "services" in plans.unreadable:
+        return
+    names = {name for name, _ in plans.services}
+    for _, plan in plans.plans:
+        for service in plan.values.get("services", ()):
+            if service.value not in names:
+                text = f"there is no service {service.value!r}"
+                yield Finding(service.place, Code.UNDEFINED_SERVICE, text)
+
+
+def unmeetable_allowances(plans: PlanList) -> Iterator[Finding]:
+    """Finds allowances that nobody could meet."""
+    for _, plan in plans.plans:
+        yield from _nothing_allowed(plan)
+        yield from _budget_below_one(plan)
+        yield from _deadline(plan)
+
+
+def _nothing_allowed(plan: Fields) -> Iterator[Finding]:
+    for key in ("concurrency", "rate"):
+        if plan.values.get(key) == 0:
+            text = f"a {key} of 0 refuses every request"
+            yield Finding(plan.places[key], Code.NO_ALLOWANCE, text)
+    if plan.values.get("services") == ():
+        text = "the plan may use no service, so every request is refused"
+        place = plan.places["services"]
+        yield Finding(place, Code.PLAN_WITHOUT_SERVICES, text)
+
+
+def _budget_below_one(plan: Fields) -> Iterator[Finding]:
+    success, window, rate = _get(plan, "success_rate", "window", "rate")
+    if None in (success, window, rate) or rate == 0:
+        return
+    budget = (1 - success) * window * rate
+    # The margin absorbs the rounding of 1 - success_rate.
+    if budget < 1 - 1e-9:
+        text = (
+            f"even at the full rate the window allows {budget:.3g} failures; "
+            "one failure would break the promise"
+        )
+        yield Finding(plan.places["success_rate"], Code.BUDGET_BELOW_ONE, text)
+
+
+def _deadline(plan: Fields) -> Iterator[Finding]:
+    deadline, window, rate, queue = _get(
+        plan, "deadline", "window", "rate", "queue"
+    )
+    if deadline is not None and window is not None and deadline > window:
+        text = f"the deadline of {deadline:g} s exceeds the window"
+        place = plan.places["deadline"]
+        yield Finding(place, Code.DEADLINE_EXCEEDS_WINDOW, text)
+    if None in (deadline, rate, queue) or rate == 0:
+        return
+    if queue > rate * deadline:
+        text = (
+            f"{queue} requests leave a full queue in {queue / rate:.3g} s at "
+            f"the plan's rate, after the deadline of {deadline:g} s"
+        )
+        place = plan.places["queue"]
+        yield Finding(place, Code.QUEUE_EXCEEDS_DEADLINE, text)
+
+
+def inconsistent_services(plans: PlanList) -> Iterator[Finding]:
+    """Finds services whose pool cannot be used as they say."""
+    first: dict[str, Named] = {}
+    for name, service in plans.services:
+        slots, connections, _ = _workers(service)
+        if connections < slots:
+            text = f"{connections} connections cannot fill {slots} slots"
+            place = service.places.get("connections", service.place)
+            yield Finding(place, Code.CONNECTIONS_BELOW_SLOTS, text)
+        pool = service.values.get("pool")
+        if pool is not None:
+            before = first.setdefault(pool, (name, service))
+            yield from _shared_pool(pool, before, service)
+
+
+def _shared_pool(
+    pool: str, before: Named, service: Fields
+) -> Iterator[Finding]:
+    other, first = before
+    *sizes, spare = _workers(service)
+    *first_sizes, first_spare = _workers(first)
+    place = service.places["pool"]
+    if spare != first_spare:
+        text = f"pool {pool!r} is spare for only one of this and {other!r}"
+        place = service.places.get("spare", place)
+        yield Finding(place, Code.INCONSISTENT_SPARE, text)
+    if sizes != first_sizes:
+        text = (
+            f"pool {pool!r} has other slots or connections in service {other!r}"
+        )
+        yield Finding(place, Code.INCONSISTENT_POOL, text)
+
+
+def _workers(service: Fields) -> tuple[int, int, bool]:
+    values = service.values
+    return (
+        values.get("slots", Service.slots),
+        values.get("connections", Service.connections),
+        values.get("spare", Service.spare),
+    )
+
+
+def _get(fields: Fields, *keys: str) -> tuple[Any, ...]:
+    return tuple(fields.values.get(key) for key in keys)
--- /dev/null
+++ b/acaciawing/configuration/tests/test_fuzz.py
@@ -0,0 +1,134 @@
+"""Fuzz tests of the checker."""
+
+import re
+from typing import Any
+
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from acaciawing.configuration import (
+    CheckedLists,
+    Configuration,
+    ConfigurationPublished,
+    Finding,
+    Source,
+    check_lists,
+    check_settings,
+)
+from acaciawing.configuration.tests.test_check import CUSTOMERS, PLANS
+from acaciawing.records import Envelope, decode, encode
+
+_TOKENS = re.findall(r"\w+|\s+|.", CUSTOMERS + PLANS)
+_NOISE = ["\n", "[", "]", "[[", "]]", "{", "}", '"', "'''", '"""', "=", "."]
+_NOISE += ["\\", "#", ",", "-", "1e9", "inf", "nan", "1979-05-27", "true", "\r"]
+_NOISE += ["\ufeff", "\0", "č", "\U0001f600", "plans", "0x_1", "07:32:00"]
+
+soups = st.lists(st.sampled_from(_TOKENS + _NOISE), max_size=60).map("".join)
+
+
+@st.composite
+def damaged(draw: st.DrawFn, text: str) -> str:
+    """Replaces a few slices of a valid text by noise."""
+    for _ in range(draw(st.integers(0, 4))):
+        start = draw(st.integers(0, len(text)))
+        end = min(len(text), start + draw(st.integers(0, 12)))
+        noise = draw(st.sampled_from(_NOISE) | st.text(max_size=5))
+        text = text[:start] + noise + text[end:]
+    return text
+
+
+def contents(text: str) -> st.SearchStrategy[bytes]:
+    texts = damaged(text) | soups | st.text(max_size=80)
+    return texts.map(lambda t: t.encode("utf-8", "surrogatepass")) | st.binary(
+        max_size=80
+    )
+
+
+def assert_consistent(findings: tuple[Finding, ...], accepted: Any) -> None:
+    assert (accepted is None) == bool(findings)
+    for finding in findings:
+        assert re.match(
+            r"[a-z]+\.toml:[1-9]\d*:[1-9]\d*: [a-z-]+: .", str(finding)
+        )
+    assert list(findings) == sorted(findings, key=lambda f: f.place)
+
+
+def assert_round_trip(configuration: Configuration) -> None:
+    record = ConfigurationPublished("id", -1, "author", configuration)
+    assert decode(encode(record, "operator/0")) == Envelope(
+        "operator/0", record
+    )
+
+
+def check(customers: bytes, plans: bytes) -> CheckedLists:
+    return check_lists(
+        Source("customers.toml", customers), Source("plans.toml", plans)
+    )
+
+
+rates = st.tuples(st.integers(5000, 10**6), st.sampled_from("smh"))
+names = st.from_regex(r"[a-z0-9][a-z0-9-]{0,8}", fullmatch=True)
+deadlines = st.sampled_from(["1500ms", "1s", "0.25s", "2h"])
+windows = st.sampled_from(["2h", "36.5h", "121m", "30d", "366d"])
+
+
+@st.composite
+def lists(draw: st.DrawFn) -> tuple[str, str]:
+    """Makes valid lists."""
+    services = draw(st.lists(names, min_size=1, max_size=4, unique=True))
+    plans = draw(st.lists(names, min_size=1, max_size=3, unique=True))
+    text = ""
+    for name in plans:
+        number, unit = draw(rates)
+        used = draw(
+            st.lists(st.sampled_from(services), min_size=1, unique=True)
+        )
+        text += (
+            f"[plans.{name}]\n"
+            f"success_rate = {draw(st.floats(0.5, 0.9999))!r}\n"
+            f'window = "{draw(windows)}"\ndeadline = "{draw(deadlines)}"\n'
+            f'rate = "{number}/{unit}"\n'
+            f"concurrency = {draw(st.integers(1, 10**6))}\nqueue = 0\n"
+            f"services = {used!r}\n"
+        )
+    for name in services:
+        operations = draw(st.lists(names, unique=True, max_size=2))
+        text += f'[services.{name}]\npool = "{draw(names)}"\n'
+        text += f"idempotent_operations = {operations!r}\n"
+    customers = "".join(
+        f'[[customers]]\nname = "{name}"\nplan = "{plans[0]}"\n'
+        f'credential_sha256 = "{number:064x}"\n'
+        for number, name in enumerate(
+            draw(st.lists(names, min_size=1, max_size=3, unique=True))
+        )
+    )
+    return customers, text
+
+
+class TestFuzz:
+    """Guards against input that stops the checker or that slips through."""
+
+    @settings(derandomize=True, max_examples=1000, deadline=None)
+    @example(b"[a\n", b"[[plans]]\n[plans.x]\n")
+    @example(b"[#plans.rounds]\n", b"[a=1#]\na.b = 1\n[x\n")
+    @example(b"customers = 1\n[customers]\n", b"plans.a.b = 1\nplans.a = 2\n")
+    @given(contents(CUSTOMERS), contents(PLANS))
+    def test_never_raises(self, customers: bytes, plans: bytes) -> None:
+        checked = check(customers, plans)
+        assert_consistent(checked.findings, checked.configuration)
+        if checked.configuration is not None:
+            assert_round_trip(checked.configuration)
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(contents(PLANS))
+    def test_settings_never_raise(self, data: bytes) -> None:
+        checked = check_settings(Source("entry.toml", data))
+        assert_consistent(checked.findings, checked.settings)
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(lists())
+    def test_accepted_lists_round_trip(self, texts: tuple[str, str]) -> None:
+        checked = check(texts[0].encode(), texts[1].encode())
+        assert checked.findings == ()
+        assert checked.configuration is not None
+        assert_round_trip(checked.configuration)
