Decide publishes from what the control stream says

Cause: an answer to an append can be lost after it took effect, and operators race one another, so the answer of the log alone does not tell the outcome.

An append is repeated with the same id and base: the fold accepts at most one record for a base, so a late first attempt does no harm.

Ruled out: trusting the answer of the append (wrong when it is lost); a new id for each attempt (would publish twice); appending on the newest version after a lost race (would overwrite the other operator).

The state is folded from the first record of the stream.

--- /dev/null
+++ b/acaciawing/commandline/tests/test_publish.py
@@ -0,0 +1,216 @@
+"""Tests of publishing against a log that races, loses answers or is away."""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from acaciawing.commandline.publisher import ControlReader, run_publish
+from acaciawing.commandline.publishing import (
+    IdInUse,
+    LogAway,
+    LostRace,
+    Outcome,
+    Publication,
+    Published,
+    Seen,
+    StateExpired,
+)
+from acaciawing.configuration import (
+    NO_VERSION,
+    Configuration,
+    ConfigurationPublished,
+    Customer,
+)
+from acaciawing.outcomes import Accepted
+from acaciawing.platform import (
+    Appended,
+    AppendOutcome,
+    AppendUnknown,
+    Batch,
+    Expired,
+    LogEntry,
+    LogUnavailable,
+    NotAppended,
+    ReadOutcome,
+)
+from acaciawing.records import LogPosition, encode
+
+DOCUMENT = Configuration((Customer("salon", "rounds", "0" * 64),))
+OURS = Publication("ours", "ana", DOCUMENT)
+
+
+class FakeLog:
+    """Log in memory with one fault for each call, taken from a script.
+
+    Faults of appends: ``lost`` (took effect, answer lost), ``dropped`` (no
+    effect, no answer), ``late`` (takes effect after the next call),
+    ``refused``, ``raced`` (another publication comes first). Faults of reads:
+    ``away``.
+    """
+
+    def __init__(self, appends: list[str], reads: list[str]) -> None:
+        """Keeps the faults of the calls to come."""
+        self.payloads: list[bytes] = []
+        self.first = 0
+        self.now = 0.0
+        self._appends = appends
+        self._reads = reads
+        self._late: list[bytes] = []
+
+    def append(self, stream: str, payload: bytes) -> AppendOutcome:
+        fault = self._appends.pop(0) if self._appends else ""
+        self.flush()
+        if fault == "refused":
+            return NotAppended("status 503")
+        if fault == "dropped":
+            return AppendUnknown("timed out")
+        if fault == "late":
+            self._late.append(payload)
+            return AppendUnknown("timed out")
+        if fault == "raced":
+            self.publish_other()
+        self.payloads.append(payload)
+        if fault == "lost":
+            return AppendUnknown("timed out")
+        return Appended(LogPosition(len(self.payloads) - 1, self.now))
+
+    def read(self, stream: str, offset: int, limit: int) -> ReadOutcome:
+        fault = self._reads.pop(0) if self._reads else ""
+        if fault == "away":
+            return LogUnavailable("status 500")
+        if offset < self.first:
+            return Expired(self.first)
+        taken = self.payloads[offset : offset + min(limit, 2)]
+        entries = tuple(
+            LogEntry(LogPosition(offset + i, 0.0), payload)
+            for i, payload in enumerate(taken)
+        )
+        head = len(self.payloads)
+        self.flush()
+        return Batch(entries, offset + len(entries), head, self.first)
+
+    def flush(self) -> None:
+        """Lets late appends take effect."""
+        self.payloads += self._late
+        self._late = []
+
+    def publish_other(self) -> None:
+        """Publishes another operator's document on the version in force."""
+        name = f"other-{len(self.payloads)}"
+        record = ConfigurationPublished(
+            name, in_force(self).version, "bor", Configuration()
+        )
+        self.payloads.append(encode(record, "operator/0"))
+
+    def sleep(self, seconds: float) -> None:
+        assert seconds > 0
+        self.now += seconds
+
+
+def in_force(log: FakeLog) -> Seen:
+    quiet = FakeLog([], [])
+    quiet.payloads = log.payloads
+    seen = ControlReader(quiet, OURS).read()
+    assert isinstance(seen, Seen)
+    return seen
+
+
+def publish(log: FakeLog, publication: Publication = OURS) -> Outcome:
+    return run_publish(publication, log, lambda: log.now, log.sleep)
+
+
+class TestPublish:
+    """Guards against a publish that is done twice, or reported wrongly."""
+
+    def test_first_and_second_publication(self) -> None:
+        log = FakeLog([], [])
+        assert publish(log) == Published(0, 0)
+        second = replace(OURS, publication_id="second", base=0)
+        assert publish(log, second) == Published(1, 1)
+
+    @pytest.mark.parametrize("fault", ["lost", "late", "dropped", "refused"])
+    def test_unclear_answer_is_read_back(self, fault: str) -> None:
+        log = FakeLog([fault], [])
+        assert publish(log) == Published(0, 0)
+        accepted = [
+            own
+            for own in in_force(log).own
+            if isinstance(own.verdict, Accepted)
+        ]
+        assert len(accepted) == 1
+        assert len(log.payloads) == 1
+
+    def test_lost_race_changes_nothing(self) -> None:
+        log = FakeLog(["raced"], [])
+        assert publish(log) == LostRace(NO_VERSION, 0)
+        assert in_force(log).version == 0
+
+    def test_stale_base_appends_nothing(self) -> None:
+        log = FakeLog([], [])
+        log.publish_other()
+        assert publish(log, replace(OURS, base=NO_VERSION)) == LostRace(-1, 0)
+        assert len(log.payloads) == 1
+
+    def test_same_id_again_does_not_publish_twice(self) -> None:
+        log = FakeLog(["lost"], ["", *["away"] * 100])
+        assert publish(log) == LogAway("status 500", in_doubt=True)
+        log = replace_faults(log)
+        log.publish_other()
+        assert publish(log) == Published(0, 1)
+        assert len(log.payloads) == 2
+
+    def test_same_id_with_another_document(self) -> None:
+        log = FakeLog([], [])
+        publish(log)
+        other = replace(OURS, configuration=Configuration())
+        assert publish(log, other) == IdInUse(0)
+
+    def test_log_away_before_any_append(self) -> None:
+        log = FakeLog([], ["away"] * 100)
+        assert publish(log) == LogAway("status 500", in_doubt=False)
+        assert log.payloads == []
+
+    def test_log_that_refuses_every_append(self) -> None:
+        log = FakeLog(["refused"] * 100, [])
+        assert publish(log) == LogAway("status 503", in_doubt=False)
+
+    def test_state_older_than_retention(self) -> None:
+        log = FakeLog([], [])
+        log.first = 3
+        assert publish(log) == StateExpired(3)
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(
+        st.lists(
+            st.sampled_from(["", "lost", "dropped", "late", "refused", "raced"])
+        ),
+        st.lists(st.sampled_from(["", "", "away"]), max_size=60),
+        st.integers(0, 3),
+    )
+    def test_any_faults(
+        self, appends: list[str], reads: list[str], others: int
+    ) -> None:
+        log = FakeLog(appends, reads)
+        for _ in range(others):
+            log.publish_other()
+        outcome = publish(log)
+        log.flush()
+        own = in_force(log).own
+        accepted = [o.offset for o in own if isinstance(o.verdict, Accepted)]
+        if isinstance(outcome, Published):
+            assert accepted == [outcome.version]
+        elif isinstance(outcome, LostRace):
+            assert accepted == []
+        else:
+            assert isinstance(outcome, LogAway)
+            assert len(accepted) <= 1
+            assert outcome.in_doubt or own == ()
+
+
+def replace_faults(log: FakeLog) -> FakeLog:
+    """Returns a healthy log with the same records."""
+    healthy = FakeLog([], [])
+    healthy.payloads = log.payloads
+    return healthy
