Add the commands check, publish, status, explain, entry and version

Cause: operators had no way to check and publish lists or to see whether the promised rate holds.

Each outcome is a data class; report() maps it to text and exit code in one place. Findings and results go to standard output, refusals to standard error. The publication id is printed before the first append, so that an interrupted publish can be resumed.

--- /dev/null
+++ b/acaciawing/commandline/main.py
@@ -0,0 +1,242 @@
+"""The command ``acaciawing``."""
+
+import importlib
+import sys
+import uuid
+from pathlib import Path
+from time import monotonic, sleep
+from typing import Literal
+
+import defopt
+
+import acaciawing
+from acaciawing.commandline.administration import AdministrationClient
+from acaciawing.commandline.documents import StatusDocument
+from acaciawing.commandline.publisher import run_publish
+from acaciawing.commandline.publishing import (
+    LogAway,
+    Outcome,
+    Publication,
+)
+from acaciawing.commandline.report import (
+    DONE,
+    REFUSED,
+    USAGE,
+    as_json,
+    report,
+)
+from acaciawing.configuration import (
+    Findings,
+    InvalidSettingsError,
+    check_files,
+    check_settings,
+    is_url,
+    read_settings,
+    read_source,
+)
+from acaciawing.platform import LogClient
+
+_WATCH_INTERVAL_S = 2.0
+
+
+class UsageError(Exception):
+    """An argument that cannot be used; the command ends with exit code 2."""
+
+
+def check(customers: Path, plans: Path, *, settings: Path | None = None) -> int:
+    """Check the operators' lists and process settings.
+
+    Args:
+        customers: List of customers (TOML).
+        plans: List of plans and services (TOML).
+        settings: Process settings to check as well (TOML).
+    """
+    findings = check_files(customers, plans).findings
+    if settings is not None:
+        findings += check_settings(read_source(settings)).findings
+    _print_findings(findings)
+    if findings:
+        return REFUSED
+    print("no findings", file=sys.stderr)
+    return DONE
+
+
+def publish(
+    customers: Path,
+    plans: Path,
+    *,
+    log: str,
+    author: str,
+    base: int | None = None,
+    publication_id: str | None = None,
+) -> int:
+    """Check the lists and put them in force.
+
+    Args:
+        customers: List of customers (TOML).
+        plans: List of plans and services (TOML).
+        log: Address of the platform's log, http://ip:port.
+        author: Name of the operator, for the audit.
+        base: Version that the lists start from; default is the version in
+            force.
+        publication_id: Id of an earlier attempt whose outcome is unknown;
+            default is a new id.
+    """
+    _require_url("--log", log)
+    _require_label("--author", author)
+    if publication_id is None:
+        publication_id = uuid.uuid4().hex
+    _require_label("--publication-id", publication_id)
+    checked = check_files(customers, plans)
+    if checked.configuration is None:
+        _print_findings(checked.findings)
+        return REFUSED
+    # Printed first, so that the operator has it even if the command is ended.
+    print(f"publication id {publication_id}", file=sys.stderr)
+    publication = Publication(
+        publication_id, author, checked.configuration, base
+    )
+    outcome: Outcome
+    try:
+        outcome = run_publish(publication, LogClient(log), monotonic, sleep)
+    except KeyboardInterrupt:
+        outcome = LogAway("interrupted", in_doubt=True)
+    return _print_report(*report(outcome))
+
+
+def status(
+    *,
+    entry: str,
+    credential_file: Path,
+    json: bool = False,
+    watch: bool = False,
+) -> int:
+    """Show promised and achieved rates, moves, waves, loans and members.
+
+    Args:
+        entry: Administration listener of an entry instance, http://ip:port.
+        credential_file: File with the operator's credential.
+        json: Print JSON instead of tables.
+        watch: Repeat every 2 s until interrupted or refused.
+    """
+    client = _client(entry, credential_file)
+    code = _show_status(client, json)
+    try:
+        while watch and code != REFUSED:
+            sleep(_WATCH_INTERVAL_S)
+            code = _show_status(client, json)
+    except KeyboardInterrupt:
+        return code
+    return code
+
+
+def explain(
+    kind: Literal["request", "task", "instance"],
+    id: str,
+    *,
+    entry: str,
+    credential_file: Path,
+    json: bool = False,
+) -> int:
+    """Show the decisions about a request, a task or an instance.
+
+    Args:
+        kind: What the id belongs to.
+        id: Id of the request, task or instance.
+        entry: Administration listener of an entry instance, http://ip:port.
+        credential_file: File with the operator's credential.
+        json: Print JSON instead of lines.
+    """
+    document = _client(entry, credential_file).explain(kind, id)
+    code, text = report(document)
+    if json and code == DONE:
+        text = as_json(document)  # type: ignore[arg-type]
+    return _print_report(code, text)
+
+
+def entry(settings: Path) -> int:
+    """Run an entry instance until it is told to stop.
+
+    Args:
+        settings: Process settings (TOML).
+    """
+    try:
+        read = read_settings(settings)
+    except InvalidSettingsError as error:
+        _print_findings(error.findings)
+        return REFUSED
+    # Imported here, so that the other commands start without the daemon.
+    importlib.import_module("acaciawing.entry").run(read)
+    return DONE
+
+
+def version() -> int:
+    """Show the version of this release."""
+    print(f"acaciawing {acaciawing.__version__}")
+    return DONE
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Runs the command line; returns the exit code.
+
+    Args:
+        arguments: Arguments without the program name; default `sys.argv`.
+    """
+    commands = [entry, check, publish, status, explain, version]
+    try:
+        code: int = defopt.run(
+            commands,
+            argv=arguments,
+            short={},
+            argparse_kwargs={"prog": "acaciawing"},
+        )
+    except UsageError as error:
+        print(f"acaciawing: {error}", file=sys.stderr)
+        return USAGE
+    return code
+
+
+def _show_status(client: AdministrationClient, json: bool) -> int:
+    document = client.status()
+    code, text = report(document)
+    if json and isinstance(document, StatusDocument):
+        text = as_json(document)
+    return _print_report(code, text)
+
+
+def _client(entry: str, credential_file: Path) -> AdministrationClient:
+    _require_url("--entry", entry)
+    try:
+        credential = credential_file.read_text("utf-8").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        kind = type(error).__name__
+        raise UsageError(f"--credential-file: {kind}") from error
+    if not credential.isascii() or not credential.isprintable():
+        raise UsageError("--credential-file: not one line of ASCII text")
+    if not credential:
+        raise UsageError("--credential-file: the file is empty")
+    return AdministrationClient(entry, credential)
+
+
+def _require_url(option: str, value: str) -> None:
+    if not is_url(value):
+        raise UsageError(f"{option}: http://ip:port is needed")
+
+
+def _require_label(option: str, value: str) -> None:
+    if not 0 < len(value.strip()) <= 128 or not value.isprintable():
+        raise UsageError(f"{option}: 1 to 128 printable characters are needed")
+
+
+def _print_findings(findings: Findings) -> None:
+    for finding in findings:
+        print(finding)
+
+
+def _print_report(code: int, text: str) -> int:
+    print(text, file=sys.stdout if code == DONE else sys.stderr, flush=True)
+    return code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/acaciawing/commandline/report.py
@@ -0,0 +1,183 @@
+"""Text that the commands print."""
+
+from datetime import UTC, datetime
+from functools import singledispatch
+from typing import Any
+
+import msgspec
+from tabulate import tabulate
+
+from acaciawing.commandline.administration import EntryAway, EntryRefused
+from acaciawing.commandline.documents import (
+    ExplainDocument,
+    ExplainEvent,
+    PlanStatus,
+    StatusDocument,
+)
+from acaciawing.commandline.publishing import (
+    IdInUse,
+    LogAway,
+    LostRace,
+    Published,
+    StateExpired,
+)
+
+DONE = 0
+REFUSED = 1
+USAGE = 2
+AWAY = 3
+LOST = 4
+
+_PLAN_HEADERS = (
+    "plan",
+    "promised",
+    "achieved",
+    "holds",
+    "succeeded",
+    "failed",
+    "refused",
+    "budget left",
+)
+
+
+@singledispatch
+def report(outcome: object) -> tuple[int, str]:
+    """Returns the exit code and the message of an outcome.
+
+    Raises:
+        TypeError: If the type is not an outcome of a command.
+    """
+    raise TypeError(type(outcome).__name__)
+
+
+@report.register
+def _(outcome: Published) -> tuple[int, str]:
+    text = f"published: version {outcome.version}"
+    if outcome.in_force != outcome.version:
+        text += f", since replaced by version {outcome.in_force}"
+    return DONE, text
+
+
+@report.register
+def _(outcome: LostRace) -> tuple[int, str]:
+    return LOST, (
+        f"lost-race: the publication is based on version {outcome.base}, "
+        f"version {outcome.in_force} is in force; nothing was changed"
+    )
+
+
+@report.register
+def _(outcome: IdInUse) -> tuple[int, str]:
+    return REFUSED, (
+        "id-in-use: the publication id belongs to another document, "
+        f"published as version {outcome.version}; nothing was changed"
+    )
+
+
+@report.register
+def _(outcome: LogAway) -> tuple[int, str]:
+    if not outcome.in_doubt:
+        text = f"log-away: {outcome.detail}; nothing was changed"
+        return AWAY, text
+    return AWAY, (
+        f"outcome-unknown: {outcome.detail}; the publication may have taken "
+        "effect; run the command again with the same publication id"
+    )
+
+
+@report.register
+def _(outcome: StateExpired) -> tuple[int, str]:
+    return REFUSED, (
+        "state-expired: the log holds nothing before offset "
+        f"{outcome.first_offset}, so the version in force is not known; "
+        "nothing was changed"
+    )
+
+
+@report.register
+def _(outcome: EntryRefused) -> tuple[int, str]:
+    if outcome.status in (401, 403):
+        return REFUSED, "credential-refused: the entry instance refused it"
+    return REFUSED, f"entry-refused: status {outcome.status}"
+
+
+@report.register
+def _(outcome: EntryAway) -> tuple[int, str]:
+    return AWAY, f"entry-away: {outcome.detail}"
+
+
+@report.register
+def _(outcome: StatusDocument) -> tuple[int, str]:
+    ready = "ready" if outcome.ready else "not ready"
+    head = (
+        f"{outcome.instance} in zone {outcome.zone}: {ready}, "
+        f"configuration version {outcome.version}"
+    )
+    rows = [_plan_row(plan) for plan in outcome.plans]
+    parts = [head, tabulate(rows, _PLAN_HEADERS, disable_numparse=True)]
+    for title in ("moves", "waves", "loans", "members"):
+        entries = getattr(outcome, title)
+        if entries:
+            parts.append(f"{title}\n{_table(entries)}")
+    return DONE, "\n\n".join(parts)
+
+
+@report.register
+def _(outcome: ExplainDocument) -> tuple[int, str]:
+    if not outcome.events:
+        return REFUSED, (
+            f"unknown-subject: this entry instance keeps no decision about "
+            f"{outcome.kind} {outcome.id!r}"
+        )
+    return DONE, "\n".join(_event_line(event) for event in outcome.events)
+
+
+def as_json(document: StatusDocument | ExplainDocument) -> str:
+    """Returns a document as JSON on one line."""
+    return msgspec.json.encode(document).decode()
+
+
+def _plan_row(plan: PlanStatus) -> tuple[str, ...]:
+    holds = "-"
+    if plan.achieved is not None:
+        holds = "yes" if plan.achieved >= plan.promised else "NO"
+    return (
+        plan.plan,
+        _rate(plan.promised),
+        _rate(plan.achieved),
+        holds,
+        str(plan.succeeded),
+        str(plan.failed),
+        str(plan.refused),
+        "-" if plan.remaining_budget is None else f"{plan.remaining_budget:g}",
+    )
+
+
+def _rate(value: float | None) -> str:
+    """Formats a rate; never rounds up, so that 1 means no failure.
+
+    >>> _rate(0.9995), _rate(0.9999999), _rate(1.0), _rate(None)
+    ('0.99950', '0.99999', '1.00000', '-')
+    """
+    if value is None:
+        return "-"
+    return f"{int(value * 100_000 + 1e-6) / 100_000:.5f}"
+
+
+def _table(entries: tuple[dict[str, Any], ...]) -> str:
+    headers = list(dict.fromkeys(key for entry in entries for key in entry))
+    rows = [[_cell(entry.get(key, "")) for key in headers] for entry in entries]
+    return tabulate(rows, headers, disable_numparse=True)
+
+
+def _cell(value: Any) -> str:
+    if isinstance(value, str):
+        return value
+    return msgspec.json.encode(value).decode()
+
+
+def _event_line(event: ExplainEvent) -> str:
+    at = datetime.fromtimestamp(event.time, UTC)
+    reasons = " ".join(f"{k}={_cell(v)}" for k, v in event.reasons.items())
+    stamp = at.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+    return f"{stamp} {event.number} {event.event}: {reasons}"
