--- a/acaciawing/entry/daemon.py
+++ b/acaciawing/entry/daemon.py
@@ -3,6 +3,7 @@
 import signal
 import threading
 import time
+from collections.abc import Mapping
 
 from acaciawing.configuration import (
     ConfigurationIndex,
@@ -12,11 +13,12 @@
 )
 from acaciawing.entry.administration import Administration
 from acaciawing.entry.callers import Callers, Directory
+from acaciawing.entry.dispatcher import Dispatcher
 from acaciawing.entry.engine import Engine
 from acaciawing.entry.framing import make_server
 from acaciawing.entry.messages import ListingSeen, StateChanged, Stop
 from acaciawing.entry.observers import ListObserver, LogObserver, ReadResult
-from acaciawing.entry.recorder import Recorder
+from acaciawing.entry.recorder import Decision, Recorder
 from acaciawing.entry.scheduler import Scheduler
 from acaciawing.fold import FleetState
 from acaciawing.outcomes import Ignored
@@ -46,10 +48,15 @@
         self._settings = settings
         self._directory = Directory(ConfigurationIndex())
         self._recorder = Recorder()
-        self._scheduler = Scheduler(Engine(settings.zone))
-        self._callers = Callers(
-            settings.instance, self._directory, self._scheduler, self._recorder
+        engine = Engine(
+            settings.instance,
+            settings.zone,
+            settings.threads * 3 // 4,
+            self._record_routing,
         )
+        self._scheduler = Scheduler(engine)
+        dispatcher = Dispatcher(self._scheduler, self._recorder)
+        self._callers = Callers(settings.instance, self._directory, dispatcher)
         self._administration = Administration(
             settings, self._directory, self._scheduler, self._recorder
         )
@@ -83,7 +90,7 @@
             thread = threading.Thread(target=server.serve, daemon=True)
             thread.start()
             servers.append((server, thread))
-        log_event(Event.ENTRY_STARTED, listen=settings.listen)
+        log_event(Event.ENTRY_STARTED, {"listen": settings.listen})
         self._log_observer.start()
         self._list_observer.start()
         self._terminate.wait()
@@ -94,13 +101,20 @@
         self._log_observer.stop()
         self._list_observer.stop()
         self._scheduler.post(Stop())
-        log_event(Event.ENTRY_STOPPED)
+        log_event(Event.ENTRY_STOPPED, {})
         self._recorder.stop()
 
+    def _record_routing(
+        self, request: str, event: Event, reasons: Mapping[str, object]
+    ) -> None:
+        self._recorder.post(
+            Decision("request", request, time.time(), event, dict(reasons))
+        )
+
     def _drain(self) -> None:
         """Stops being ready, then waits for the requests in flight."""
         self._directory.draining = True
-        log_event(Event.ENTRY_DRAINING, in_flight=self._callers.in_flight)
+        log_event(Event.ENTRY_DRAINING, {"in_flight": self._callers.in_flight})
         begun = time.monotonic()
         pause = threading.Event()
         while True:
@@ -117,9 +131,11 @@
             if isinstance(step.verdict, Ignored):
                 log_event(
                     Event.RECORD_IGNORED,
-                    reason=step.verdict.reason,
-                    detail=step.verdict.detail,
-                    writer=step.writer,
+                    {
+                        "reason": step.verdict.reason,
+                        "detail": step.verdict.detail,
+                        "writer": step.writer,
+                    },
                 )
         if result.steps or not self._directory.ready:
             self._adopt_state(result.state)
@@ -130,7 +146,7 @@
         up = not result.problem
         if up != self._log_up:
             event = Event.LOG_AVAILABLE if up else Event.LOG_UNAVAILABLE
-            log_event(event, detail=result.problem)
+            log_event(event, {"detail": result.problem})
         self._log_up = up
 
     def _adopt_state(self, state: FleetState) -> None:
@@ -142,21 +158,25 @@
         self._directory.index = index(state.configuration.configuration)
         log_event(
             Event.CONFIGURATION_IN_FORCE,
-            version=version,
-            age_s=round(time.time() - state.configuration.accepted_at, 3),
+            {
+                "version": version,
+                "age_s": round(
+                    time.time() - state.configuration.accepted_at, 3
+                ),
+            },
         )
 
     def _become_ready(self) -> None:
         if not self._directory.ready:
             self._directory.ready = True
-            log_event(Event.ENTRY_READY, version=self._version)
+            log_event(Event.ENTRY_READY, {"version": self._version})
 
     def _list_read(self, outcome: Listing | ListUnavailable) -> None:
         up = isinstance(outcome, Listing)
         if isinstance(outcome, Listing):
             self._scheduler.post(ListingSeen(outcome))
         elif self._list_up:
-            log_event(Event.LIST_UNAVAILABLE, detail=outcome.detail)
+            log_event(Event.LIST_UNAVAILABLE, {"detail": outcome.detail})
         self._list_up = up
 
 
@@ -167,6 +187,6 @@
         settings: Its settings.
     """
     configure_logs(
-        settings.log_format, instance=settings.instance, zone=settings.zone
+        settings.log_format, entry=settings.instance, entry_zone=settings.zone
     )
     Daemon(settings).run()
