--- /dev/null
+++ b/acaciawing/commandline/tests/test_operators_page.py
@@ -0,0 +1,73 @@
+"""Tests that hold the operators' page and the code together."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+import acaciawing
+from acaciawing.commandline.administration import EntryAway, EntryRefused
+from acaciawing.commandline.documents import ExplainDocument
+from acaciawing.commandline.publishing import (
+    IdInUse,
+    LogAway,
+    LostRace,
+    StateExpired,
+)
+from acaciawing.commandline.report import report
+from acaciawing.configuration import Code, customers, plans, settings
+from acaciawing.configuration.fields import Key
+
+DOCS = Path(acaciawing.__file__).parents[1] / "docs"
+PAGE = (DOCS / "operators.md").read_text("utf-8")
+
+
+def section(number: str) -> str:
+    """Returns the text of a section, from its heading to the next."""
+    pattern = rf"^#+ {re.escape(number)} .*?(?=^##+ |\Z)"
+    found = re.search(pattern, PAGE, re.MULTILINE | re.DOTALL)
+    assert found is not None
+    return found[0]
+
+
+def first_column(text: str) -> list[str]:
+    return re.findall(r"^\| `([a-z0-9_-]+)` \|", text, re.MULTILINE)
+
+
+class TestOperatorsPage:
+    """Guards against a code or key that the page does not explain."""
+
+    def test_findings(self) -> None:
+        codes = [code.value for code in Code]
+        assert first_column(section("6.")) == codes
+
+    def test_refusals_of_commands(self) -> None:
+        outcomes = (
+            LostRace(0, 1),
+            IdInUse(0),
+            LogAway("", in_doubt=False),
+            LogAway("", in_doubt=True),
+            StateExpired(5),
+            EntryRefused(401),
+            EntryRefused(404),
+            EntryAway(""),
+            ExplainDocument("task", "x"),
+        )
+        told = {}
+        for outcome in outcomes:
+            code, text = report(outcome)
+            told[text.partition(":")[0]] = str(code)
+        rows = re.findall(r"^\| `([a-z-]+)` \| (\d) \|", PAGE, re.MULTILINE)
+        assert dict(rows) == told
+
+    @pytest.mark.parametrize(
+        ("number", "keys"),
+        [
+            ("2.", settings.SETTINGS_KEYS),
+            ("3.1", customers.CUSTOMER_KEYS),
+            ("3.2", plans.PLAN_KEYS + plans.SERVICE_KEYS),
+        ],
+    )
+    def test_keys(self, number: str, keys: tuple[Key, ...]) -> None:
+        documented = first_column(section(number))
+        assert sorted(documented) == sorted(key.name for key in keys)
--- a/acaciawing/configuration/customers.py
+++ b/acaciawing/configuration/customers.py
@@ -26,7 +26,7 @@
 
 
 _ROOT = (Key("customers", array),)
-_CUSTOMER = (
+CUSTOMER_KEYS = (
     Key("name", name),
     Key("plan", _plan),
     Key("credential_sha256", digest),
@@ -59,7 +59,7 @@
     for element in elements:
         value = table(element)
         if isinstance(value, Table):
-            fields = read_fields(value, _CUSTOMER, "a customer")
+            fields = read_fields(value, CUSTOMER_KEYS, "a customer")
             customers.append(fields)
             findings.extend(fields.findings)
         else:
--- a/acaciawing/configuration/plans.py
+++ b/acaciawing/configuration/plans.py
@@ -23,7 +23,7 @@
 from acaciawing.configuration.values import Table
 
 _ROOT = (Key("plans", table), Key("services", table))
-_PLAN = (
+PLAN_KEYS = (
     Key("success_rate", share),
     Key("window", duration),
     Key("deadline", duration),
@@ -34,7 +34,7 @@
     Key("team", name, required=False),
     Key("urgent", boolean, required=False),
 )
-_SERVICE = (
+SERVICE_KEYS = (
     Key("pool", name),
     Key("slots", count(1, 4096), required=False),
     Key("connections", count(1, 65535), required=False),
@@ -68,7 +68,7 @@
     root = read_fields(document.root, _ROOT, "the file")
     findings = list(root.findings)
     read = {}
-    for group, keys in (("plans", _PLAN), ("services", _SERVICE)):
+    for group, keys in (("plans", PLAN_KEYS), ("services", SERVICE_KEYS)):
         entries = root.values.get(group)
         read[group] = _read_group(
             entries, keys, group.removesuffix("s"), findings
--- a/acaciawing/configuration/settings.py
+++ b/acaciawing/configuration/settings.py
@@ -133,10 +133,10 @@
     if isinstance(source, Finding):
         return CheckedSettings(None, (source,))
     document = parse(source)
-    fields = read_fields(document.root, _SETTINGS, "the file")
+    fields = read_fields(document.root, SETTINGS_KEYS, "the file")
     findings = [*document.findings, *fields.findings]
     peers = [
-        read_fields(peer, _PEER, "a peer")
+        read_fields(peer, PEER_KEYS, "a peer")
         for peer in fields.values.pop("peers", ())
     ]
     for peer in peers:
@@ -239,8 +239,8 @@
     return Rejected(tuple(faults)) if faults else tuple(tables)
 
 
-_PEER = (Key("instance", text), Key("zone", text), Key("address", _address))
-_SETTINGS = (
+PEER_KEYS = (Key("instance", text), Key("zone", text), Key("address", _address))
+SETTINGS_KEYS = (
     Key("instance", text),
     Key("zone", text),
     Key("region", text),
