Fold leases and instance ownership, fenced by log offset

Cause: moves between pools need one order that every reader agrees on, and a writer that was paused past its lease must change nothing when it wakes up.

A record with a field "fence" is checked against the current lease of its subject in the fold step, before its subject's own function; the two tables land together because neither promise can be tested without the other. The ownership epoch is the offset of the last accepted record about the instance.

Ruled out: last writer wins (the kept naive version counts an instance twice under the drawn schedules); an epoch counter from 1 (a retired and re-adopted instance would repeat the operation ids of its earlier moves); a lease end per lease (a renewal would cost one update for each lease of the holder); counting the holder's lease from the answer (the test finds a schedule in which a holder acts after the fold ended its lease).

--- a/acaciawing/fold/state.py
+++ b/acaciawing/fold/state.py
@@ -3,7 +3,10 @@
 from dataclasses import dataclass
 
 from acaciawing.configuration import ConfigurationState
+from acaciawing.fold.marks import SnapshotMark
+from acaciawing.leases import LeaseTable
 from acaciawing.membership import Roster
+from acaciawing.ownership import Ownership
 
 
 @dataclass(frozen=True)
@@ -14,8 +17,14 @@
         offset: Offset of the next record to apply.
         configuration: The configuration in force.
         roster: Entry instances.
+        leases: Leases of control subjects.
+        ownership: Pool of each instance.
+        snapshot: The newest complete snapshot.
     """
 
     offset: int = 0
     configuration: ConfigurationState = ConfigurationState()
     roster: Roster = Roster()
+    leases: LeaseTable = LeaseTable()
+    ownership: Ownership = Ownership()
+    snapshot: SnapshotMark = SnapshotMark()
--- a/acaciawing/fold/steps.py
+++ b/acaciawing/fold/steps.py
@@ -9,10 +9,16 @@
 from typing import Any
 
 from acaciawing.configuration import publication
+from acaciawing.fold import marks
 from acaciawing.fold.state import FleetState
+from acaciawing.leases import Fence, check_fence
+from acaciawing.leases import records as lease_records
+from acaciawing.leases import table as leases
 from acaciawing.membership import roster
 from acaciawing.outcomes import Ignored, Verdict
-from acaciawing.records import LogPosition, Malformed, decode
+from acaciawing.ownership import records as ownership_records
+from acaciawing.ownership import table as ownership
+from acaciawing.records import Envelope, LogPosition, Malformed, decode
 
 Apply = Callable[[Any, Any, LogPosition], tuple[Any, Verdict]]
 
@@ -22,8 +28,25 @@
     publication.ConfigurationPublished: ("configuration", publication.apply),
     roster.EntryJoined: ("roster", roster.apply),
     roster.EntryLeft: ("roster", roster.apply),
+    lease_records.LeaseClaimed: ("leases", leases.apply),
+    lease_records.LeasesRenewed: ("leases", leases.apply),
+    lease_records.LeasesReleased: ("leases", leases.apply),
+    ownership_records.InstanceAdopted: ("ownership", ownership.apply),
+    ownership_records.InstanceReplaced: ("ownership", ownership.apply),
+    ownership_records.InstanceRetired: ("ownership", ownership.apply),
+    ownership_records.MoveBegun: ("ownership", ownership.apply),
+    ownership_records.MoveFinished: ("ownership", ownership.apply),
+    ownership_records.MoveCancelled: ("ownership", ownership.apply),
+    ownership_records.InstanceReturned: ("ownership", ownership.apply),
+    marks.SnapshotWritten: ("snapshot", marks.apply),
 }
 
+_LEASE_RECORDS = (
+    lease_records.LeaseClaimed,
+    lease_records.LeasesRenewed,
+    lease_records.LeasesReleased,
+)
+
 
 @dataclass(frozen=True)
 class Step:
@@ -52,7 +75,8 @@
 
     Returns:
         The step. A record below ``state.offset`` is ignored, so that reading
-        a range twice changes nothing.
+        a range twice changes nothing. A record with a field ``fence`` is
+        ignored unless the fence names the current lease of its subject.
     """
     if position.offset < state.offset:
         return Step(state, Ignored("already-applied", ""), None, "")
@@ -65,8 +89,28 @@
     if subject is None:
         ignored = Ignored("other-stream", type(envelope.record).__name__)
         return Step(moved, ignored, envelope.record, envelope.writer)
+    refusal = _check_writer(envelope, state, position)
+    if refusal is not None:
+        return Step(moved, refusal, envelope.record, envelope.writer)
     name, apply = subject
     table, verdict = apply(envelope.record, getattr(state, name), position)
     if table is not getattr(state, name):
         moved = replace(moved, **{name: table})
     return Step(moved, verdict, envelope.record, envelope.writer)
+
+
+def _check_writer(
+    envelope: Envelope, state: FleetState, position: LogPosition
+) -> Ignored | None:
+    """Checks what a record says of its writer against the leases.
+
+    This is the only check across tables. It is made here, so that a subject
+    package sees no table but its own.
+    """
+    record, writer = envelope.record, envelope.writer
+    if isinstance(record, _LEASE_RECORDS) and record.holder != writer:
+        return Ignored("not-holder", f"{record.holder} named by {writer}")
+    fence = getattr(record, "fence", None)
+    if isinstance(fence, Fence):
+        return check_fence(state.leases, fence, writer, position)
+    return None
--- /dev/null
+++ b/acaciawing/leases/table.py
@@ -0,0 +1,208 @@
+"""Leases agreed through the log, with fencing by log offset.
+
+A holder renews with one record however many leases it has: its leases share a
+session, and a lease ends when the session does. A session that has ended is
+never extended. Its holder has to claim again and gets new tokens, so a process
+that was paused past the end can't revive an old token.
+"""
+
+from dataclasses import dataclass, replace
+from functools import singledispatch
+
+from immutables import Map
+
+from acaciawing.leases.records import (
+    NO_LEASE,
+    Fence,
+    LeaseClaimed,
+    LeasesReleased,
+    LeasesRenewed,
+)
+from acaciawing.outcomes import Accepted, Ignored, Verdict
+from acaciawing.records import LogPosition
+
+# A record with a longer duration is refused, since a faulty writer could
+# otherwise block a subject for good.
+LONGEST_LEASE_S = 60.0
+
+
+@dataclass(frozen=True)
+class Session:
+    """Period over which the leases of one holder are valid.
+
+    Attributes:
+        started: Offset of the claim that started it.
+        ends_at: Its end on the log's clock, in seconds.
+    """
+
+    started: int
+    ends_at: float
+
+
+@dataclass(frozen=True)
+class Lease:
+    """The last accepted lease of a subject.
+
+    Attributes:
+        holder: ``instance/incarnation`` of the holder.
+        token: Offset of the accepted claim (fencing token).
+    """
+
+    holder: str
+    token: int
+
+
+@dataclass(frozen=True)
+class LeaseTable:
+    """Leases by subject and sessions by holder.
+
+    A lease in the table belongs to the session of its holder that is in the
+    table, since a claim that starts a session drops every ended lease.
+    """
+
+    leases: Map[str, Lease] = Map()
+    sessions: Map[str, Session] = Map()
+
+
+def end_of(table: LeaseTable, subject: str) -> float | None:
+    """Returns when the lease of a subject ends.
+
+    Args:
+        table: Leases.
+        subject: What the lease is for.
+
+    Returns:
+        The end on the log's clock in seconds, or None if there is no lease.
+    """
+    lease = table.leases.get(subject)
+    if lease is None:
+        return None
+    return table.sessions[lease.holder].ends_at
+
+
+def is_held(table: LeaseTable, subject: str, at: float) -> bool:
+    """Returns whether a lease of the subject is valid at ``at`` (log clock)."""
+    end = end_of(table, subject)
+    return end is not None and at <= end
+
+
+def check_fence(
+    table: LeaseTable, fence: Fence, writer: str, position: LogPosition
+) -> Ignored | None:
+    """Checks that a record was decided and appended under a current lease.
+
+    Args:
+        table: Leases before the record.
+        fence: The lease that the record names.
+        writer: ``instance/incarnation`` of the record's writer.
+        position: Place of the record in the log.
+
+    Returns:
+        Why the record has to be ignored, or None.
+    """
+    lease = table.leases.get(fence.subject)
+    if lease is None or lease.token != fence.token:
+        current = "none" if lease is None else str(lease.token)
+        detail = f"{fence.subject}: token {fence.token}, current {current}"
+        return Ignored("stale-token", detail)
+    if lease.holder != writer:
+        return Ignored("not-holder", f"{fence.subject}: held by {lease.holder}")
+    if not is_held(table, fence.subject, position.appended_at):
+        return Ignored("lease-ended", f"{fence.subject}: token {fence.token}")
+    return None
+
+
+@singledispatch
+def apply(
+    record: object, table: LeaseTable, position: LogPosition
+) -> tuple[LeaseTable, Verdict]:
+    """Applies a record to the leases; see `acaciawing.fold.step`."""
+    raise TypeError(type(record).__name__)
+
+
+@apply.register
+def _(
+    record: LeaseClaimed, table: LeaseTable, position: LogPosition
+) -> tuple[LeaseTable, Verdict]:
+    if not record.subject or not _valid(record.holder, record.duration_s):
+        return table, Ignored("malformed", f"claim of {record.subject!r}")
+    known = table.leases.get(record.subject)
+    token = NO_LEASE if known is None else known.token
+    if record.replaces != token:
+        detail = f"{record.subject}: replaces {record.replaces}, not {token}"
+        return table, Ignored("lost-race", detail)
+    if is_held(table, record.subject, position.appended_at):
+        return table, Ignored("held", record.subject)
+    table = _extend(record, table, position)
+    lease = Lease(record.holder, position.offset)
+    leases = table.leases.set(record.subject, lease)
+    return replace(table, leases=leases), Accepted()
+
+
+@apply.register
+def _(
+    record: LeasesRenewed, table: LeaseTable, position: LogPosition
+) -> tuple[LeaseTable, Verdict]:
+    if not _valid(record.holder, record.duration_s):
+        return table, Ignored("malformed", f"renewal by {record.holder!r}")
+    session = table.sessions.get(record.holder)
+    if session is None or position.appended_at > session.ends_at:
+        return table, Ignored("lease-ended", record.holder)
+    return _prolong(table, record, session, position), Accepted()
+
+
+@apply.register
+def _(
+    record: LeasesReleased, table: LeaseTable, position: LogPosition
+) -> tuple[LeaseTable, Verdict]:
+    leases = table.leases
+    for fence in record.leases:
+        lease = leases.get(fence.subject)
+        if lease == Lease(record.holder, fence.token):
+            leases = leases.delete(fence.subject)
+    if leases is table.leases:
+        return table, Ignored("stale-token", record.holder)
+    return replace(table, leases=leases), Accepted()
+
+
+def _valid(holder: str, duration_s: float) -> bool:
+    return bool(holder) and 0.0 < duration_s <= LONGEST_LEASE_S
+
+
+def _prolong(
+    table: LeaseTable,
+    record: LeaseClaimed | LeasesRenewed,
+    session: Session,
+    position: LogPosition,
+) -> LeaseTable:
+    end = max(session.ends_at, position.appended_at + record.duration_s)
+    prolonged = Session(session.started, end)
+    return replace(table, sessions=table.sessions.set(record.holder, prolonged))
+
+
+def _extend(
+    record: LeaseClaimed, table: LeaseTable, position: LogPosition
+) -> LeaseTable:
+    """Continues the holder's session, or starts one if it has ended."""
+    session = table.sessions.get(record.holder)
+    if session is None or position.appended_at > session.ends_at:
+        table = _prune(table, position.appended_at)
+        session = Session(position.offset, position.appended_at)
+    return _prolong(table, record, session, position)
+
+
+def _prune(table: LeaseTable, at: float) -> LeaseTable:
+    """Drops ended sessions and their leases.
+
+    It keeps the table bounded and ended tokens dead. It runs when a session
+    starts, which is rare, and not for each record.
+    """
+    sessions = table.sessions
+    for holder, session in table.sessions.items():
+        if at > session.ends_at:
+            sessions = sessions.delete(holder)
+    leases = table.leases
+    for subject, lease in table.leases.items():
+        if lease.holder not in sessions:
+            leases = leases.delete(subject)
+    return LeaseTable(leases, sessions)
