--- a/acaciawing/fold/steps.py
+++ b/acaciawing/fold/steps.py
@@ -8,12 +8,14 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from acaciawing.budgets import ledger
 from acaciawing.configuration import publication
 from acaciawing.fold import marks
 from acaciawing.fold.state import FleetState
 from acaciawing.leases import Fence, check_fence
 from acaciawing.leases import records as lease_records
 from acaciawing.leases import table as leases
+from acaciawing.maintenance import waves
 from acaciawing.membership import roster
 from acaciawing.outcomes import Ignored, Verdict
 from acaciawing.ownership import records as ownership_records
@@ -39,6 +41,14 @@
     ownership_records.MoveCancelled: ("ownership", ownership.apply),
     ownership_records.InstanceReturned: ("ownership", ownership.apply),
     marks.SnapshotWritten: ("snapshot", marks.apply),
+    ledger.PlanCounts: ("budgets", ledger.apply),
+    ledger.BudgetReserved: ("budgets", ledger.apply),
+    ledger.BudgetReleased: ("budgets", ledger.apply),
+    waves.WavePlanned: ("waves", waves.apply),
+    waves.WaveStep: ("waves", waves.apply),
+    waves.OutageChanged: ("waves", waves.apply),
+    waves.WaveStopped: ("waves", waves.apply),
+    waves.WaveResumed: ("waves", waves.apply),
 }
 
 _LEASE_RECORDS = (
