Run the demo with the command line and the sample lists

Cause: the demo built its configuration in code and went past check and publish. Services now may name spill, so that spare pools run their requests without a move, and a new instance starts with a quarter of a plan's token bucket.

--- a/acaciawing/admission/admit.py
+++ b/acaciawing/admission/admit.py
@@ -14,6 +14,8 @@
 # Depth of the token bucket in seconds of the share; longer bursts are what the
 # queue is for.
 BURST_S = 1.0
+# Part of the bucket that a new instance starts with.
+START = 0.25
 # A retry sooner than the next gossip round would meet the same share.
 RETRY_LEAST_S = 0.5
 RETRY_LONGEST_S = 30.0
@@ -156,9 +158,10 @@
     rate = arrival.plan.rate_per_s * arrival.share
     depth = max(1.0, rate * BURST_S)
     if use.tokens is None:
-        # A new instance starts with one token, not a full bucket, so that
-        # replacing many instances at once does not add their bursts.
-        return replace(use, tokens=1.0, refilled_at=now)
+        # A new instance starts with part of a bucket: replacing all instances
+        # at once then adds a quarter second of the rate, and the first callers
+        # of a plan within its rate are not refused.
+        return replace(use, tokens=max(1.0, START * depth), refilled_at=now)
     elapsed = max(0.0, now - use.refilled_at)
     tokens = min(depth, use.tokens + rate * elapsed)
     return replace(use, tokens=tokens, refilled_at=max(now, use.refilled_at))
--- a/acaciawing/configuration/plans.py
+++ b/acaciawing/configuration/plans.py
@@ -39,6 +39,7 @@
     Key("slots", count(1, 4096), required=False),
     Key("connections", count(1, 65535), required=False),
     Key("spare", boolean, required=False),
+    Key("spill", boolean, required=False),
     Key("idempotent_operations", array_of(text), required=False),
 )
 
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -77,11 +77,12 @@
     processes.start("bare", "bench.bare_handler", ports[8], *workers.values())
     processes.start(
         "entry",
-        "acaciawing.entry",
+        "acaciawing",
+        "entry",
         entry_settings(processes, fleet, "entry-ljubljana-1"),
     )
     wait_until(lambda: _status(f"http://{ports[0]}/standin/state") == 200, 10)
-    publish(fleet, 100000.0, -1)
+    publish(fleet, processes.folder, "100000/s")
     wait_until(lambda: _status(f"http://{ports[6]}/readyz") == 200, 10)
     wait_until(lambda: _status(f"http://{ports[8]}/visits/next") == 200, 10)
     bare, entry = [], []
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -25,7 +25,7 @@
     timed_row,
 )
 
-PROMISED = {"doorstep": 0.999, "office": 0.99}
+PROMISED = {"doorstep": 0.9995, "booking": 0.999, "office": 0.99}
 _CALLERS = 12
 
 
@@ -46,14 +46,14 @@
 def _run(processes: Processes) -> list[Row]:
     fleet = start_fleet(processes)
     wait_until(lambda: bool(call("GET", f"{fleet.log}/standin/state")), 10)
-    first = publish(fleet, 500.0, -1)
+    publish(fleet, processes.folder)
     balancer = Balancer(fleet.entries)
     started = wait_until(lambda: balancer.check(HTTP) == len(fleet.entries), 20)
     if started is None:
         raise RuntimeError("not all entry instances became ready")
     print(f"{len(fleet.entries)} entry instances ready", flush=True)
     callers = _start_callers(balancer)
-    rows = _steps(processes, fleet, balancer, first)
+    rows = _steps(processes, fleet, balancer)
     for caller in callers:
         caller.stop()
     for caller in callers:
@@ -69,11 +69,12 @@
 
 def _start_callers(balancer: Balancer) -> list[Caller]:
     profiles = [
-        CallerProfile("stylists", "doorstep", SERVICES[:3], 0.01, 0.3, 0.02),
-        CallerProfile("accounting", "office", SERVICES[3:], 0.01, 0.1, 0.0),
+        CallerProfile("stylists", "doorstep", SERVICES[:3], 0.02, 0.1, 0.0),
+        CallerProfile("residents", "booking", SERVICES[:1], 0.05, 0.8, 0.02),
+        CallerProfile("accounting", "office", SERVICES[3:4], 0.1, 0.1, 0.05),
     ]
     callers = [
-        Caller(number, profiles[number % 2], balancer)
+        Caller(number, profiles[number % len(profiles)], balancer)
         for number in range(_CALLERS)
     ]
     for caller in callers:
@@ -81,11 +82,9 @@
     return callers
 
 
-def _steps(
-    processes: Processes, fleet: Fleet, balancer: Balancer, first: int
-) -> list[Row]:
+def _steps(processes: Processes, fleet: Fleet, balancer: Balancer) -> list[Row]:
     time.sleep(2)
-    version = publish(fleet, 400.0, first)
+    version = publish(fleet, processes.folder, "230/s")
     changed = roll_out_s(fleet, list(fleet.entries), version)
     print("configuration changed under load", flush=True)
     drained = _drain_worker(fleet)
@@ -97,7 +96,7 @@
     time.sleep(4)
     start_log(processes, fleet)
     wait_until(lambda: bool(call("GET", f"{fleet.log}/standin/state")), 10)
-    again = publish(fleet, 300.0, version)
+    again = publish(fleet, processes.folder, "220/s")
     left = [name for name in fleet.entries if name != _STOPPED]
     after = roll_out_s(fleet, left, again)
     print("log back, configuration changed again", flush=True)
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from acaciawing.configuration import Configuration, Customer, Plan, Service
 from demo.processes import Processes, free_ports
 
 ZONES = ("ljubljana", "maribor", "koper")
@@ -13,6 +12,7 @@
 WORKERS_PER_SERVICE = 6
 ENTRIES_PER_ZONE = 2
 OPERATOR = "sample-operator"
+SAMPLES = Path(__file__).parents[1] / "samples" / "frizura"
 
 
 @dataclass(frozen=True)
@@ -34,23 +34,6 @@
     endpoints: dict[str, str]
 
 
-def configuration(rate_per_s: float) -> Configuration:
-    """The operators' lists for the demonstration."""
-    services = tuple(
-        Service(name, name, spare=name == "portal", spill=True)
-        for name in SERVICES
-    )
-    plans = tuple(
-        Plan(name, rate, 604800.0, 5.0, rate_per_s, 300, 200, SERVICES)
-        for name, rate in (("doorstep", 0.999), ("office", 0.99))
-    )
-    customers = tuple(
-        Customer(name, plan, _digest(f"sample-{name}"))
-        for name, plan in (("stylists", "doorstep"), ("accounting", "office"))
-    )
-    return Configuration(customers, plans, services)
-
-
 def _digest(secret: str) -> str:
     return hashlib.sha256(secret.encode()).hexdigest()
 
@@ -89,7 +72,7 @@
         )
     for name in entries:
         processes.start(
-            name, "acaciawing.entry", entry_settings(processes, fleet, name)
+            name, "acaciawing", "entry", entry_settings(processes, fleet, name)
         )
     return fleet
 
--- a/demo/operator.py
+++ b/demo/operator.py
@@ -1,16 +1,21 @@
 """What the operators do during the demonstration."""
 
 import json
+import re
+import shutil
+import subprocess
+import sys
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import urllib3
 
-from acaciawing.configuration import ConfigurationPublished
-from acaciawing.platform import CONTROL_STREAM, Appended, LogClient
-from acaciawing.records import encode
-from demo.fleet import OPERATOR, Fleet, configuration
+from acaciawing.entry.observers import catch_up
+from acaciawing.fold import FleetState
+from acaciawing.platform import LogClient
+from demo.fleet import OPERATOR, SAMPLES, Fleet
 
 HTTP = urllib3.PoolManager(
     num_pools=64, retries=False, timeout=urllib3.Timeout(total=3)
@@ -39,17 +44,43 @@
     return None
 
 
-def publish(fleet: Fleet, rate_per_s: float, based_on: int) -> int:
-    """Publishes a configuration; returns its version."""
-    record = ConfigurationPublished(
-        f"demo-{rate_per_s}", based_on, "demo", configuration(rate_per_s)
-    )
-    outcome = LogClient(fleet.log).append(
-        CONTROL_STREAM, encode(record, "operator/1")
+def publish(fleet: Fleet, folder: Path, rate: str | None = None) -> int:
+    """Publishes the sample lists with the command line.
+
+    Args:
+        fleet: Addresses.
+        folder: Receives a copy of the lists.
+        rate: New rate of the first plan, or None to keep the sample's.
+
+    Returns:
+        The accepted version.
+
+    Raises:
+        RuntimeError: If the command did not end with exit code 0.
+    """
+    for name in ("customers.toml", "plans.toml"):
+        shutil.copy(SAMPLES / name, folder / name)
+    if rate is not None:
+        path = folder / "plans.toml"
+        text = path.read_text("utf-8")
+        path.write_text(
+            re.sub('rate = ".*"', f'rate = "{rate}"', text, count=1)
+        )
+    done = subprocess.run(
+        [
+            *(sys.executable, "-m", "acaciawing", "publish"),
+            *(str(folder / "customers.toml"), str(folder / "plans.toml")),
+            *("--log", fleet.log, "--author", "demo"),
+        ],
+        capture_output=True,
+        text=True,
     )
-    if not isinstance(outcome, Appended):
-        raise RuntimeError(f"publish failed: {outcome}")
-    return outcome.position.offset
+    if done.returncode:
+        raise RuntimeError(
+            f"publish ended with {done.returncode}: {done.stderr}"
+        )
+    state = catch_up(LogClient(fleet.log), FleetState()).state
+    return state.configuration.version
 
 
 def roll_out_s(fleet: Fleet, entries: list[str], version: int) -> float | None:
