--- a/acaciawing/entry/engine.py
+++ b/acaciawing/entry/engine.py
@@ -111,6 +111,7 @@
                 if service.spare
             )
             self._share_again(now)
+            self._credit_again()
 
     def listing_seen(self, message: ListingSeen, now: float) -> None:
         """Takes an answer of the platform's list."""
@@ -146,14 +147,18 @@
         }
 
     def _credit_again(self) -> None:
-        if self._members is None:
-            return
+        # Until a peer is heard of, the instance takes itself for the only one;
+        # the endpoints' own "not run" corrects that.
+        zones: Mapping[str, str] = {self.instance: self.zone}
+        loads: Mapping[str, Mapping[str, float]] = {}
+        if self._members is not None:
+            zones, loads = self._members.zones, self._members.loads
         given = credits_of(
             self._routing,
             self.index.services.values(),
             self.instance,
-            self._members.zones,
-            self._members.loads,
+            zones,
+            loads,
         )
         self._routing = routing.set_credits(self._routing, given)
 
