Test that no fault of the lists hides another

Cause: the check promises all findings at once, and a rule or a syntax error that hides another fault would not fail any example test.

The property replaces any subset of twelve lines by faulty ones and expects exactly their findings. It passes; the settings fuzz now starts from valid settings instead of a list of plans.

--- a/acaciawing/configuration/tests/test_fuzz.py
+++ b/acaciawing/configuration/tests/test_fuzz.py
@@ -16,6 +16,7 @@
     check_settings,
 )
 from acaciawing.configuration.tests.test_check import CUSTOMERS, PLANS
+from acaciawing.configuration.tests.test_settings import SETTINGS
 from acaciawing.records import Envelope, decode, encode
 
 _TOKENS = re.findall(r"\w+|\s+|.", CUSTOMERS + PLANS)
@@ -105,6 +106,23 @@
     return customers, text
 
 
+# Line that replaces a line of the valid lists, and the code of its finding.
+_FAULTS = {
+    ("customers.toml", 2): ('name = "A b"', "malformed-name"),
+    ("customers.toml", 3): ("plan = 3", "wrong-type"),
+    ("customers.toml", 4): ('credential_sha256 = "x"', "malformed-digest"),
+    ("plans.toml", 2): ("success_rate = 2", "unmeetable-rate"),
+    ("plans.toml", 3): ('window = "7x"', "wrong-unit"),
+    ("plans.toml", 4): ("deadline = 2s", "syntax-error"),
+    ("plans.toml", 5): ("rate = true", "wrong-type"),
+    ("plans.toml", 6): ("concurrency 16", "syntax-error"),
+    ("plans.toml", 7): ("queue = -1", "out-of-range"),
+    ("plans.toml", 8): ('services = ["x"]', "undefined-service"),
+    ("plans.toml", 9): ("colour = 1", "unknown-key"),
+    ("plans.toml", 11): ('pool = "visits', "syntax-error"),
+}
+
+
 class TestFuzz:
     """Guards against input that stops the checker or that slips through."""
 
@@ -120,11 +138,27 @@
             assert_round_trip(checked.configuration)
 
     @settings(derandomize=True, max_examples=200, deadline=None)
-    @given(contents(PLANS))
+    @given(contents(SETTINGS))
     def test_settings_never_raise(self, data: bytes) -> None:
         checked = check_settings(Source("entry.toml", data))
         assert_consistent(checked.findings, checked.settings)
 
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.sets(st.sampled_from(sorted(_FAULTS))))
+    def test_no_fault_hides_another(self, places: set[tuple[str, int]]) -> None:
+        texts = {
+            "customers.toml": CUSTOMERS.split("\n"),
+            "plans.toml": PLANS.split("\n"),
+        }
+        for file, line in places:
+            texts[file][line - 1] = _FAULTS[file, line][0]
+        data = ["\n".join(lines).encode() for lines in texts.values()]
+        found = {
+            (f.place.file, f.place.line): f.code.value
+            for f in check(*data).findings
+        }
+        assert found == {place: _FAULTS[place][1] for place in places}
+
     @settings(derandomize=True, max_examples=200, deadline=None)
     @given(lists())
     def test_accepted_lists_round_trip(self, texts: tuple[str, str]) -> None:
