--- a/acaciawing/fold/state.py
+++ b/acaciawing/fold/state.py
@@ -2,9 +2,11 @@
 
 from dataclasses import dataclass
 
+from acaciawing.budgets import Ledger
 from acaciawing.configuration import ConfigurationState
 from acaciawing.fold.marks import SnapshotMark
 from acaciawing.leases import LeaseTable
+from acaciawing.maintenance import WaveTable
 from acaciawing.membership import Roster
 from acaciawing.ownership import Ownership
 
@@ -20,6 +22,8 @@
         leases: Leases of control subjects.
         ownership: Pool of each instance.
         snapshot: The newest complete snapshot.
+        budgets: Counts and reservations of the plans.
+        waves: Maintenance waves and outages.
     """
 
     offset: int = 0
@@ -28,3 +32,5 @@
     leases: LeaseTable = LeaseTable()
     ownership: Ownership = Ownership()
     snapshot: SnapshotMark = SnapshotMark()
+    budgets: Ledger = Ledger()
+    waves: WaveTable = WaveTable()
