--- /dev/null
+++ b/acaciawing/queueing/tests/test_queueing.py
@@ -0,0 +1,230 @@
+"""Tests of run-time classes and of the queue."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from acaciawing.queueing import (
+    Queue,
+    RunClass,
+    RunTimes,
+    Waiting,
+    WorkKey,
+    classify,
+    enqueue,
+    expected_wait_s,
+    expire,
+    long_after_s,
+    newest_of,
+    next_expiry,
+    next_work,
+    observe_run,
+    remove,
+    waiting_of,
+)
+from acaciawing.queueing.tests.naive import ListQueue, declared_is_long
+
+SEEDED = settings(derandomize=True, deadline=None, max_examples=150)
+SHORT = RunClass(False, 0.1, 0.05, "customer")
+LONG = RunClass(True, 10.0, 5.0, "customer")
+
+
+def key(operation: str = "render", customer: str = "acme") -> WorkKey:
+    return WorkKey("proofdesk", operation, customer)
+
+
+def learnt(times: int = 20) -> RunTimes:
+    """Short work of one customer, with a median of 0.1 s."""
+    state = RunTimes()
+    for _ in range(times):
+        state = observe_run(state, key(), 0.1)
+    return state
+
+
+def waiting(
+    request: str,
+    run: RunClass = SHORT,
+    at: float = 0.0,
+    plan: str = "gold",
+    deadline: float = 1e6,
+) -> Waiting:
+    return Waiting(request, key(), plan, run, at, deadline)
+
+
+def filled(*items: Waiting) -> Queue:
+    queue = Queue()
+    for item in items:
+        queue = enqueue(queue, item)
+    return queue
+
+
+class TestClasses:
+    """Guards against long work in the reserve and short work outside it."""
+
+    def test_own_results_decide(self) -> None:
+        state = learnt()
+        for _ in range(3):
+            state = observe_run(state, key("batch"), 10.0)
+        assert classify(state, key("batch")).long
+        assert not classify(state, key()).long
+
+    def test_a_few_stragglers_do_not_change_the_class(self) -> None:
+        state = learnt()
+        for _ in range(2):
+            state = observe_run(state, key(), 10.0)
+        assert not classify(state, key()).long
+
+    def test_work_that_becomes_long_is_found_within_nine_results(self) -> None:
+        state = learnt()
+        for _ in range(5):
+            state = observe_run(state, key(), 10.0)
+        assert classify(state, key()).long
+
+    def test_a_false_short_declaration_gains_nothing(self) -> None:
+        state = learnt()
+        assert not declared_is_long(0.001, 0.1)
+        assert classify(state, key("batch", "new"), 0.001).long
+
+    def test_a_false_long_declaration_ends_with_three_results(self) -> None:
+        state = learnt()
+        assert declared_is_long(1000.0, 0.1)
+        assert classify(state, key(customer="new"), 1000.0).long
+        for _ in range(3):
+            state = observe_run(state, key(customer="new"), 0.1)
+        run = classify(state, key(customer="new"), 1000.0)
+        assert (run.long, run.expected_s) == (False, 0.1)
+
+    def test_declared_times_never_enter_the_expected_time(self) -> None:
+        for declared in (1e-6, 1e6):
+            run = classify(learnt(), key("new"), declared)
+            assert (run.expected_s, run.least_s) == (0.0, 0.0)
+
+    def test_a_new_customer_of_a_uniform_operation_is_short(self) -> None:
+        assert not classify(learnt(), key(customer="new")).long
+
+    def test_a_new_customer_of_a_mixed_operation_is_long(self) -> None:
+        state = learnt()
+        for _ in range(4):
+            state = observe_run(state, key(customer="batcher"), 10.0)
+        assert classify(state, key(customer="new")).long
+
+    def test_running_work_is_learnt_before_its_end(self) -> None:
+        state = learnt()
+        limit = long_after_s(state, "proofdesk")
+        assert limit is not None
+        for _ in range(3):
+            state = observe_run(state, key("batch"), limit, finished=False)
+        assert classify(state, key("batch")).long
+
+    def test_cancelled_short_runs_teach_nothing(self) -> None:
+        state = learnt()
+        for _ in range(3):
+            state = observe_run(state, key("batch"), 10.0)
+        for _ in range(50):
+            state = observe_run(state, key("batch"), 0.01, finished=False)
+        assert classify(state, key("batch")).long
+
+    def test_unknown_operations_do_not_fill_the_memory(self) -> None:
+        state = learnt()
+        for number in range(6000):
+            state = observe_run(state, key(f"operation-{number}"), 0.1)
+        assert len(state.customers) + len(state.operations) <= 4100
+        assert len(state.older) <= 4100
+
+
+RUN = st.builds(
+    lambda long, expected: RunClass(long, expected, expected / 2, "customer"),
+    st.booleans(),
+    st.sampled_from([0.0, 0.1, 2.0]),
+)
+ACTION = st.tuples(
+    st.sampled_from(["add", "take", "cancel", "expire"]),
+    RUN,
+    st.integers(0, 3),
+    st.floats(0.0, 20.0),
+    st.booleans(),
+)
+
+
+class TestQueue:
+    """Guards against lost, doubled or wrongly ordered requests."""
+
+    @given(st.lists(ACTION, max_size=50))
+    @SEEDED
+    def test_same_order_as_a_scanned_list(
+        self, actions: list[tuple[str, RunClass, int, float, bool]]
+    ) -> None:
+        queue, naive, now = Queue(), ListQueue(), 0.0
+        for number, (action, run, plan, wait, free) in enumerate(actions):
+            now += wait / 10
+            if action == "add":
+                item = waiting(
+                    f"r{number:03}", run, now, f"p{plan}", now + wait
+                )
+                queue = enqueue(queue, item)
+                naive.waiting.append(item)
+            elif action == "take":
+                blocked = frozenset({f"p{plan}"})
+                found = next_work(queue, now, free, blocked)
+                assert found == naive.next(now, free, blocked)
+                if found is not None:
+                    queue = remove(queue, found.request)
+                    naive.remove(found.request)
+            elif action == "cancel":
+                queue = remove(queue, f"r{plan:03}")
+                naive.remove(f"r{plan:03}")
+            else:
+                queue, dropped = expire(queue, now)
+                late = naive.expire(now)
+                assert {d.waiting.request for d in dropped} == late
+            assert set(queue.waiting) == {w.request for w in naive.waiting}
+            for name in ("p0", "p1", "p2", "p3"):
+                mine = [w for w in naive.waiting if w.plan == name]
+                assert waiting_of(queue, name) == len(mine)
+        for request in list(queue.waiting):
+            queue = remove(queue, request)
+        assert queue == Queue()
+
+    def test_short_work_overtakes_long_work(self) -> None:
+        queue = filled(waiting("a", LONG, 0.0), waiting("b", SHORT, 1.0))
+        found = next_work(queue, 2.0)
+        assert found is not None and found.request == "b"
+
+    def test_long_work_goes_first_after_20_medians(self) -> None:
+        queue = filled(waiting("a", LONG, 0.0), waiting("b", SHORT, 199.0))
+        before, after = next_work(queue, 199.9), next_work(queue, 200.0)
+        assert before is not None and before.request == "b"
+        assert after is not None and after.request == "a"
+        blocked = next_work(queue, 200.0, long_free=False)
+        assert blocked is not None and blocked.request == "b"
+
+    def test_a_plan_at_its_limit_does_not_hold_up_others(self) -> None:
+        queue = filled(
+            waiting("a", plan="gold"), waiting("b", at=1.0, plan="iron")
+        )
+        found = next_work(queue, 2.0, blocked=frozenset({"gold"}))
+        assert found is not None and found.request == "b"
+
+    def test_only_what_cannot_end_in_time_is_dropped(self) -> None:
+        queue = filled(
+            waiting("a", LONG, deadline=14.0),
+            waiting("b", SHORT, deadline=14.0),
+        )
+        assert next_expiry(queue) == 9.0
+        queue, none = expire(queue, 9.0)
+        assert none == ()
+        queue, dropped = expire(queue, 9.1)
+        assert [d.reason for d in dropped] == ["deadline-unreachable"]
+        assert dropped[0].refusal.retry_after_s == 10.0
+        _, later = expire(queue, 15.0)
+        assert [d.reason for d in later] == ["deadline-passed"]
+
+    def test_the_newest_request_of_a_plan_is_shed(self) -> None:
+        queue = filled(waiting("a", at=1.0), waiting("b", at=2.0))
+        newest = newest_of(queue, "gold")
+        assert newest is not None and newest.request == "b"
+        assert newest_of(queue, "iron") is None
+
+    def test_short_work_does_not_count_long_work_ahead(self) -> None:
+        queue = filled(waiting("a", LONG), waiting("b", SHORT))
+        assert expected_wait_s(queue, SHORT, 2) == 0.05
+        assert expected_wait_s(queue, LONG, 2) == 5.05
