--- /dev/null
+++ b/acaciawing/idempotency/__init__.py
@@ -0,0 +1,45 @@
+"""Claims of idempotency keys: a non-idempotent request runs at most once."""
+
+from acaciawing.idempotency.events import (
+    ClaimDecision,
+    Finished,
+    InProgress,
+    KeyReused,
+    Run,
+    Unknown,
+)
+from acaciawing.idempotency.records import (
+    Claim,
+    ClaimBatch,
+    ClaimFinished,
+    ClaimReleased,
+    key_digest,
+    request_fingerprint,
+    shard_of,
+    stream_name,
+)
+from acaciawing.idempotency.rules import step
+from acaciawing.idempotency.state import ClaimState
+from acaciawing.idempotency.table import RETENTION_S, ClaimTable, Holder
+
+__all__ = [
+    "RETENTION_S",
+    "Claim",
+    "ClaimBatch",
+    "ClaimDecision",
+    "ClaimFinished",
+    "ClaimReleased",
+    "ClaimState",
+    "ClaimTable",
+    "Finished",
+    "Holder",
+    "InProgress",
+    "KeyReused",
+    "Run",
+    "Unknown",
+    "key_digest",
+    "request_fingerprint",
+    "shard_of",
+    "step",
+    "stream_name",
+]
--- /dev/null
+++ b/acaciawing/idempotency/agreement.py
@@ -0,0 +1,317 @@
+"""Rules of at-most-once execution while the log is away.
+
+Unanimous agreement after Ricart and Agrawala (1981): a claim runs once every
+member whose consent counts has granted it. Each member remembers its grants
+and denies the key from then on, until the log holds it.
+
+Consent of a member counts until it is *covered*: it ended, and afterwards a
+member that takes part in the agreement read the whole claim stream. Ended
+alone is not enough. The member may have claimed and run the key through the
+log just before it ended, in records that the others had not read when the log
+went away for them.
+"""
+
+from dataclasses import replace
+from functools import singledispatch
+
+from acaciawing.idempotency.events import (
+    Ask,
+    ClaimQuestion,
+    Denied,
+    Granted,
+    GrantsQuestion,
+    GrantsRemembered,
+    Output,
+    PeerAnswered,
+    PeerAsked,
+    Reply,
+    Unknown,
+    Won,
+)
+from acaciawing.idempotency.records import Claim
+from acaciawing.idempotency.state import (
+    ClaimState,
+    Pending,
+    Proxied,
+    Stepped,
+    instance_of,
+    remember,
+    run,
+    settle,
+    superseded,
+    without,
+)
+
+_COLLECT_EVERY_S = 0.5
+# Longer than one append and read-back of a healthy log; the asking request
+# holds a thread of both instances for that time.
+_PROXY_S = 1.0
+
+
+def begin(state: ClaimState, pending: Pending, now: float) -> Stepped:
+    """Starts to ask the peers for a pending claim."""
+    claim_id = pending.claim.claim_id
+    pending = replace(pending, agreeing=True)
+    state = replace(
+        state,
+        pending=state.pending.set(claim_id, pending),
+        outbox=without(state.outbox, claim_id),
+    )
+    grant = state.grants.get(pending.claim.digest)
+    if grant is not None and grant.claim != pending.claim:
+        return settle(state, pending, Unknown("granted"))
+    # The own attempt counts as a grant to itself, so that a member that joins
+    # now learns of it.
+    return _advance(remember(state, pending.claim, now), pending, now)
+
+
+def advance_all(state: ClaimState, now: float) -> Stepped:
+    """Looks again at all agreements after the members changed."""
+    outputs: list[Output] = []
+    for pending in tuple(state.pending.values()):
+        if pending.agreeing:
+            state, more = _advance(state, pending, now)
+            outputs.extend(more)
+    return state, tuple(outputs)
+
+
+def _advance(state: ClaimState, pending: Pending, now: float) -> Stepped:
+    covered = state.covered | pending.covered
+    counted = (state.members | pending.members) - covered - {state.me}
+    missing = counted - pending.granted
+    if not missing:
+        return run(state, pending, now)
+    ended = state.ended | superseded(counted | {state.me})
+    ask = missing - ended - pending.asked
+    if not missing - ended:
+        # Only members that ended are missing, and nobody has covered them.
+        return settle(state, pending, Unknown("member-ended"))
+    pending = replace(pending, asked=pending.asked | ask)
+    claim = pending.claim
+    state = replace(state, pending=state.pending.set(claim.claim_id, pending))
+    question = ClaimQuestion(claim, state.shard)
+    return state, tuple(Ask(peer, question) for peer in sorted(ask))
+
+
+# Answers to peers.
+
+
+def answer(event: PeerAsked, state: ClaimState, now: float) -> Stepped:
+    """Answers a peer's question, at once or after the claim was read back."""
+    return _answer(event.question, event, state, now)
+
+
+@singledispatch
+def _answer(
+    question: object, event: PeerAsked, state: ClaimState, now: float
+) -> Stepped:
+    raise TypeError(type(question).__name__)
+
+
+@_answer.register
+def _(
+    question: GrantsQuestion, event: PeerAsked, state: ClaimState, now: float
+) -> Stepped:
+    claims = tuple(grant.claim for grant in state.grants.values())
+    members = tuple(sorted(state.members - state.covered))
+    reply = Reply(
+        event.token, GrantsRemembered(state.complete, claims, members)
+    )
+    members_now = state.members | {event.sender}
+    state = replace(
+        state,
+        members=members_now,
+        ended=state.ended | superseded(members_now | {state.me}),
+    )
+    # Agreements under way need the consent of the new member too.
+    state, more = advance_all(state, now)
+    return state, (reply, *more)
+
+
+@_answer.register
+def _(
+    question: ClaimQuestion, event: PeerAsked, state: ClaimState, now: float
+) -> Stepped:
+    claim = question.claim
+    refused = _refusal(state, claim, event.sender)
+    if refused:
+        return state, (Reply(event.token, Denied(refused)),)
+    holder = state.table.holder(claim.digest)
+    if holder is not None:
+        won = holder.claim.claim_id == claim.claim_id
+        reply = Won() if won else Denied("claimed")
+        return state, (Reply(event.token, reply),)
+    if state.log_up:
+        return _proxy(event, claim, state, now), ()
+    state, outputs = _yield_own(state, claim)
+    if claim.digest in state.keys:
+        return state, (Reply(event.token, Denied("in-progress")),)
+    state = remember(state, claim, now, override=bool(outputs))
+    members = tuple(sorted(state.members - state.covered))
+    granted = Granted(members, tuple(sorted(state.covered)))
+    return state, (*outputs, Reply(event.token, granted))
+
+
+def _refusal(state: ClaimState, claim: Claim, sender: str) -> str:
+    """Why a peer's claim is denied without regard to the log, or ''."""
+    grant = state.grants.get(claim.digest)
+    own = state.keys.get(claim.digest)
+    granted_to_other = grant is not None and grant.claim.claim_id not in (
+        claim.claim_id,
+        own,
+    )
+    proxied_for_other = any(
+        p.claim.digest == claim.digest and p.claim != claim
+        for p in state.proxied.values()
+    )
+    checks = (
+        (claim.owner != sender, "not-the-owner"),
+        (not state.complete, "memory-incomplete"),
+        (sender not in state.members, "not-a-member"),
+        (sender in state.ended, "ended"),
+        (claim.digest in state.runs, "claimed"),
+        (granted_to_other, "granted"),
+        (proxied_for_other, "in-progress"),
+        (state.log_up and own is not None, "in-progress"),
+    )
+    return next((reason for failed, reason in checks if failed), "")
+
+
+def _yield_own(state: ClaimState, claim: Claim) -> Stepped:
+    """Gives up an own attempt at the key for a peer with a lower id."""
+    claim_id = state.keys.get(claim.digest)
+    if claim_id is None or instance_of(state.me) < instance_of(claim.owner):
+        return state, ()
+    return settle(state, state.pending[claim_id], Unknown("yielded"))
+
+
+def _proxy(
+    event: PeerAsked, claim: Claim, state: ClaimState, now: float
+) -> ClaimState:
+    known = state.proxied.get(claim.claim_id)
+    tokens = (event.token,) if known is None else (*known.tokens, event.token)
+    proxied = Proxied(claim, tokens, now + _PROXY_S)
+    outbox = state.outbox
+    if known is None:
+        outbox = outbox.set(claim.claim_id, claim)
+    return replace(
+        state,
+        proxied=state.proxied.set(claim.claim_id, proxied),
+        outbox=outbox,
+    )
+
+
+# Answers of peers.
+
+
+def answered(event: PeerAnswered, state: ClaimState, now: float) -> Stepped:
+    """Takes a peer's answer, or its silence, into account."""
+    if isinstance(event.question, GrantsQuestion):
+        if isinstance(event.answer, GrantsRemembered):
+            return _collected(event.peer, event.answer, state, now)
+        return state, ()
+    pending = state.pending.get(event.question.claim.claim_id)
+    if pending is None or not pending.agreeing:
+        return state, ()
+    return _claim_answer(event.answer, event.peer, pending, state, now)
+
+
+@singledispatch
+def _claim_answer(
+    answer: object,
+    peer: str,
+    pending: Pending,
+    state: ClaimState,
+    now: float,
+) -> Stepped:
+    """Takes no answer, or one that does not fit, for silence."""
+    if peer in state.covered | pending.covered:
+        return state, ()
+    return settle(state, pending, Unknown("peer-silent"))
+
+
+@_claim_answer.register
+def _(
+    answer: Denied, peer: str, pending: Pending, state: ClaimState, now: float
+) -> Stepped:
+    return settle(state, pending, Unknown(f"peer-{answer.reason}"))
+
+
+@_claim_answer.register
+def _(
+    answer: Won, peer: str, pending: Pending, state: ClaimState, now: float
+) -> Stepped:
+    return run(state, pending, now)
+
+
+@_claim_answer.register
+def _(
+    answer: Granted, peer: str, pending: Pending, state: ClaimState, now: float
+) -> Stepped:
+    pending = replace(
+        pending,
+        granted=pending.granted | {peer},
+        members=pending.members | frozenset(answer.members),
+        covered=pending.covered | frozenset(answer.covered),
+    )
+    claim_id = pending.claim.claim_id
+    state = replace(state, pending=state.pending.set(claim_id, pending))
+    return _advance(state, pending, now)
+
+
+# Members that joined.
+
+
+def collect(state: ClaimState, now: float) -> Stepped:
+    """Asks the members for their grants until this one knows all."""
+    joined = state.predecessors is not None
+    if not joined or state.complete or now < state.collect_at:
+        return state, ()
+    peers = _to_collect(state)
+    if not _knows_complete(state):
+        peers |= {peer for peer in state.collected if peer not in state.ended}
+    state = replace(state, collect_at=now + _COLLECT_EVERY_S)
+    question = GrantsQuestion(state.shard)
+    return state, tuple(Ask(peer, question) for peer in sorted(peers))
+
+
+def knows_all(state: ClaimState, now: float) -> bool:
+    """Whether a read that just reached the head completes the memory.
+
+    Every grant is remembered by each member of its time, so one complete
+    member tells all of them. The others are asked too, since they must know
+    this member before it claims anything.
+    """
+    if state.predecessors is None or _to_collect(state):
+        return False
+    expired = now - state.joined_at >= state.table.retention_s
+    lost = state.accept_memory_loss or expired
+    return not state.predecessors or _knows_complete(state) or lost
+
+
+def _to_collect(state: ClaimState) -> frozenset[str]:
+    assert state.predecessors is not None
+    return state.predecessors - state.ended - frozenset(state.collected)
+
+
+def _knows_complete(state: ClaimState) -> bool:
+    return any(state.collected.values())
+
+
+def _collected(
+    peer: str, answer: GrantsRemembered, state: ClaimState, now: float
+) -> Stepped:
+    if state.complete:
+        # A late answer. Whatever was granted since the first one needed the
+        # consent of this member.
+        return state, ()
+    complete = answer.complete or state.collected.get(peer, False)
+    state = replace(state, collected=state.collected.set(peer, complete))
+    for claim in answer.claims:
+        holder = state.table.holder(claim.digest)
+        if holder is None or holder.claim.claim_id != claim.claim_id:
+            state = remember(state, claim, now)
+    members = state.members | (frozenset(answer.members) - {state.me})
+    state = replace(state, members=members)
+    ended = state.ended | superseded(members | {state.me})
+    return replace(state, ended=ended), ()
--- /dev/null
+++ b/acaciawing/idempotency/events.py
@@ -0,0 +1,281 @@
+"""Typed inputs and outputs of the claim rules, and messages between peers.
+
+A member is named ``instance/incarnation`` everywhere, so that an answer of a
+replacement is never taken for one of its predecessor.
+"""
+
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from acaciawing.idempotency.records import Claim, ClaimBatch
+from acaciawing.records import LogPosition, record_type
+
+# Decisions.
+
+
+@dataclass(frozen=True)
+class Run:
+    """This copy, and no other one, runs the request."""
+
+    claim: Claim
+
+
+@dataclass(frozen=True)
+class InProgress:
+    """Another copy of the request is in progress in this instance."""
+
+
+@dataclass(frozen=True)
+class Finished:
+    """The request ended before, with this status."""
+
+    status: int
+
+
+@dataclass(frozen=True)
+class KeyReused:
+    """The key belongs to a different request."""
+
+
+@dataclass(frozen=True)
+class Unknown:
+    """Another copy ran, runs, or may run elsewhere.
+
+    Attributes:
+        reason: Code in kebab case.
+    """
+
+    reason: str
+
+
+ClaimDecision: TypeAlias = Run | InProgress | Finished | KeyReused | Unknown
+
+# Messages between entry instances.
+
+
+@record_type("claim-question", version=1)
+@dataclass(frozen=True)
+class ClaimQuestion:
+    """May the sender run this claim?"""
+
+    claim: Claim
+    shard: int = 0
+
+
+@record_type("claim-granted", version=1)
+@dataclass(frozen=True)
+class Granted:
+    """The answerer has not seen the key, has no log, and remembers the grant.
+
+    Attributes:
+        members: Members that the answerer knows.
+        covered: Members that ended before the answerer last read the whole
+            claim stream. It knows all that they claimed there.
+    """
+
+    members: tuple[str, ...]
+    covered: tuple[str, ...]
+
+
+@record_type("claim-won", version=1)
+@dataclass(frozen=True)
+class Won:
+    """The claim holds the key in the log."""
+
+
+@record_type("claim-denied", version=1)
+@dataclass(frozen=True)
+class Denied:
+    """The claim must not run.
+
+    Attributes:
+        reason: Code in kebab case.
+    """
+
+    reason: str
+
+
+@record_type("grants-question", version=1)
+@dataclass(frozen=True)
+class GrantsQuestion:
+    """A member that joined asks for all grants, and makes itself known."""
+
+    shard: int = 0
+
+
+@record_type("grants-remembered", version=1)
+@dataclass(frozen=True)
+class GrantsRemembered:
+    """Answer to `GrantsQuestion`.
+
+    Attributes:
+        complete: Whether the answerer knows every grant of an outage.
+        claims: Remembered grants, attempts of the answerer included.
+        members: Members that the answerer knows.
+    """
+
+    complete: bool
+    claims: tuple[Claim, ...]
+    members: tuple[str, ...]
+
+
+PeerQuestion: TypeAlias = ClaimQuestion | GrantsQuestion
+PeerAnswer: TypeAlias = Granted | Won | Denied | GrantsRemembered
+
+# Inputs.
+
+
+@dataclass(frozen=True)
+class Joined:
+    """The log has this instance on the roster.
+
+    Attributes:
+        predecessors: Members on the roster just before this instance's own
+            join record.
+    """
+
+    predecessors: frozenset[str]
+
+
+@dataclass(frozen=True)
+class RosterRead:
+    """Roster by the log, and members that the platform reports as ended."""
+
+    members: frozenset[str]
+    ended: frozenset[str]
+
+
+@dataclass(frozen=True)
+class ClaimWanted:
+    """A request with a key arrived.
+
+    Attributes:
+        token: Identifies the request in `Decided`.
+        customer: Name of the customer.
+        digest: Digest of customer and key.
+        fingerprint: Digest of the request.
+        deadline: Time by which a decision is needed, in seconds.
+    """
+
+    token: int
+    customer: str
+    digest: str
+    fingerprint: str
+    deadline: float
+
+
+@dataclass(frozen=True)
+class FinishWanted:
+    """The request of a claim ended."""
+
+    claim: Claim
+    status: int
+
+
+@dataclass(frozen=True)
+class ReleaseWanted:
+    """The request of a claim did not run and will not."""
+
+    claim: Claim
+
+
+@dataclass(frozen=True)
+class WantedNoMore:
+    """Nobody waits for the decision of this token any more."""
+
+    token: int
+
+
+@dataclass(frozen=True)
+class BatchAppended:
+    """The batch is in the log."""
+
+    offset: int
+
+
+@dataclass(frozen=True)
+class BatchUnknown:
+    """The batch may be in the log, or get there later."""
+
+
+@dataclass(frozen=True)
+class BatchNotAppended:
+    """The batch is provably not in the log."""
+
+
+@dataclass(frozen=True)
+class BatchRead:
+    """A batch was read from the log, in order of offsets."""
+
+    batch: ClaimBatch
+    position: LogPosition
+
+
+@dataclass(frozen=True)
+class CaughtUp:
+    """A read that began after all earlier inputs reached the log's head."""
+
+
+@dataclass(frozen=True)
+class LogAway:
+    """The log did not answer."""
+
+
+@dataclass(frozen=True)
+class PeerAsked:
+    """A peer asks; `token` identifies the question in `Reply`."""
+
+    token: int
+    sender: str
+    question: PeerQuestion
+
+
+@dataclass(frozen=True)
+class PeerAnswered:
+    """A peer answered, or did not (None)."""
+
+    peer: str
+    question: PeerQuestion
+    answer: PeerAnswer | None
+
+
+@dataclass(frozen=True)
+class Tick:
+    """Time passed."""
+
+
+# Outputs.
+
+
+@dataclass(frozen=True)
+class Append:
+    """Append this batch to the stream."""
+
+    batch: ClaimBatch
+
+
+@dataclass(frozen=True)
+class Ask:
+    """Ask this peer."""
+
+    peer: str
+    question: PeerQuestion
+
+
+@dataclass(frozen=True)
+class Reply:
+    """Answer a peer's question."""
+
+    token: int
+    answer: PeerAnswer
+
+
+@dataclass(frozen=True)
+class Decided:
+    """Answer a request."""
+
+    token: int
+    decision: ClaimDecision
+
+
+Output: TypeAlias = Append | Ask | Reply | Decided
--- /dev/null
+++ b/acaciawing/idempotency/records.py
@@ -0,0 +1,108 @@
+"""Claim records of the claim streams."""
+
+import hashlib
+from dataclasses import dataclass
+
+import xxhash
+
+from acaciawing.records import record_type
+
+
+@dataclass(frozen=True)
+class Claim:
+    """A wish to run the request with one idempotency key.
+
+    Attributes:
+        customer: Name of the customer.
+        digest: Digest of customer and key; see `key_digest`.
+        fingerprint: Digest of the request, to detect a key that is reused for
+            another request.
+        claim_id: ``instance/incarnation/number``; unique over time.
+    """
+
+    customer: str
+    digest: str
+    fingerprint: str
+    claim_id: str
+
+    @property
+    def owner(self) -> str:
+        """``instance/incarnation`` that may run the request."""
+        return self.claim_id.rpartition("/")[0]
+
+
+@dataclass(frozen=True)
+class ClaimReleased:
+    """The winner of a key has not run it and never will by this claim."""
+
+    digest: str
+    claim_id: str
+
+
+@dataclass(frozen=True)
+class ClaimFinished:
+    """The request of a key ended with a status."""
+
+    digest: str
+    claim_id: str
+    status: int
+
+
+@record_type("claim-batch", version=1)
+@dataclass(frozen=True)
+class ClaimBatch:
+    """Group commit of one entry instance.
+
+    Releases and ends travel with the claims, so that they cost no append of
+    their own. Releases apply before the claims of the same batch, ends after.
+
+    Attributes:
+        claims: Claims; remembered grants come first.
+        releases: Releases of claims in earlier batches.
+        finished: Ends of requests claimed in earlier batches.
+    """
+
+    claims: tuple[Claim, ...] = ()
+    releases: tuple[ClaimReleased, ...] = ()
+    finished: tuple[ClaimFinished, ...] = ()
+
+
+def key_digest(customer: str, key: str) -> str:
+    """Digests an idempotency key together with its customer.
+
+    A collision would refuse a request that never ran, and callers choose their
+    keys, so the digest is a cryptographic one.
+
+    >>> key_digest("a", "bc") == key_digest("ab", "c")
+    False
+    """
+    text = f"{len(customer)}:{customer}{key}"
+    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
+
+
+def request_fingerprint(method: str, target: str, body: bytes) -> str:
+    """Digests what must be equal in a repeat of a request.
+
+    >>> len(request_fingerprint("POST", "/visits/book", b"{}"))
+    32
+    """
+    head = f"{method} {target}\n".encode()
+    return hashlib.blake2b(head + body, digest_size=16).hexdigest()
+
+
+def shard_of(digest: str, shards: int) -> int:
+    """Finds the claim stream of a key.
+
+    >>> shard_of(key_digest("a", "b"), 1)
+    0
+    """
+    return xxhash.xxh3_64_intdigest(digest.encode()) % shards
+
+
+def stream_name(shard: int) -> str:
+    """Names the stream of a shard.
+
+    >>> stream_name(0)
+    'claims-0'
+    """
+    return f"claims-{shard}"
--- /dev/null
+++ b/acaciawing/idempotency/state.py
@@ -0,0 +1,281 @@
+"""What one entry instance knows about the keys of one claim stream."""
+
+from dataclasses import dataclass, replace
+from typing import TypeAlias, TypeVar
+
+from immutables import Map
+
+from acaciawing.idempotency.events import (
+    ClaimDecision,
+    Decided,
+    Finished,
+    InProgress,
+    KeyReused,
+    Output,
+    Run,
+    Unknown,
+)
+from acaciawing.idempotency.records import (
+    Claim,
+    ClaimBatch,
+    ClaimFinished,
+    ClaimReleased,
+)
+from acaciawing.idempotency.table import RETENTION_S, ClaimTable
+
+# All entry instances together may append this often to the claim streams.
+_APPENDS_PER_S = 200.0
+_MIN_INTERVAL_S = 0.02
+
+K = TypeVar("K")
+V = TypeVar("V")
+
+
+@dataclass(frozen=True)
+class Pending:
+    """An undecided claim of this instance.
+
+    Attributes:
+        claim: The claim.
+        token: Request that waits for the decision.
+        deadline: Time of giving up, in seconds.
+        agreeing: Whether peers are asked because the log is away.
+        asked: Peers asked.
+        granted: Peers that granted.
+        members: Members that the granting peers know.
+        covered: Members that a granting peer has covered.
+    """
+
+    claim: Claim
+    token: int
+    deadline: float
+    agreeing: bool = False
+    asked: frozenset[str] = frozenset()
+    granted: frozenset[str] = frozenset()
+    members: frozenset[str] = frozenset()
+    covered: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True)
+class Proxied:
+    """A peer's claim that this instance brings to the log."""
+
+    claim: Claim
+    tokens: tuple[int, ...]
+    deadline: float
+
+
+@dataclass(frozen=True)
+class OwnRun:
+    """A claim that this instance decided to run.
+
+    Attributes:
+        claim: The claim.
+        since: Time of the decision, in seconds.
+        status: Status that the request ended with, or None.
+    """
+
+    claim: Claim
+    since: float
+    status: int | None = None
+
+
+@dataclass(frozen=True)
+class Grant:
+    """A claim that may run, or have run, by agreement without the log."""
+
+    claim: Claim
+    since: float
+
+
+@dataclass(frozen=True)
+class ClaimState:
+    """State of the claim rules in one entry instance, for one stream.
+
+    Attributes:
+        me: ``instance/incarnation`` of this instance.
+        shard: Number of the claim stream.
+        shards: Number of claim streams, which share the append budget.
+        accept_memory_loss: Whether a member takes keyed work although no
+            member is left that knows the grants of the last outage.
+        table: Fold of the stream.
+        log_up: Whether the log answered the last call.
+        predecessors: Members before this one joined; None if it has not
+            joined.
+        joined_at: Time of `Joined`, in seconds.
+        complete: Whether this instance knows all grants; see `Joined`.
+        collected: Members that answered `GrantsQuestion`, with their
+            completeness.
+        collect_at: Time of the next question to them, in seconds.
+        members: Other members whose consent counts.
+        roster: Other members on the roster last read; a member that is known
+            only from its own question is in `members` alone.
+        ended: Members that can run nothing any more.
+        covered: Ended members all of whose claims in the log were read.
+        pending: Undecided own claims by claim id.
+        keys: Claim ids in `pending` by key digest.
+        proxied: Claims of peers by claim id.
+        runs: Own runs by key digest.
+        grants: Remembered grants by key digest.
+        unflushed: Grants whose key is not held in the log yet.
+        outbox: Claims to append, by claim id.
+        releases: Releases to append, by claim id.
+        finished: Ends to append, by claim id.
+        inflight: Batch that was given to the log, until it is read back.
+        inflight_offset: Its offset, once known.
+        last_append_at: Time of the last append, in seconds.
+        finish_due_at: Time by which ends are appended without claims.
+        pruned_at: Time of the last removal of expired memory, in seconds.
+        claims_made: Number of claims made; makes claim ids unique.
+    """
+
+    me: str
+    shard: int = 0
+    shards: int = 1
+    accept_memory_loss: bool = False
+    table: ClaimTable = ClaimTable(RETENTION_S)
+    log_up: bool = False
+    predecessors: frozenset[str] | None = None
+    joined_at: float = 0.0
+    complete: bool = False
+    collected: Map[str, bool] = Map()
+    collect_at: float = 0.0
+    members: frozenset[str] = frozenset()
+    roster: frozenset[str] = frozenset()
+    ended: frozenset[str] = frozenset()
+    covered: frozenset[str] = frozenset()
+    pending: Map[str, Pending] = Map()
+    keys: Map[str, str] = Map()
+    proxied: Map[str, Proxied] = Map()
+    runs: Map[str, OwnRun] = Map()
+    grants: Map[str, Grant] = Map()
+    unflushed: Map[str, Claim] = Map()
+    outbox: Map[str, Claim] = Map()
+    releases: Map[str, ClaimReleased] = Map()
+    finished: Map[str, ClaimFinished] = Map()
+    inflight: ClaimBatch | None = None
+    inflight_offset: int | None = None
+    last_append_at: float = float("-inf")
+    finish_due_at: float = float("inf")
+    pruned_at: float = 0.0
+    claims_made: int = 0
+
+    @property
+    def interval_s(self) -> float:
+        """Least time between two appends of this instance, in seconds.
+
+        >>> ClaimState("a/1", members=frozenset("bcdefghi")).interval_s
+        0.045
+        """
+        size = len(self.members - self.ended) + 1
+        return self.shards * max(_MIN_INTERVAL_S, size / _APPENDS_PER_S)
+
+    @property
+    def flushed(self) -> bool:
+        """Whether the log holds all that this instance must remember."""
+        return not (self.unflushed or self.releases or self.inflight)
+
+
+Stepped: TypeAlias = tuple[ClaimState, tuple[Output, ...]]
+
+
+def instance_of(member: str) -> str:
+    """Instance id of a member.
+
+    >>> instance_of("entry-1/3")
+    'entry-1'
+    """
+    return member.rpartition("/")[0]
+
+
+def superseded(members: frozenset[str]) -> frozenset[str]:
+    """Members that a higher incarnation of the same instance replaced.
+
+    >>> sorted(superseded(frozenset(("a/1", "a/2", "b/9"))))
+    ['a/1']
+    """
+    newest: dict[str, int] = {}
+    for member in members:
+        instance, _, number = member.rpartition("/")
+        newest[instance] = max(int(number), newest.get(instance, 0))
+    return frozenset(
+        m for m in members if int(m.rpartition("/")[2]) < newest[instance_of(m)]
+    )
+
+
+def known_decision(
+    state: ClaimState, digest: str, fingerprint: str
+) -> ClaimDecision | None:
+    """Decision from what is known of a key, or None if it was not seen."""
+    claim_id = state.keys.get(digest)
+    run = state.runs.get(digest)
+    grant = state.grants.get(digest)
+    holder = state.table.holder(digest)
+    status: int | None = None
+    if claim_id is not None:
+        claim, decision = state.pending[claim_id].claim, InProgress()
+    elif run is not None:
+        claim, status, decision = run.claim, run.status, InProgress()
+    elif holder is not None:
+        claim, status = holder.claim, holder.status
+        return _repeat(claim, fingerprint, status, Unknown("claimed"))
+    elif grant is not None:
+        claim = grant.claim
+        return _repeat(claim, fingerprint, None, Unknown("granted"))
+    else:
+        return None
+    return _repeat(claim, fingerprint, status, decision)
+
+
+def _repeat(
+    claim: Claim, fingerprint: str, status: int | None, otherwise: ClaimDecision
+) -> ClaimDecision:
+    if claim.fingerprint != fingerprint:
+        return KeyReused()
+    return otherwise if status is None else Finished(status)
+
+
+def remember(
+    state: ClaimState, claim: Claim, now: float, override: bool = False
+) -> ClaimState:
+    """Remembers that a claim may run without the log.
+
+    Args:
+        state: State before.
+        claim: The claim.
+        now: Time, in seconds.
+        override: Whether an earlier grant of the key is replaced.
+    """
+    if claim.digest in state.grants and not override:
+        return state
+    unflushed = state.unflushed
+    if state.table.holder(claim.digest) is None:
+        unflushed = unflushed.set(claim.digest, claim)
+    grants = state.grants.set(claim.digest, Grant(claim, now))
+    return replace(state, grants=grants, unflushed=unflushed)
+
+
+def settle(
+    state: ClaimState, pending: Pending, decision: ClaimDecision
+) -> Stepped:
+    """Ends a pending claim; it can't run by any later input."""
+    claim_id, digest = pending.claim.claim_id, pending.claim.digest
+    state = replace(
+        state,
+        pending=without(state.pending, claim_id),
+        keys=without(state.keys, digest),
+        outbox=without(state.outbox, claim_id),
+    )
+    return state, (Decided(pending.token, decision),)
+
+
+def run(state: ClaimState, pending: Pending, now: float) -> Stepped:
+    """Decides to run a pending claim."""
+    claim = pending.claim
+    runs = state.runs.set(claim.digest, OwnRun(claim, now))
+    return settle(replace(state, runs=runs), pending, Run(claim))
+
+
+def without(table: Map[K, V], key: K) -> Map[K, V]:
+    """The table without a key that it may hold."""
+    return table.delete(key) if key in table else table
--- /dev/null
+++ b/acaciawing/idempotency/table.py
@@ -0,0 +1,157 @@
+"""Fold of one claim stream: who holds which key."""
+
+from dataclasses import dataclass, replace
+from functools import singledispatch
+
+from immutables import Map
+
+from acaciawing.idempotency.records import (
+    Claim,
+    ClaimBatch,
+    ClaimFinished,
+    ClaimReleased,
+)
+from acaciawing.outcomes import Accepted, Ignored, Verdict
+from acaciawing.records import LogPosition
+
+RETENTION_S = 24 * 3600.0
+# Keys are dropped by the minute: one scan per minute of log time, each over
+# the keys of one minute, instead of one ordered structure over all keys.
+_SLOT_S = 60.0
+
+
+@dataclass(frozen=True)
+class Holder:
+    """The accepted claim of a key.
+
+    Attributes:
+        claim: The claim that was first.
+        claimed_at: Log time of its append, in seconds.
+        status: Status that the request ended with, if it was recorded.
+    """
+
+    claim: Claim
+    claimed_at: float
+    status: int | None = None
+
+
+@dataclass(frozen=True)
+class ClaimTable:
+    """Keys that are held, at one offset of a claim stream.
+
+    Attributes:
+        retention_s: Seconds of log time for which a claim holds.
+        log_time: Log time of the newest record, in seconds.
+        holders: Holders by key digest.
+        slots: Digests by minute of their claim, oldest slots dropped.
+        oldest_slot: No slot below this one is kept.
+    """
+
+    retention_s: float = RETENTION_S
+    log_time: float = 0.0
+    holders: Map[str, Holder] = Map()
+    slots: Map[int, Map[str, None]] = Map()
+    oldest_slot: int = 0
+
+    def holder(self, digest: str) -> Holder | None:
+        """The holder of a key at `log_time`, or None."""
+        holder = self.holders.get(digest)
+        if holder is None or self._expired(holder):
+            return None
+        return holder
+
+    def _expired(self, holder: Holder) -> bool:
+        return self.log_time - holder.claimed_at >= self.retention_s
+
+
+@singledispatch
+def apply(
+    record: object, table: ClaimTable, position: LogPosition
+) -> tuple[ClaimTable, Verdict]:
+    """Applies a record of a claim stream.
+
+    Args:
+        record: `ClaimBatch`, or one member of it.
+        table: The table before it.
+        position: Place of the batch in its stream.
+
+    Returns:
+        The table after it and the verdict.
+
+    Raises:
+        TypeError: If the record does not concern claims.
+    """
+    raise TypeError(type(record).__name__)
+
+
+@apply.register
+def _(
+    record: ClaimBatch, table: ClaimTable, position: LogPosition
+) -> tuple[ClaimTable, Verdict]:
+    table = _at(table, position)
+    for part in (*record.releases, *record.claims, *record.finished):
+        table, _verdict = apply(part, table, position)
+    return table, Accepted()
+
+
+@apply.register
+def _(
+    record: Claim, table: ClaimTable, position: LogPosition
+) -> tuple[ClaimTable, Verdict]:
+    table = _at(table, position)
+    holder = table.holder(record.digest)
+    if holder is not None:
+        return table, Ignored("claimed", holder.claim.claim_id)
+    slot = int(position.appended_at // _SLOT_S)
+    digests = table.slots.get(slot, Map()).set(record.digest, None)
+    taken = Holder(record, position.appended_at)
+    table = replace(
+        table,
+        holders=table.holders.set(record.digest, taken),
+        slots=table.slots.set(slot, digests),
+    )
+    return table, Accepted()
+
+
+@apply.register
+def _(
+    record: ClaimReleased, table: ClaimTable, position: LogPosition
+) -> tuple[ClaimTable, Verdict]:
+    holder = table.holders.get(record.digest)
+    if holder is None or holder.claim.claim_id != record.claim_id:
+        return table, Ignored("not-the-holder", record.claim_id)
+    holders = table.holders.delete(record.digest)
+    return replace(table, holders=holders), Accepted()
+
+
+@apply.register
+def _(
+    record: ClaimFinished, table: ClaimTable, position: LogPosition
+) -> tuple[ClaimTable, Verdict]:
+    holder = table.holders.get(record.digest)
+    if holder is None or holder.claim.claim_id != record.claim_id:
+        return table, Ignored("not-the-holder", record.claim_id)
+    ended = replace(holder, status=record.status)
+    holders = table.holders.set(record.digest, ended)
+    return replace(table, holders=holders), Accepted()
+
+
+def _at(table: ClaimTable, position: LogPosition) -> ClaimTable:
+    """Moves the table's time on and drops slots that have expired."""
+    log_time = max(table.log_time, position.appended_at)
+    table = replace(table, log_time=log_time)
+    # A slot is dropped whole, so only after its last second has expired.
+    keep_from = int((log_time - table.retention_s) // _SLOT_S)
+    if keep_from <= table.oldest_slot:
+        return table
+    holders, slots = table.holders.mutate(), table.slots
+    for slot in sorted(s for s in slots if s < keep_from):
+        for digest in slots[slot]:
+            holder = holders.get(digest)
+            # A released key may have been claimed again in a later slot.
+            if holder is not None and holder.claimed_at < keep_from * _SLOT_S:
+                del holders[digest]
+        slots = slots.delete(slot)
+    return replace(
+        table, holders=holders.finish(), slots=slots, oldest_slot=keep_from
+    )
--- /dev/null
+++ b/acaciawing/idempotency/tests/model.py
@@ -0,0 +1,230 @@
+"""Entry instances, a faulty network and a faulty log, driven step by step."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from acaciawing.idempotency import events as e
+from acaciawing.idempotency.records import Claim, ClaimBatch, key_digest
+from acaciawing.idempotency.rules import step as real_step
+from acaciawing.idempotency.state import ClaimState, Stepped
+from acaciawing.idempotency.table import ClaimTable
+from acaciawing.records import LogPosition
+
+StepFunction = Callable[[object, ClaimState, float], Stepped]
+
+DAY_S = 1e6
+
+
+@dataclass
+class Node:
+    """One incarnation of an entry instance."""
+
+    state: ClaimState
+    alive: bool = True
+    log_reachable: bool = True
+    next_offset: int = 0
+    questions: dict[int, tuple[str, e.PeerQuestion]] = field(
+        default_factory=dict
+    )
+
+
+@dataclass(frozen=True)
+class Message:
+    """A question (answer None) or an answer under way."""
+
+    sender: str
+    receiver: str
+    question: e.PeerQuestion
+    answer: e.PeerAnswer | None = None
+
+
+class Model:
+    """Runs the rules of several instances and counts runs of each key."""
+
+    def __init__(self, size: int, step: StepFunction = real_step) -> None:
+        """Starts ``size`` members that joined and know all grants."""
+        self._step = step
+        self.now = 0.0
+        self.log: list[ClaimBatch] = []
+        self.delayed: list[ClaimBatch] = []
+        self.joins: list[str] = []
+        self.nodes: dict[str, Node] = {}
+        self.network: list[Message] = []
+        self.live: dict[str, list[Claim]] = {}
+        self.released: set[str] = set()
+        self.decisions: dict[int, e.ClaimDecision] = {}
+        self._token = 0
+        # Fate of the next append: see `_append`.
+        self.fate = 0
+        for name in "abcd"[:size]:
+            self.join(f"{name}/1")
+            self.settle()
+
+    def roster(self) -> frozenset[str]:
+        newest = {m.rpartition("/")[0]: m for m in self.joins}
+        return frozenset(newest.values())
+
+    def running(self) -> list[str]:
+        return [m for m, node in self.nodes.items() if node.alive]
+
+    def join(self, member: str) -> None:
+        before = self.roster()
+        self.joins.append(member)
+        table = ClaimTable(DAY_S)
+        self.nodes[member] = Node(ClaimState(member, table=table))
+        self.feed(member, e.Joined(before))
+        self.read(member)
+        self.tick(member)
+
+    def settle(self) -> None:
+        """Delivers all messages and lets every instance read the log."""
+        for _ in range(6):
+            while self.network:
+                self.deliver(0)
+            self.now += 1.0
+            for member in self.running():
+                self.read(member)
+                self.tick(member)
+
+    # What can happen.
+
+    def request(self, member: str, key: str, deadline: float = 1e9) -> int:
+        self._token += 1
+        digest = key_digest("customer", key)
+        self.feed(
+            member,
+            e.ClaimWanted(self._token, "customer", digest, "f", deadline),
+        )
+        return self._token
+
+    def tick(self, member: str) -> None:
+        self.feed(member, e.Tick())
+
+    def read(self, member: str, limit: int | None = None) -> None:
+        """Reads the log; a limited read does not reach its head."""
+        node = self.nodes[member]
+        if not node.log_reachable:
+            self.feed(member, e.LogAway())
+            return
+        if limit is None:
+            self.feed(member, e.RosterRead(self.roster(), frozenset()))
+        head = len(self.log)
+        if limit is not None:
+            head = min(head, node.next_offset + limit)
+        while node.next_offset < head:
+            offset = node.next_offset
+            node.next_offset += 1
+            position = LogPosition(offset, float(offset))
+            self.feed(member, e.BatchRead(self.log[offset], position))
+        if limit is None:
+            self.feed(member, e.CaughtUp())
+
+    def list_ended(self, member: str) -> None:
+        """The platform's list tells a member which incarnations ended."""
+        ended = frozenset(m for m, n in self.nodes.items() if not n.alive)
+        roster = self.nodes[member].state.roster | {member}
+        self.feed(member, e.RosterRead(roster, ended))
+
+    def crash(self, member: str) -> None:
+        self.nodes[member].alive = False
+
+    def replace(self, member: str) -> None:
+        name, _, number = member.rpartition("/")
+        self.crash(member)
+        self.join(f"{name}/{int(number) + 1}")
+
+    def take_effect(self, index: int) -> None:
+        self.log.append(self.delayed.pop(index % len(self.delayed)))
+
+    def deliver(self, index: int, keep: bool = False) -> None:
+        index %= len(self.network)
+        message = self.network[index]
+        if not keep:
+            del self.network[index]
+        if message.answer is not None:
+            answer = e.PeerAnswered(
+                message.sender, message.question, message.answer
+            )
+            self.feed(message.receiver, answer)
+            return
+        node = self.nodes.get(message.receiver)
+        if node is None:
+            return
+        self._token += 1
+        node.questions[self._token] = (message.sender, message.question)
+        asked = e.PeerAsked(self._token, message.sender, message.question)
+        self.feed(message.receiver, asked)
+
+    def drop(self, index: int) -> None:
+        message = self.network.pop(index % len(self.network))
+        if message.answer is None:
+            silent = e.PeerAnswered(message.receiver, message.question, None)
+            self.feed(message.sender, silent)
+
+    def finish(self, member: str, digest: str) -> None:
+        run = self.nodes[member].state.runs[digest]
+        self.feed(member, e.FinishWanted(run.claim, 200))
+
+    def release(self, member: str, digest: str) -> None:
+        """Answers "not run" for a claim that was decided to run."""
+        run = self.nodes[member].state.runs[digest]
+        if run.status is not None or run.claim.claim_id in self.released:
+            return
+        assert self.live[digest] == [run.claim], "false 'not run'"
+        self.live[digest].remove(run.claim)
+        self.released.add(run.claim.claim_id)
+        self.feed(member, e.ReleaseWanted(run.claim))
+
+    # Effects.
+
+    def feed(self, member: str, event: object) -> None:
+        node = self.nodes.get(member)
+        if node is None or not node.alive:
+            return
+        node.state, outputs = self._step(event, node.state, self.now)
+        for output in outputs:
+            self._effect(member, node, output)
+
+    def _effect(self, member: str, node: Node, output: e.Output) -> None:
+        if isinstance(output, e.Append):
+            self._append(member, node, output.batch)
+        elif isinstance(output, e.Ask):
+            self.network.append(Message(member, output.peer, output.question))
+        elif isinstance(output, e.Reply):
+            asker, question = node.questions[output.token]
+            self.network.append(Message(member, asker, question, output.answer))
+        else:
+            self.decisions[output.token] = output.decision
+            if isinstance(output.decision, e.Run):
+                self._ran(output.decision.claim)
+
+    def _ran(self, claim: Claim) -> None:
+        assert claim.claim_id not in self.released, "run after 'not run'"
+        live = self.live.setdefault(claim.digest, [])
+        live.append(claim)
+        assert len(live) == 1, f"two runs: {live}"
+
+    def _append(self, member: str, node: Node, batch: ClaimBatch) -> None:
+        fate, self.fate = self.fate, 0
+        reached = node.log_reachable
+        if reached and fate == 0:
+            self.log.append(batch)
+            self.feed(member, e.BatchAppended(len(self.log) - 1))
+        elif fate == 1:
+            if reached:
+                self.log.append(batch)
+            self.feed(member, e.BatchUnknown())
+        elif fate == 2:
+            self.delayed.append(batch)
+            self.feed(member, e.BatchUnknown())
+        else:
+            self.feed(member, e.BatchNotAppended())
+
+
+def ended_members_skipped(
+    event: object, state: ClaimState, now: float
+) -> Stepped:
+    """The rule as first designed: an ended member is not asked at all."""
+    if isinstance(event, e.RosterRead):
+        state = replace(state, covered=state.covered | event.ended)
+    return real_step(event, state, now)
--- /dev/null
+++ b/acaciawing/idempotency/tests/test_interleavings.py
@@ -0,0 +1,319 @@
+"""Tests of at-most-once execution over interleavings of faults."""
+
+from collections.abc import Callable
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from acaciawing.idempotency import events as e
+from acaciawing.idempotency.tests.model import Model, ended_members_skipped
+from acaciawing.idempotency.tests.naive import memory_only, zone_owner
+
+_Act = Callable[[Model, int, int], None]
+
+
+def _pick(model: Model, number: int) -> str | None:
+    running = model.running()
+    return running[number % len(running)] if running else None
+
+
+def _on_node(act: Callable[[Model, str, int], None]) -> _Act:
+    def run(model: Model, a: int, b: int) -> None:
+        member = _pick(model, a)
+        if member is not None:
+            act(model, member, b)
+
+    return run
+
+
+def _end(model: Model, member: str, b: int) -> None:
+    runs = [d for d, r in model.nodes[member].state.runs.items()]
+    if runs and b % 3 == 0:
+        model.finish(member, runs[b % len(runs)])
+    elif runs:
+        model.release(member, runs[b % len(runs)])
+
+
+def _flip(model: Model, member: str, b: int) -> None:
+    node = model.nodes[member]
+    node.log_reachable = not node.log_reachable
+    if b % 2:
+        model.read(member)
+
+
+def _all_flip(model: Model, a: int, b: int) -> None:
+    for member in model.running():
+        model.nodes[member].log_reachable = a % 2 == 0
+        if (b >> "abcd".index(member[0])) & 1:
+            model.read(member)
+
+
+def _deliver(model: Model, a: int, b: int) -> None:
+    for _ in range(1 + b % 4):
+        if model.network:
+            model.deliver(a, keep=b == 7)
+
+
+def _time(model: Model, a: int, b: int) -> None:
+    model.now += (0.01, 0.1, 0.6, 3.0)[a % 4]
+    for member in model.running():
+        if (b >> "abcd".index(member[0])) & 1 == 0:
+            model.tick(member)
+
+
+def _fate(model: Model, a: int, b: int) -> None:
+    model.fate = a % 4
+
+
+def _crash(model: Model, member: str, b: int) -> None:
+    if b % 4 == 0:
+        model.crash(member)
+    elif b % 4 == 1:
+        model.replace(member)
+
+
+def _request(model: Model, member: str, b: int) -> None:
+    model.request(member, "kl"[b % 2], model.now + 5.0)
+
+
+def _drop(model: Model, a: int, b: int) -> None:
+    if model.network and b % 2:
+        model.drop(a)
+
+
+def _late(model: Model, a: int, b: int) -> None:
+    if model.delayed:
+        model.take_effect(a)
+
+
+_ACTS: dict[str, _Act] = {
+    "request": _on_node(lambda m, n, b: _request(m, n, b)),
+    "deliver": _deliver,
+    "drop": _drop,
+    "time": _time,
+    "read": _on_node(lambda m, n, b: m.read(n)),
+    "read-some": _on_node(lambda m, n, b: m.read(n, 1 + b % 2)),
+    "fate": _fate,
+    "late": _late,
+    "flip": _on_node(_flip),
+    "all-flip": _all_flip,
+    "end": _on_node(_end),
+    "crash": _on_node(_crash),
+    "list": _on_node(lambda m, n, b: m.list_ended(n)),
+}
+# Requests and deliveries are frequent, so that agreements get to their end.
+_NAMES = (*_ACTS, "request", "request", "deliver", "deliver", "deliver", "read")
+
+_SCRIPTS = st.lists(
+    st.tuples(st.sampled_from(_NAMES), st.integers(0, 7), st.integers(0, 7)),
+    min_size=10,
+    max_size=80,
+)
+
+
+class TestInterleavings:
+    """Guards against a key that runs twice, and a false "not run"."""
+
+    @settings(
+        derandomize=True,
+        max_examples=600,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(st.integers(3, 4), _SCRIPTS)
+    def test_no_key_runs_twice(
+        self, size: int, script: list[tuple[str, int, int]]
+    ) -> None:
+        # The model asserts the property at each run and each "not run".
+        model = Model(size)
+        for name, a, b in script:
+            _ACTS[name](model, a, b)
+        for node in model.nodes.values():
+            node.log_reachable = True
+        while model.delayed:
+            model.take_effect(0)
+        model.settle()
+        for member in model.running():
+            model.request(member, "k")
+            model.request(member, "l")
+        model.settle()
+
+
+def _away(model: Model, *names: str) -> None:
+    for name in names:
+        model.nodes[name].log_reachable = False
+        model.read(name)
+
+
+def _decision(model: Model, member: str, key: str = "k") -> e.ClaimDecision:
+    token = model.request(member, key)
+    model.settle()
+    return model.decisions.get(token, e.Unknown("no-answer"))
+
+
+class TestNaiveVersions:
+    """Shows that the model finds the faults of simpler rules."""
+
+    def test_memory_of_one_instance(self) -> None:
+        model = Model(3, memory_only)
+        model.request("a/1", "k")
+        with pytest.raises(AssertionError, match="two runs"):
+            model.request("b/1", "k")
+
+    def test_zone_owner_forgets_when_replaced(self) -> None:
+        model = Model(2, zone_owner)
+        for member in model.nodes:
+            model.read(member)
+        assert isinstance(_decision(model, "a/1"), e.Run)
+        owner = next(m for m, n in model.nodes.items() if n.state.grants)
+        model.replace(owner)
+        model.settle()
+        with pytest.raises(AssertionError, match="two runs"):
+            for member in model.running():
+                _decision(model, member)
+
+    def test_zone_owners_of_both_sides_run_the_key(self) -> None:
+        model = Model(4, zone_owner)
+        for member in model.nodes:
+            model.read(member)
+        _decision(model, "a/1")
+        with pytest.raises(AssertionError, match="two runs"):
+            _decision(model, "c/1")
+
+    def test_skipping_every_ended_member(self) -> None:
+        # b claims and runs through the log, and ends; a and c have not read
+        # that part of the log when it goes away for them.
+        model = Model(3, ended_members_skipped)
+        _away(model, "a/1", "c/1")
+        assert isinstance(_decision(model, "b/1"), e.Run)
+        model.crash("b/1")
+        model.list_ended("a/1")
+        model.list_ended("c/1")
+        with pytest.raises(AssertionError, match="two runs"):
+            _decision(model, "a/1")
+
+
+class TestPaths:
+    """Guards against rules that are safe only because nothing runs."""
+
+    def test_first_claim_runs_and_repeats_learn_of_it(self) -> None:
+        model = Model(3)
+        assert isinstance(_decision(model, "a/1"), e.Run)
+        assert _decision(model, "a/1") == e.InProgress()
+        assert _decision(model, "b/1") == e.Unknown("claimed")
+        digest = next(iter(model.live))
+        model.finish("a/1", digest)
+        model.settle()
+        assert _decision(model, "b/1") == e.Finished(200)
+
+    def test_another_request_with_the_key_is_told(self) -> None:
+        model = Model(3)
+        _decision(model, "a/1")
+        digest = next(iter(model.live))
+        wanted = e.ClaimWanted(99, "customer", digest, "other", 1e9)
+        model.feed("b/1", wanted)
+        assert model.decisions[99] == e.KeyReused()
+
+    def test_released_key_runs_elsewhere(self) -> None:
+        model = Model(3)
+        _decision(model, "a/1")
+        model.release("a/1", next(iter(model.live)))
+        model.settle()
+        assert isinstance(_decision(model, "b/1"), e.Run)
+
+    def test_append_answer_lost_after_effect(self) -> None:
+        model = Model(3)
+        model.fate = 1
+        assert isinstance(_decision(model, "a/1"), e.Run)
+
+    def test_log_away_for_all_runs_by_agreement_once(self) -> None:
+        model = Model(4)
+        _away(model, *model.nodes)
+        assert isinstance(_decision(model, "c/1"), e.Run)
+        for member in ("a/1", "b/1", "d/1"):
+            assert isinstance(_decision(model, member), e.Unknown)
+
+    def test_grants_reach_the_log_before_new_claims(self) -> None:
+        model = Model(3)
+        _away(model, *model.nodes)
+        _decision(model, "c/1")
+        for node in model.nodes.values():
+            node.log_reachable = True
+        model.crash("c/1")
+        model.read("b/1")
+        model.settle()
+        model.replace("a/1")
+        model.list_ended("a/2")
+        model.settle()
+        assert all(not n.state.grants for n in model.nodes.values() if n.alive)
+        assert _decision(model, "a/2") == e.Unknown("claimed")
+
+    def test_end_in_the_batch_of_its_grant_does_not_free_the_key(self) -> None:
+        # The end was read before the claim was judged, and the claim was then
+        # taken for one that nobody ran.
+        model = Model(3)
+        _away(model, *model.nodes)
+        _decision(model, "a/1")
+        model.finish("a/1", next(iter(model.live)))
+        for node in model.nodes.values():
+            node.log_reachable = True
+        model.settle()
+        assert _decision(model, "a/1") == e.Finished(200)
+
+    def test_silent_peer_blocks_agreement(self) -> None:
+        model = Model(3)
+        _away(model, *model.nodes)
+        token = model.request("a/1", "k")
+        model.drop(0)
+        assert model.decisions[token] == e.Unknown("peer-silent")
+
+    def test_peer_with_a_log_claims_on_behalf(self) -> None:
+        model = Model(3)
+        _away(model, "a/1", "b/1")
+        token = model.request("a/1", "k")
+        model.deliver(1)
+        model.settle()
+        assert isinstance(model.decisions[token], e.Run)
+        holder = model.nodes["c/1"].state.table.holders
+        assert [h.claim.owner for h in holder.values()] == ["a/1"]
+
+    def test_lower_id_wins_of_two_attempts(self) -> None:
+        model = Model(3)
+        _away(model, *model.nodes)
+        late = model.request("c/1", "k")
+        first = model.request("a/1", "k")
+        question = next(
+            i
+            for i, m in enumerate(model.network)
+            if (m.sender, m.receiver) == ("a/1", "c/1")
+        )
+        model.deliver(question)
+        assert model.decisions[late] == e.Unknown("yielded")
+        while model.network:
+            model.deliver(len(model.network) - 1)
+        assert isinstance(model.decisions[first], e.Run)
+
+    def test_instance_off_the_roster_takes_no_keyed_work(self) -> None:
+        model = Model(3)
+        _decision(model, "a/1", "other")
+        model.feed("b/1", e.RosterRead(frozenset(("a/1", "c/1")), frozenset()))
+        assert _decision(model, "b/1") == e.Unknown("not-on-roster")
+
+    def test_no_keyed_work_while_nobody_knows_the_last_outage(self) -> None:
+        model = Model(1)
+        _away(model, "a/1")
+        assert isinstance(_decision(model, "a/1"), e.Run)
+        model.replace("a/1")
+        model.settle()
+        assert _decision(model, "a/2") == e.Unknown("memory-incomplete")
+
+    def test_replacement_knows_the_grants_of_an_outage(self) -> None:
+        model = Model(3)
+        _away(model, *model.nodes)
+        _decision(model, "c/1")
+        model.replace("c/1")
+        model.settle()
+        assert model.nodes["c/2"].state.complete
+        assert isinstance(_decision(model, "c/2"), e.Unknown)
+        assert isinstance(_decision(model, "c/2", "new"), e.Run)
