--- /dev/null
+++ b/acaciawing/snapshots/parts.py
@@ -0,0 +1,118 @@
+"""Parts of snapshots in the stream ``snapshots``."""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from xxhash import xxh3_128_hexdigest
+
+from acaciawing.records import record_type
+from acaciawing.snapshots.codec import encode_state
+
+SNAPSHOT_STREAM = "snapshots"
+
+# Bytes of the state in one part. In base64 and with the envelope, the payload
+# stays under the 256 KiB that the log may take in one record.
+PART_BYTES = 190 * 1024
+
+# Refuses a faulty count before memory is spent on it; 512 MiB of parts.
+_MOST_PARTS = 2048
+
+
+@record_type("snapshot-part", version=1)
+@dataclass(frozen=True)
+class SnapshotPart:
+    """One part of a snapshot.
+
+    The id is derived from offset and content. Two writers of the same state
+    therefore write the same parts, and half a snapshot of one completes that of
+    the other.
+
+    Attributes:
+        snapshot_id: ``offset-digest`` of the whole body.
+        part: Number of the part, from 0.
+        count: Number of parts.
+        offset: Offset of the next control record to apply to the state.
+        schema: `schema_of` the state.
+        digest: xxh3_128 of ``data``, in hex.
+        data: Part of the encoded state.
+    """
+
+    snapshot_id: str
+    part: int
+    count: int
+    offset: int
+    schema: str
+    digest: str
+    data: bytes
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """A complete snapshot with a correct digest.
+
+    Attributes:
+        snapshot_id: Its id.
+        offset: Offset of the state in it.
+        schema: `schema_of` the state.
+        body: The encoded state.
+    """
+
+    snapshot_id: str
+    offset: int
+    schema: str
+    body: bytes
+
+
+def split(state: object, offset: int, schema: str) -> tuple[SnapshotPart, ...]:
+    """Encodes a state and splits it into parts.
+
+    Args:
+        state: The state.
+        offset: Its offset.
+        schema: `schema_of` its type.
+    """
+    body = encode_state(state)
+    snapshot_id = _id_of(offset, body)
+    count = math.ceil(len(body) / PART_BYTES)
+    pieces = [body[n * PART_BYTES : (n + 1) * PART_BYTES] for n in range(count)]
+    return tuple(
+        SnapshotPart(
+            snapshot_id,
+            number,
+            count,
+            offset,
+            schema,
+            xxh3_128_hexdigest(piece),
+            piece,
+        )
+        for number, piece in enumerate(pieces)
+    )
+
+
+def assemble(parts: Iterable[SnapshotPart]) -> list[Snapshot]:
+    """Returns the complete and correct snapshots, the newest first.
+
+    Args:
+        parts: Parts in any order, repeated, damaged or of several writers.
+    """
+    groups: dict[tuple[str, int, int, str], dict[int, bytes]] = {}
+    for part in parts:
+        if not 0 <= part.part < part.count <= _MOST_PARTS:
+            continue
+        if xxh3_128_hexdigest(part.data) != part.digest:
+            continue
+        key = (part.snapshot_id, part.count, part.offset, part.schema)
+        groups.setdefault(key, {})[part.part] = part.data
+    found = []
+    for (snapshot_id, count, offset, schema), pieces in groups.items():
+        if len(pieces) != count:
+            continue
+        body = b"".join(pieces[number] for number in range(count))
+        if snapshot_id == _id_of(offset, body):
+            found.append(Snapshot(snapshot_id, offset, schema, body))
+    return sorted(found, key=lambda s: s.offset, reverse=True)
+
+
+def _id_of(offset: int, body: bytes) -> str:
+    return f"{offset}-{xxh3_128_hexdigest(body)}"
