Record the new incarnation when a moved instance returns to service

Cause: a leave is sticky for an incarnation, so a moved instance can serve again only after a reboot; the fold has to learn the new incarnation with the return, and whether a reboot after a cancelled move would interrupt requests.

Step also carries the record's position, which tasks need to estimate the log's clock. Ruled out: returning without a reboot (the endpoint's own header and the peers' leave marks would keep it out of service).

--- a/acaciawing/fold/steps.py
+++ b/acaciawing/fold/steps.py
@@ -57,12 +57,14 @@
         verdict: Whether the record took effect, or why not.
         record: The decoded record, or None if it was malformed.
         writer: ``instance/incarnation`` of its writer, or an empty string.
+        position: Place of the record in the log.
     """
 
     state: FleetState
     verdict: Verdict
     record: Any
     writer: str
+    position: LogPosition
 
 
 def step(state: FleetState, payload: bytes, position: LogPosition) -> Step:
@@ -79,24 +81,24 @@
         ignored unless the fence names the current lease of its subject.
     """
     if position.offset < state.offset:
-        return Step(state, Ignored("already-applied", ""), None, "")
+        return Step(state, Ignored("already-applied", ""), None, "", position)
     moved = replace(state, offset=position.offset + 1)
     envelope = decode(payload)
     if isinstance(envelope, Malformed):
         ignored = Ignored(envelope.reason, envelope.detail)
-        return Step(moved, ignored, None, "")
+        return Step(moved, ignored, None, "", position)
     subject = _SUBJECTS.get(type(envelope.record))
     if subject is None:
         ignored = Ignored("other-stream", type(envelope.record).__name__)
-        return Step(moved, ignored, envelope.record, envelope.writer)
+        return Step(moved, ignored, envelope.record, envelope.writer, position)
     refusal = _check_writer(envelope, state, position)
     if refusal is not None:
-        return Step(moved, refusal, envelope.record, envelope.writer)
+        return Step(moved, refusal, envelope.record, envelope.writer, position)
     name, apply = subject
     table, verdict = apply(envelope.record, getattr(state, name), position)
     if table is not getattr(state, name):
         moved = replace(moved, **{name: table})
-    return Step(moved, verdict, envelope.record, envelope.writer)
+    return Step(moved, verdict, envelope.record, envelope.writer, position)
 
 
 def _check_writer(
--- a/acaciawing/ownership/records.py
+++ b/acaciawing/ownership/records.py
@@ -142,9 +142,11 @@
     Attributes:
         instance: Id of the instance.
         epoch: Ownership epoch that the end of the move led to.
+        incarnation: Start number after the reboot.
         fence: Lease of the pool that the instance is in.
     """
 
     instance: str
     epoch: int
+    incarnation: int
     fence: Fence
--- a/acaciawing/ownership/table.py
+++ b/acaciawing/ownership/table.py
@@ -61,6 +61,8 @@
         phase: `SERVING`, `LEAVING` (a move has begun) or `RETURNING` (a move
             has ended and the instance is not yet back in service).
         to_pool: Target of the move, or an empty string.
+        drained: Whether it was drained for the move that ended; a reboot then
+            interrupts no request.
         changed_at: Time of the last accepted record on the log's clock.
     """
 
@@ -74,6 +76,7 @@
     epoch: int
     phase: str = SERVING
     to_pool: str = ""
+    drained: bool = False
     changed_at: float = 0.0
 
 
@@ -173,6 +176,7 @@
         epoch=position.offset,
         phase=SERVING,
         to_pool="",
+        drained=False,
         changed_at=position.appended_at,
     )
     return _put(table, owned), Accepted()
@@ -221,7 +225,7 @@
         return table, Ignored("no-move", known.instance)
     counts = _count(table.counts, known.pool, -1)
     table = replace(table, counts=_count(counts, known.to_pool, 1))
-    moved = replace(known, pool=known.to_pool)
+    moved = replace(known, pool=known.to_pool, drained=True)
     return _advance(table, moved, position, RETURNING)
 
 
@@ -246,7 +250,10 @@
         return table, known
     if known.phase != RETURNING:
         return table, Ignored("no-move", known.instance)
-    return _advance(table, known, position, SERVING)
+    if record.incarnation < known.incarnation:
+        return table, Ignored("stale-incarnation", known.instance)
+    returned = replace(known, incarnation=record.incarnation, drained=False)
+    return _advance(table, returned, position, SERVING)
 
 
 def _current(record: _Change, table: Ownership) -> OwnedInstance | Ignored:
--- a/acaciawing/ownership/tests/reference.py
+++ b/acaciawing/ownership/tests/reference.py
@@ -119,6 +119,10 @@
         known["to"] = record.to_pool
     if isinstance(record, ow.MoveFinished):
         known["pool"] = known["to"]
+    if isinstance(record, ow.InstanceReturned):
+        if record.incarnation < known["incarnation"]:
+            return False
+        known["incarnation"] = record.incarnation
     known["phase"] = after
     return True
 
--- a/acaciawing/ownership/tests/schedules.py
+++ b/acaciawing/ownership/tests/schedules.py
@@ -147,5 +147,6 @@
         case "cancel":
             return ow.MoveCancelled(name, epoch, "withdrawn", fence)
         case "return":
-            return ow.InstanceReturned(name, epoch, fence)
+            incarnation = known.incarnation + pool.count("s") - 1
+            return ow.InstanceReturned(name, epoch, incarnation, fence)
     return None
