Add the client of the worker interface

Cause: moves and waves drain, reboot and return instances, and an answer may be lost after the call took effect.

Each call carries an operation id that the platform runs once. Checked against scripted answers, among them a lost one and one that is not an instance.

Conclusion: 9 tests; none of the outcomes is reported as done without an instance in the answer.

--- a/acaciawing/platform/__init__.py
+++ b/acaciawing/platform/__init__.py
@@ -22,6 +22,14 @@
     NotAppended,
     ReadOutcome,
 )
+from acaciawing.platform.worker import (
+    OperationDone,
+    OperationNotDone,
+    OperationOutcome,
+    OperationUnknown,
+    WorkerClient,
+    Workers,
+)
 
 __all__ = [
     "CONTROL_STREAM",
@@ -41,5 +49,11 @@
     "LogEntry",
     "LogUnavailable",
     "NotAppended",
+    "OperationDone",
+    "OperationNotDone",
+    "OperationOutcome",
+    "OperationUnknown",
     "ReadOutcome",
+    "WorkerClient",
+    "Workers",
 ]
--- /dev/null
+++ b/acaciawing/platform/tests/test_worker.py
@@ -0,0 +1,105 @@
+"""Tests of the worker interface's client against scripted answers."""
+
+import json
+import threading
+from collections.abc import Iterator
+from http.server import BaseHTTPRequestHandler, HTTPServer
+from typing import Any
+
+import pytest
+
+from acaciawing.platform import (
+    ListedInstance,
+    OperationDone,
+    OperationNotDone,
+    OperationUnknown,
+    WorkerClient,
+)
+
+INSTANCE = ListedInstance(
+    "worker/1", 2, "visits", "z1", "r1", "192.0.2.1:80", "leaving"
+)
+BODY = json.dumps(
+    {name: getattr(INSTANCE, name) for name in INSTANCE.__dataclass_fields__}
+).encode()
+
+
+class _Scripted(BaseHTTPRequestHandler):
+    def _answer(self) -> None:
+        server: Any = self.server
+        length = int(self.headers.get("Content-Length", "0"))
+        call = (self.command, self.path, self.rfile.read(length))
+        server.calls.append(call)
+        status, body = server.script.pop(0)
+        if status is None:  # The answer is lost after the call was read.
+            self.close_connection = True
+            return
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    do_GET = do_POST = _answer  # noqa: N815 - names that http.server calls.
+
+    def log_message(self, *args: Any) -> None:
+        """Stays silent."""
+
+
+@pytest.fixture
+def server() -> Iterator[Any]:
+    started: Any = HTTPServer(("127.0.0.1", 0), _Scripted)
+    started.calls, started.script = [], []
+    thread = threading.Thread(target=started.serve_forever, args=(0.01,))
+    thread.start()
+    yield started
+    started.shutdown()
+    thread.join()
+    started.server_close()
+
+
+class TestWorkerClient:
+    """Guards against an operation reported as done or not done wrongly."""
+
+    @pytest.mark.parametrize(
+        ("status", "body", "outcome"),
+        [
+            (200, BODY, OperationDone(INSTANCE)),
+            (404, b"{}", OperationNotDone("status 404", gone=True)),
+            (503, b"{}", OperationNotDone("status 503")),
+            (500, b"{}", OperationUnknown("status 500")),
+        ],
+    )
+    def test_outcome_of_a_status(
+        self, server: Any, status: int, body: bytes, outcome: object
+    ) -> None:
+        server.script.append((status, body))
+        client = WorkerClient(f"http://127.0.0.1:{server.server_port}")
+        assert client.drain("worker/1", "worker/1/7/drain") == outcome
+
+    @pytest.mark.parametrize("body", [b"[]", b"{", None])
+    def test_lost_or_odd_answer_is_unknown(
+        self, server: Any, body: bytes | None
+    ) -> None:
+        server.script.append((None if body is None else 200, body))
+        client = WorkerClient(f"http://127.0.0.1:{server.server_port}")
+        outcome = client.reboot("worker/1", "worker/1/7/reboot")
+        assert isinstance(outcome, OperationUnknown)
+
+    def test_calls_carry_the_operation_id(self, server: Any) -> None:
+        server.script += [(200, BODY)] * 2
+        client = WorkerClient(f"http://127.0.0.1:{server.server_port}")
+        client.return_to("worker/1", "portal", "worker/1/8/return")
+        client.status("worker/1")
+        (method, path, sent), read = server.calls
+        assert (method, path) == ("POST", "/v1/instances/worker%2F1/return")
+        assert json.loads(sent) == {
+            "operation_id": "worker/1/8/return",
+            "pool": "portal",
+        }
+        assert read == ("GET", "/v1/instances/worker%2F1", b"")
+
+    def test_refused_connection_is_not_done(self, server: Any) -> None:
+        client = WorkerClient("http://127.0.0.1:1")
+        outcome = client.drain("worker/1", "worker/1/7/drain")
+        assert isinstance(outcome, OperationNotDone)
+        assert not outcome.gone
