--- a/demo/processes.py
+++ b/demo/processes.py
@@ -40,6 +40,10 @@
                 env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"},
             )
 
+    def pid(self, name: str) -> int:
+        """Process id of one process."""
+        return self._running[name].pid
+
     def signal(self, name: str, number: int) -> None:
         """Sends a signal to one process."""
         self._running[name].send_signal(number)
--- a/standins/platform_service.py
+++ b/standins/platform_service.py
@@ -27,6 +27,7 @@
     def __init__(self, state: PlatformState) -> None:
         """Serves the given state."""
         self._state = state
+        self._bytes = 0
         self._http = urllib3.PoolManager(
             timeout=urllib3.Timeout(total=1.0), retries=False
         )
@@ -43,6 +44,21 @@
         parts = path.strip("/").split("/")
         if parts[:1] == ["standin"]:
             return self._control(method, parts, body)
+        status, headers, content = self._answer(
+            method, parts, query, body, environ
+        )
+        # Header sections of a request and an answer have about 350 bytes.
+        self._bytes += len(body) + len(content) + 350
+        return status, headers, content
+
+    def _answer(
+        self,
+        method: str,
+        parts: list[str],
+        query: dict[str, str],
+        body: bytes,
+        environ: dict[str, Any],
+    ) -> Answer:
         if parts[:2] == ["v1", "streams"] and len(parts) == 4:
             return self._log(method, parts[2], query, body)
         if parts[:2] == ["v1", "instances"]:
@@ -63,6 +79,7 @@
                 "faults": asdict(self._state.faults),
                 "appends": self._state.appends,
                 "reads": self._state.reads,
+                "bytes": self._bytes,
             },
         )
 
