Protect request threads from silent and dripping callers

Cause: cheroot gives a new connection to a request thread before its first byte and limits only the time between two bytes, so 64 silent or dripping callers held all threads. A connection now waits in the selector for its first byte, and one request's header section and body share a deadline of 10 s.

--- a/acaciawing/entry/framing.py
+++ b/acaciawing/entry/framing.py
@@ -8,13 +8,13 @@
 from typing import Any
 
 from cheroot import server as cheroot_server
-from cheroot import wsgi
+
+from acaciawing.entry.slow_senders import DeadlineReader, PatientServer
 
 MAX_HEADER_BYTES = 16 * 1024
 MAX_BODY_BYTES = 1024 * 1024
-# A sender that is silent for this long loses its connection, so that slow
-# senders cannot hold request threads.
-READ_TIMEOUT_S = 10
+# An idle connection is closed after this time.
+IDLE_TIMEOUT_S = 10
 _KEEPALIVE_CONNECTIONS = 512
 
 _SINGLE = {b"Content-Length", b"Transfer-Encoding", b"Host"}
@@ -76,6 +76,15 @@
 class _Connection(cheroot_server.HTTPConnection):
     RequestHandlerClass = _Request
 
+    def __init__(self, server: Any, sock: Any, makefile: Any) -> None:
+        super().__init__(server, sock, makefile)
+        self.rfile = DeadlineReader(sock, self.rbufsize)
+
+    def communicate(self) -> bool:
+        self.rfile.begin_request()
+        kept: bool = super().communicate()  # type: ignore[no-untyped-call]
+        return kept
+
 
 def make_server(address: tuple[str, int], app: Any, threads: int) -> Any:
     """Makes an HTTP server that is not started yet.
@@ -88,13 +97,13 @@
     Returns:
         The cheroot server.
     """
-    server = wsgi.Server(
+    server = PatientServer(
         address, app, numthreads=threads, request_queue_size=256
     )
     server.ConnectionClass = _Connection
     server.max_request_header_size = MAX_HEADER_BYTES
     server.max_request_body_size = MAX_BODY_BYTES
-    server.timeout = READ_TIMEOUT_S
+    server.timeout = IDLE_TIMEOUT_S
     server.keep_alive_conn_limit = _KEEPALIVE_CONNECTIONS
     server.server_name = "acaciawing"
     return server
