Recover an entry instance from the log, or from peers while it is away

Cause: a daemon folded from offset 0, which retention makes impossible, and could not start in a log outage.

--- a/acaciawing/entry/administration.py
+++ b/acaciawing/entry/administration.py
@@ -1,7 +1,8 @@
 """WSGI application of the administration listener (also for peers)."""
 
+import hashlib
 import hmac
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import asdict
 from typing import Any
 
@@ -12,10 +13,12 @@
 from acaciawing.entry.recorder import Recorder
 from acaciawing.entry.requests import digest_credential
 from acaciawing.entry.scheduler import Scheduler
+from acaciawing.snapshots import encode_state
 
 _REASONS = {200: "OK", 401: "Unauthorized", 404: "Not Found", 503: "Busy"}
 
 Answer = tuple[int, Any]
+PeerHandler = Callable[[bytes], bytes | None]
 
 
 class Administration:
@@ -26,6 +29,7 @@
         directory: Readiness and configuration.
         scheduler: Task asked for its view.
         recorder: Task asked for explanations.
+        peer_handlers: Answers to peers' messages, by the last part of the path.
     """
 
     def __init__(
@@ -34,9 +38,14 @@
         directory: Directory,
         scheduler: Scheduler,
         recorder: Recorder,
+        peer_handlers: Mapping[str, PeerHandler] | None = None,
     ) -> None:
         """Keeps the arguments."""
         self._settings = settings
+        self._peer_digest = hashlib.sha256(
+            settings.peer_credential.encode()
+        ).hexdigest()
+        self._peer_handlers = dict(peer_handlers or {})
         self._directory = directory
         self._scheduler = scheduler
         self._recorder = recorder
@@ -46,7 +55,9 @@
     ) -> Iterable[bytes]:
         """Serves one request (PEP 3333)."""
         status, document = self._answer(environ)
-        body = msgspec.json.encode(document)
+        if not isinstance(document, bytes):
+            document = msgspec.json.encode(document)
+        body = document
         headers = [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(body))),
@@ -61,15 +72,33 @@
         if path == "/readyz":
             ready = self._directory.ready and not self._directory.draining
             return (200 if ready else 503), {"ready": ready}
+        parts = path.strip("/").split("/")
+        if parts[:2] == ["v1", "peer"]:
+            return self._answer_peer(environ, parts[2:])
         if not self._authorized(environ):
             return 401, {"error": "credential missing or unknown"}
-        parts = path.strip("/").split("/")
         if parts == ["v1", "status"]:
             return 200, self._status()
         if parts[:2] == ["v1", "explain"] and len(parts) == 4:
             return 200, self._explain(parts[2], parts[3])
         return 404, {"error": f"no path {path}"}
 
+    def _answer_peer(self, environ: dict[str, Any], rest: list[str]) -> Answer:
+        digest = digest_credential(environ.get("HTTP_AUTHORIZATION", ""))
+        if not hmac.compare_digest(digest or "", self._peer_digest):
+            return 401, {"error": "peer credential missing or unknown"}
+        method = environ["REQUEST_METHOD"]
+        if rest == ["state"] and method == "GET":
+            if not self._directory.ready:
+                return 503, {"error": "not recovered yet"}
+            return 200, encode_state(self._scheduler.view().state)
+        handler = self._peer_handlers.get("/".join(rest))
+        if handler is None or method != "POST":
+            return 404, {"error": "no such message"}
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        answer = handler(environ["wsgi.input"].read(length))
+        return (200, answer) if answer is not None else (400, {"error": "bad"})
+
     def _authorized(self, environ: dict[str, Any]) -> bool:
         digest = digest_credential(environ.get("HTTP_AUTHORIZATION", ""))
         return hmac.compare_digest(
--- a/acaciawing/entry/daemon.py
+++ b/acaciawing/entry/daemon.py
@@ -3,7 +3,7 @@
 import signal
 import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 from acaciawing.configuration import (
     ConfigurationIndex,
@@ -18,6 +18,7 @@
 from acaciawing.entry.framing import make_server
 from acaciawing.entry.messages import ListingSeen, StateChanged, Stop
 from acaciawing.entry.observers import ListObserver, LogObserver, ReadResult
+from acaciawing.entry.peers import PeerClient
 from acaciawing.entry.recorder import Decision, Recorder
 from acaciawing.entry.scheduler import Scheduler
 from acaciawing.fold import FleetState
@@ -60,8 +61,9 @@
         self._administration = Administration(
             settings, self._directory, self._scheduler, self._recorder
         )
+        self._peer_client = PeerClient(settings.peer_credential)
         self._log_observer = LogObserver(
-            LogClient(settings.log), FleetState(), self._log_read
+            LogClient(settings.log), self._ask_states, self._log_read
         )
         self._list_observer = ListObserver(
             ListClient(settings.list), self._list_read
@@ -70,6 +72,7 @@
         self._list_up = True
         self._listing: Listing | None = None
         self._version = -1
+        self._state: FleetState | None = None
         self._terminate = threading.Event()
 
     def run(self) -> None:
@@ -138,11 +141,19 @@
                         "writer": step.writer,
                     },
                 )
-        if result.steps or not self._directory.ready:
+        if result.state is not self._state:
+            self._state = result.state
             self._adopt_state(result.state)
-        if result.caught_up and self._version >= 0:
+        if (result.caught_up or result.usable) and self._version >= 0:
             self._become_ready()
 
+    def _ask_states(self) -> Iterator[FleetState]:
+        """States of the peers; the first few that answer are enough."""
+        for peer in self._settings.peers:
+            state = self._peer_client.state(peer.address)
+            if state is not None:
+                yield state
+
     def _report_log(self, result: ReadResult) -> None:
         up = not result.problem
         if up != self._log_up:
--- a/acaciawing/entry/observers.py
+++ b/acaciawing/entry/observers.py
@@ -1,7 +1,8 @@
 """Tasks that read the control stream and the instance list."""
 
 import threading
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from acaciawing.fold import FleetState, Step, step
@@ -15,6 +16,7 @@
     LogUnavailable,
 )
 from acaciawing.platform import Listing as PlatformListing
+from acaciawing.snapshots import NotRecovered, Recovered, recover
 
 # The roll-out goal is 2 s with the log up; a read each 0.5 s leaves time for
 # one failed read.
@@ -33,6 +35,7 @@
         caught_up: Whether the end of the stream was reached.
         problem: Why reading stopped, or an empty string.
         expired: Whether the stream no longer holds the needed records.
+        usable: Whether the state is from a peer, taken while the log is away.
     """
 
     state: FleetState
@@ -40,6 +43,7 @@
     caught_up: bool
     problem: str = ""
     expired: bool = False
+    usable: bool = False
 
 
 def catch_up(log: Log, state: FleetState) -> ReadResult:
@@ -76,38 +80,42 @@
 
 
 class LogObserver(threading.Thread):
-    """Owns the fold; passes each new state on.
+    """Owns the fold: recovers it, then passes each new state on.
 
     Args:
         log: The platform's log.
-        state: State that recovery produced.
-        publish: Receives each result with new steps or a problem.
+        peer_states: Asks peers for their states; called while the log is away.
+        publish: Receives the result of each read.
+        clock: Monotonic time in seconds.
     """
 
     def __init__(
         self,
         log: Log,
-        state: FleetState,
+        peer_states: Callable[[], Iterable[FleetState]],
         publish: Callable[[ReadResult], None],
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Keeps the arguments; `start` begins to read."""
         super().__init__(name="log-observer", daemon=True)
         self._log = log
-        self._state = state
+        self._peer_states = peer_states
         self._publish = publish
-        self._adopted: FleetState | None = None
+        self._clock = clock
+        self._state: FleetState | None = None
+        self._behind = threading.Event()
         self._wake = threading.Event()
         self._stopping = False
 
-    def adopt(self, state: FleetState) -> None:
-        """Takes a peer's state if it is newer; used while the log is away."""
-        self._adopted = state
-        self._wake.set()
-
     def poke(self) -> None:
         """Reads the log now, for example after an own append."""
         self._wake.set()
 
+    def fall_behind(self) -> None:
+        """Says that a peer has a newer configuration in force."""
+        self._behind.set()
+        self._wake.set()
+
     def stop(self) -> None:
         """Ends the task."""
         self._stopping = True
@@ -116,16 +124,40 @@
     def run(self) -> None:
         """Reads until stopped."""
         while not self._stopping:
-            adopted, self._adopted = self._adopted, None
-            if adopted is not None and adopted.offset > self._state.offset:
-                self._state = adopted
-                self._publish(ReadResult(adopted, (), False))
-            result = catch_up(self._log, self._state)
-            self._state = result.state
-            self._publish(result)
+            result = self._read()
+            if result is not None:
+                self._state = result.state
+                self._publish(result)
             self._wake.wait(POLL_S)
             self._wake.clear()
 
+    def _read(self) -> ReadResult | None:
+        if self._state is None:
+            return self._recover("")
+        result = catch_up(self._log, self._state)
+        if result.expired:
+            return self._recover(result.problem)
+        if result.problem and self._behind.is_set():
+            return self._recover(result.problem)
+        self._behind.clear()
+        return result
+
+    def _recover(self, problem: str) -> ReadResult | None:
+        """Takes the newest state within reach, never one that is older."""
+        outcome = recover(self._log, (), self._clock(), self._state)
+        if not isinstance(outcome, Recovered):
+            self._behind.clear()
+            outcome = recover(
+                self._log, self._peer_states(), self._clock(), self._state
+            )
+        if isinstance(outcome, NotRecovered):
+            return ReadResult(
+                self._state or FleetState(), (), False, outcome.detail
+            )
+        if isinstance(outcome, Recovered):
+            return ReadResult(outcome.state, (), True)
+        return ReadResult(outcome.state, (), False, outcome.detail, usable=True)
+
 
 class ListObserver(threading.Thread):
     """Reads the instance list each second.
--- /dev/null
+++ b/acaciawing/entry/peers.py
@@ -0,0 +1,60 @@
+"""Calls from one entry instance to another, over HTTP with JSON."""
+
+import urllib3
+
+from acaciawing.fold import FleetState
+from acaciawing.snapshots import Undecodable, decode_state
+
+# Peers are a few milliseconds away; a longer wait would hold up a gossip round.
+_TIMEOUT = urllib3.Timeout(connect=0.3, read=1.0)
+
+
+class PeerClient:
+    """Client of the administration listeners of other entry instances.
+
+    Args:
+        credential: Secret that entry instances show to each other.
+    """
+
+    def __init__(self, credential: str) -> None:
+        """Keeps the credential; connects on first use."""
+        self._headers = {"Authorization": f"Bearer {credential}"}
+        self._http = urllib3.PoolManager(
+            num_pools=32, timeout=_TIMEOUT, retries=False
+        )
+
+    def state(self, address: str) -> FleetState | None:
+        """A peer's state of the fold, or None if it gives none.
+
+        Args:
+            address: ``ip:port`` of the peer's administration listener.
+        """
+        body = self._call("GET", address, "/v1/peer/state", None)
+        if body is None:
+            return None
+        state = decode_state(body, FleetState)
+        return None if isinstance(state, Undecodable) else state
+
+    def send(self, address: str, path: str, payload: bytes) -> bytes | None:
+        """Sends a message; returns the answer, or None without one.
+
+        Args:
+            address: ``ip:port`` of the peer's administration listener.
+            path: For example ``/v1/peer/gossip``.
+            payload: The message as JSON.
+        """
+        return self._call("POST", address, path, payload)
+
+    def _call(
+        self, method: str, address: str, path: str, body: bytes | None
+    ) -> bytes | None:
+        try:
+            answer = self._http.request(
+                method,
+                f"http://{address}{path}",
+                body=body,
+                headers=self._headers,
+            )
+        except urllib3.exceptions.HTTPError:
+            return None
+        return answer.data if answer.status == 200 else None
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -6,7 +6,14 @@
 import time
 from pathlib import Path
 
-from demo.fleet import SERVICES, Fleet, start_fleet, start_log
+from demo.fleet import (
+    LATE_ENTRY,
+    SERVICES,
+    Fleet,
+    start_entry,
+    start_fleet,
+    start_log,
+)
 from demo.load import Balancer, Caller, CallerProfile, Sent
 from demo.operator import (
     HTTP,
@@ -48,10 +55,11 @@
     wait_until(lambda: bool(call("GET", f"{fleet.log}/standin/state")), 10)
     publish(fleet, processes.folder)
     balancer = Balancer(fleet.entries)
-    started = wait_until(lambda: balancer.check(HTTP) == len(fleet.entries), 20)
+    first = len(fleet.entries) - 1
+    started = wait_until(lambda: balancer.check(HTTP) == first, 20)
     if started is None:
         raise RuntimeError("not all entry instances became ready")
-    print(f"{len(fleet.entries)} entry instances ready", flush=True)
+    print(f"{first} entry instances ready", flush=True)
     callers = _start_callers(balancer)
     rows = _steps(processes, fleet, balancer)
     for caller in callers:
@@ -85,7 +93,8 @@
 def _steps(processes: Processes, fleet: Fleet, balancer: Balancer) -> list[Row]:
     time.sleep(2)
     version = publish(fleet, processes.folder, "230/s")
-    changed = roll_out_s(fleet, list(fleet.entries), version)
+    running = [name for name in fleet.entries if name != LATE_ENTRY]
+    changed = roll_out_s(fleet, running, version)
     print("configuration changed under load", flush=True)
     drained = _drain_worker(fleet)
     print("one worker drained", flush=True)
@@ -93,7 +102,11 @@
     print("one entry instance stopped", flush=True)
     processes.signal("log", signal.SIGKILL)
     print("log killed", flush=True)
-    time.sleep(4)
+    start_entry(processes, fleet, LATE_ENTRY)
+    late = f"http://{fleet.entries[LATE_ENTRY]}/readyz"
+    recovered = wait_until(lambda: HTTP.request("GET", late).status == 200, 10)
+    balancer.check(HTTP)
+    time.sleep(3)
     start_log(processes, fleet)
     wait_until(lambda: bool(call("GET", f"{fleet.log}/standin/state")), 10)
     again = publish(fleet, processes.folder, "220/s")
@@ -104,6 +117,7 @@
         timed_row("roll-out of a change", 2.0, changed),
         timed_row("last new work at a leaving endpoint", 3.0, drained),
         timed_row("planned stop of an entry instance", 30.0, stopped),
+        timed_row("new instance ready while the log is away", 10.0, recovered),
         timed_row("roll-out after a log outage", 5.0, after),
     ]
 
@@ -129,7 +143,7 @@
 ) -> float | None:
     begun = time.monotonic()
     processes.signal(_STOPPED, signal.SIGTERM)
-    wait_until(lambda: balancer.check(HTTP) == len(fleet.entries) - 1, 5)
+    wait_until(lambda: balancer.check(HTTP) == len(fleet.entries) - 2, 5)
     status = processes.wait(_STOPPED, 30)
     return time.monotonic() - begun if status == 0 else None
 
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -11,6 +11,8 @@
 SERVICES = ("visits", "routing", "supplies", "accounts", "portal")
 WORKERS_PER_SERVICE = 6
 ENTRIES_PER_ZONE = 2
+# Started only while the log is away, to show recovery from peers.
+LATE_ENTRY = "entry-maribor-3"
 OPERATOR = "sample-operator"
 SAMPLES = Path(__file__).parents[1] / "samples" / "frizura"
 
@@ -50,6 +52,7 @@
         for zone in ZONES
         for number in range(1, ENTRIES_PER_ZONE + 1)
     ]
+    entries.append(LATE_ENTRY)
     ports = free_ports(2 + len(workers) + 2 * len(entries))
     addresses = [f"127.0.0.1:{port}" for port in ports]
     log, instance_list = addresses[:2]
@@ -71,12 +74,18 @@
             *("--listen", address, "--instance", name, "--service-ms", "5"),
         )
     for name in entries:
-        processes.start(
-            name, "acaciawing", "entry", entry_settings(processes, fleet, name)
-        )
+        if name != LATE_ENTRY:
+            start_entry(processes, fleet, name)
     return fleet
 
 
+def start_entry(processes: Processes, fleet: Fleet, name: str) -> None:
+    """Starts one entry instance."""
+    processes.start(
+        name, "acaciawing", "entry", entry_settings(processes, fleet, name)
+    )
+
+
 def start_log(processes: Processes, fleet: Fleet) -> None:
     """Starts the log stand-in; a restart finds its records in a journal."""
     processes.start(
