--- /dev/null
+++ b/acaciawing/admission/tests/fleet.py
@@ -0,0 +1,241 @@
+"""Replay of several entry instances that share a plan's rate.
+
+Gossip is delayed and lost at random; members join, leave, vanish and are cut
+off. Everything follows from the seed.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from random import Random
+
+from acaciawing.admission import (
+    AdmissionState,
+    Admitted,
+    Arrival,
+    EntryView,
+    admit,
+    close_step,
+    lowest_demand,
+    published_demand,
+    share,
+)
+from acaciawing.configuration import Plan
+
+STEP_S = 0.05
+GOSSIP_S = 0.5
+LIVE_S = 5.0
+ALONE_S = 3.0
+LOG_LAG_S = 0.5
+LIMIT = 200.0
+PLAN = Plan("gold", 0.99, 3600.0, 1.0, LIMIT, 10**6, 10**6, ())
+
+
+@dataclass
+class Member:
+    """One entry instance of the replay.
+
+    Attributes:
+        name: Its id.
+        state: Its admission state.
+        news: By member: number and demand of its newest news, time received.
+        share: Share in use.
+        running: Whether it serves.
+    """
+
+    name: str
+    state: AdmissionState = field(default_factory=AdmissionState)
+    news: dict[str, tuple[int, float, float]] = field(default_factory=dict)
+    share: float = 0.0
+    running: bool = True
+
+
+Policy = Callable[[Member, EntryView, float, float], float]
+
+
+def naive(member: Member, view: EntryView, now: float, newest: float) -> float:
+    """The limit divided by the members heard."""
+    return 1.0 / (1 + len(view.heard))
+
+
+def newest_demand(
+    member: Member, view: EntryView, now: float, newest: float
+) -> float:
+    """Floor and demand over the live view, from the newest demand."""
+    others = sum(max(1e-6, d["gold"]) for d in view.heard.values())
+    own = max(1e-6, newest)
+    return 0.5 / (1 + len(view.heard)) + 0.5 * own / (own + others)
+
+
+def windowed(
+    member: Member, view: EntryView, now: float, newest: float
+) -> float:
+    """What the product does."""
+    return share(view, "gold", lowest_demand(member.state, "gold", now))
+
+
+@dataclass(frozen=True)
+class Event:
+    """Something that happens to the fleet at a time.
+
+    Attributes:
+        at: Time in seconds.
+        what: ``join``, ``leave``, ``vanish``, ``ended`` (the platform's list
+            reports a vanished member), ``cut`` or ``heal``.
+        members: Whom it concerns; for ``cut``, the members on one side.
+        one_way: For ``cut``, whether only news from them is lost.
+    """
+
+    at: float
+    what: str
+    members: tuple[str, ...]
+    one_way: bool = False
+
+
+class Fleet:
+    """The replay."""
+
+    def __init__(
+        self,
+        size: int,
+        policy: Policy,
+        offered: Callable[[str, float], float],
+        events: tuple[Event, ...] = (),
+        loss: float = 0.0,
+        seed: int = 1,
+    ) -> None:
+        """Starts with `size` members that know each other."""
+        self.members = {f"e{i}": Member(f"e{i}") for i in range(size)}
+        self.policy, self.offered = policy, offered
+        self.events = sorted(events, key=lambda e: e.at)
+        self.loss, self.random = loss, Random(seed)
+        self.messages: list[tuple[float, int, str, str, int, float]] = []
+        self.rosters = [(-LOG_LAG_S, frozenset(self.members))]
+        self.cuts: dict[tuple[str, ...], bool] = {}
+        self.admitted: list[int] = []
+        self.number = 0
+        self.published: dict[str, tuple[int, float]] = {}
+        self.arriving: dict[str, float] = {}
+
+    def run(self, until: float) -> list[int]:
+        """Replays and returns the admitted requests of each step."""
+        steps = round(until / STEP_S)
+        for step in range(steps):
+            now = step * STEP_S
+            while self.events and self.events[0].at <= now:
+                self._apply(self.events.pop(0))
+            self._deliver(now)
+            if step % round(GOSSIP_S / STEP_S) == 0:
+                self._gossip(now)
+            self.admitted.append(
+                sum(self._serve(m, now) for m in self.members.values())
+            )
+        return self.admitted
+
+    def _apply(self, event: Event) -> None:
+        roster = self.rosters[-1][1]
+        if event.what == "join":
+            for name in event.members:
+                self.members[name] = Member(name)
+            self.rosters.append((event.at, roster | set(event.members)))
+        elif event.what in ("leave", "vanish"):
+            for name in event.members:
+                self.members[name].running = False
+        if event.what in ("leave", "ended"):
+            self.rosters.append((event.at, roster - set(event.members)))
+        elif event.what == "cut":
+            self.cuts[event.members] = event.one_way
+        elif event.what == "heal":
+            self.cuts.clear()
+
+    def _reaches(self, source: str, target: str) -> bool:
+        for side, one_way in self.cuts.items():
+            if (source in side) != (target in side):
+                return one_way and source not in side
+        return True
+
+    def _send(self, source: Member, target: str, now: float) -> None:
+        if not self._reaches(source.name, target):
+            return
+        if self.random.random() < self.loss:
+            return
+        arrives = now + self.random.uniform(0.0, 0.3)
+        known = {n: (v, d) for n, (v, d, _) in source.news.items()}
+        known[source.name] = self.published[source.name]
+        for name, (version, demand) in known.items():
+            self.number += 1
+            heappush(
+                self.messages,
+                (arrives, self.number, target, name, version, demand),
+            )
+
+    def _deliver(self, now: float) -> None:
+        while self.messages and self.messages[0][0] <= now:
+            _, _, target, name, version, demand = heappop(self.messages)
+            news = self.members[target].news
+            if name != target and version > news.get(name, (-1, 0.0, 0.0))[0]:
+                news[name] = (version, demand, now)
+
+    def _gossip(self, now: float) -> None:
+        running = [m for m in self.members.values() if m.running]
+        for member in running:
+            began = member.state.step_began
+            use = member.state.uses.get("gold")
+            arrived = use.arrived if use is not None else 0
+            newest = arrived / (now - began) if began is not None else 0.0
+            member.state = close_step(member.state, now)
+            demand = newest
+            if self.policy is windowed:
+                demand = published_demand(member.state).get("gold", 0.0)
+            self.published[member.name] = (round(now / GOSSIP_S), demand)
+            view = self._view(member, now)
+            member.share = self.policy(member, view, now, newest)
+        for member in running:
+            others = [m.name for m in running if m is not member]
+            for peer in self.random.sample(others, min(2, len(others))):
+                self._send(member, peer, now)
+                self._send(self.members[peer], member.name, now)
+
+    def _view(self, member: Member, now: float) -> EntryView:
+        roster = next(
+            r for at, r in reversed(self.rosters) if at <= now - LOG_LAG_S
+        )
+        heard = {
+            name: {"gold": demand}
+            for name, (_, demand, at) in member.news.items()
+            if now - at <= LIVE_S
+        }
+        if all(now - at > ALONE_S for _, _, at in member.news.values()):
+            heard = {}
+        # A graceful leave is gossiped; a vanished member is only silent.
+        left = set(heard) - self.rosters[-1][1]
+        for name in left:
+            if not self.members[name].running:
+                del heard[name]
+        return EntryView(member.name, heard, roster)
+
+    def _serve(self, member: Member, now: float) -> int:
+        if not member.running:
+            return 0
+        due = self.arriving.get(member.name, 0.0)
+        due += self.offered(member.name, now) * STEP_S
+        arrival = Arrival(PLAN, member.share, True, 0.0, 0.0, 1.0)
+        admitted = 0
+        while due >= 1.0:
+            due -= 1.0
+            member.state, decision = admit(member.state, arrival, now)
+            admitted += isinstance(decision, Admitted)
+        self.arriving[member.name] = due
+        return admitted
+
+
+def worst(admitted: list[int], seconds: float, skip: float = 10.0) -> float:
+    """Highest admitted rate over the limit in any window of that length."""
+    length = round(seconds / STEP_S)
+    steps = admitted[round(skip / STEP_S) :]
+    total = sum(steps[:length])
+    highest = total
+    for index in range(length, len(steps)):
+        total += steps[index] - steps[index - length]
+        highest = max(highest, total)
+    return highest / (LIMIT * seconds)
--- /dev/null
+++ b/acaciawing/admission/tests/test_admission.py
@@ -0,0 +1,282 @@
+"""Tests of admission against a limit of limit / n."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from acaciawing.admission import (
+    AdmissionState,
+    Admitted,
+    Arrival,
+    DemandHistory,
+    EntryView,
+    admit,
+    close_step,
+    end,
+    leave,
+    may_start,
+    observe_demand,
+    published_demand,
+    share,
+    start,
+    whole_share,
+)
+from acaciawing.admission.tests.fleet import (
+    Event,
+    Fleet,
+    Policy,
+    naive,
+    newest_demand,
+    windowed,
+    worst,
+)
+from acaciawing.configuration import Plan
+from acaciawing.outcomes import NotRun
+
+GOLD = Plan("gold", 0.99, 3600.0, 1.0, 10.0, 4, 2, ())
+IRON = replace(GOLD, name="iron")
+NAMES = tuple(f"e{i}" for i in range(9))
+SIDES = (
+    Event(15.0, "cut", NAMES[:3]),
+    Event(15.0, "cut", NAMES[3:6]),
+    Event(35.0, "heal", ()),
+)
+
+
+def harmonic(count: int) -> float:
+    return sum(1.0 / i for i in range(1, count + 1))
+
+
+def even(name: str, now: float) -> float:
+    return 60.0
+
+
+def together(name: str, now: float) -> float:
+    """All members become busy at the same moment."""
+    return 400.0 if now % 20.0 >= 10.0 else 5.0
+
+
+def on_one(name: str, now: float) -> float:
+    return 400.0 if name == "e0" else 0.0
+
+
+DEMANDS = {"even": even, "together": together, "one": on_one}
+
+
+def allowed(bound: float, members: int, seconds: float = 10.0) -> float:
+    """Bound for a window: refill, full buckets at its start, one each."""
+    return bound * (1.0 + 1.0 / seconds) + members / (200.0 * seconds) + 1e-9
+
+
+class TestBound:
+    """Guards against a fleet that admits more than a plan's limit."""
+
+    @pytest.mark.parametrize("demand", [even, together, on_one])
+    def test_zones_that_part_keep_within_the_limit(
+        self, demand: Callable[[str, float], float]
+    ) -> None:
+        def rate(policy: Policy) -> float:
+            return worst(Fleet(9, policy, demand, SIDES, 0.3).run(50.0), 10.0)
+
+        if demand is not on_one:
+            assert rate(naive) > 2.0
+            assert rate(newest_demand) > 2.0
+        assert rate(windowed) <= allowed(1.0, 9)
+
+    def test_a_rise_everywhere_at_once(self) -> None:
+        rise = Fleet(9, newest_demand, together, loss=0.3).run(50.0)
+        assert worst(rise, 10.0) > allowed(1.0, 9)
+        rise = Fleet(9, windowed, together, loss=0.3).run(50.0)
+        assert worst(rise, 10.0) <= allowed(1.0, 9)
+
+    def test_replacement_of_members(self) -> None:
+        events = tuple(
+            event
+            for i in range(1, 5)
+            for event in (
+                Event(15.0 + i, "vanish", (f"e{i}",)),
+                Event(16.0 + i, "join", (f"e{i + 9}",)),
+                Event(20.0 + i, "ended", (f"e{i}",)),
+            )
+        )
+        admitted = Fleet(9, windowed, even, events, 0.3).run(50.0)
+        # One join is not known everywhere at a time.
+        assert worst(admitted, 10.0) <= allowed(1.0 + 0.5 / 9, 10)
+        assert sum(admitted[200:]) >= 0.85 * 200.0 * 40.0
+
+    @given(
+        st.sampled_from(sorted(DEMANDS)),
+        st.floats(0.0, 0.3),
+        st.integers(0, 999),
+        st.lists(
+            st.tuples(
+                st.sampled_from(["join", "leave", "vanish", "cut", "one-way"]),
+                st.floats(10.0, 25.0),
+                st.integers(0, 5),
+            ),
+            max_size=4,
+        ),
+    )
+    @settings(derandomize=True, deadline=None, max_examples=15)
+    def test_any_joins_leaves_and_cuts(
+        self,
+        demand: str,
+        loss: float,
+        seed: int,
+        changes: list[tuple[str, float, int]],
+    ) -> None:
+        events, joins, gone = [Event(26.0, "heal", ())], 0, 0
+        for what, at, number in changes:
+            name = f"e{number}"
+            if what == "join":
+                joins += 1
+                events.append(Event(at, "join", (f"e{8 + joins}",)))
+            elif what in ("cut", "one-way"):
+                side = NAMES[: number + 1]
+                events.append(Event(at, "cut", side, what == "one-way"))
+            else:
+                gone += 1
+                events.append(Event(at, what, (name,)))
+        fleet = Fleet(6, windowed, DEMANDS[demand], tuple(events), loss, seed)
+        admitted = fleet.run(32.0)
+        members = 6 + joins
+        bound = 0.5 + 0.5 * harmonic(members) + 0.5 * joins / 6
+        assert worst(admitted, 10.0) <= allowed(bound, members)
+
+    @given(
+        st.lists(st.floats(0.0, 100.0), min_size=2, max_size=9),
+        st.data(),
+    )
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    def test_sum_of_shares(
+        self, demand: list[float], data: st.DataObject
+    ) -> None:
+        members = [f"e{i}" for i in range(len(demand))]
+        both = st.booleans()
+        mutual = data.draw(both)
+        hears: dict[tuple[int, int], bool] = {}
+        for i in range(len(demand)):
+            for j in range(i):
+                hears[i, j] = data.draw(both)
+                hears[j, i] = hears[i, j] if mutual else data.draw(both)
+        total = 0.0
+        for i, own in enumerate(demand):
+            heard = {
+                members[j]: {"gold": demand[j] * data.draw(st.floats(1.0, 3.0))}
+                for j in range(len(demand))
+                if j != i and hears[i, j]
+            }
+            lowest = own * data.draw(st.floats(0.0, 1.0))
+            total += share(
+                EntryView(members[i], heard, members), "gold", lowest
+            )
+        bound = 1.0 if mutual else 0.5 + 0.5 * harmonic(len(demand))
+        assert total <= bound + 1e-9
+
+
+class TestShare:
+    """Guards against shares that lie idle while one instance needs them."""
+
+    def test_demand_on_one_instance(self) -> None:
+        busy = Fleet(9, windowed, on_one).run(40.0)
+        plain = Fleet(9, naive, on_one).run(40.0)
+        assert sum(busy[400:]) >= 0.54 * 200.0 * 20.0
+        assert sum(plain[400:]) <= 0.12 * 200.0 * 20.0
+
+    def test_a_gap_in_the_samples_starts_the_window_anew(self) -> None:
+        history = DemandHistory()
+        for step in range(20):
+            history = observe_demand(history, 50.0, step * 0.5)
+        assert history.lowest(9.5) == 50.0
+        history = observe_demand(history, 50.0, 30.0)
+        assert history.lowest(30.0) == 0.0
+
+
+def arrival(plan: Plan = GOLD, **changes: object) -> Arrival:
+    base = Arrival(plan, 1.0, True, 0.0, 0.0, 1.0)
+    return replace(base, **changes)  # type: ignore[arg-type]
+
+
+def admitted(
+    state: AdmissionState, count: int, plan: Plan = GOLD, now: float = 0.0
+) -> AdmissionState:
+    """Admits `count` requests, one each 0.1 s before `now`."""
+    for number in range(count):
+        state, decision = admit(
+            state, arrival(plan), now - 0.1 * (count - number)
+        )
+        assert isinstance(decision, Admitted), decision
+        state = start(state, plan.name)
+    return state
+
+
+def refused(decision: object) -> NotRun:
+    assert isinstance(decision, NotRun), decision
+    return decision
+
+
+class TestRefusals:
+    """Guards against refusals without a reason or a time to retry."""
+
+    def test_rate(self) -> None:
+        state, _ = admit(AdmissionState(), arrival(), 0.0)
+        state, decision = admit(state, arrival(can_start=False), 0.01)
+        assert refused(decision).code == "rate-limit"
+        assert refused(decision).status == 429
+        assert refused(decision).retry_after_s == 0.5
+        _, decision = admit(state, arrival(can_start=False), 0.11)
+        assert isinstance(decision, Admitted)
+
+    def test_concurrency_then_queue(self) -> None:
+        state = admitted(AdmissionState(), 4)
+        assert not may_start(state, GOLD, 1.0)
+        for _ in range(2):
+            state, decision = admit(state, arrival(), 1.0)
+            assert isinstance(decision, Admitted)
+        _, decision = admit(state, arrival(), 2.0)
+        assert refused(decision).code == "queue-limit"
+        state = end(leave(leave(state, "gold"), "gold"), "gold")
+        assert may_start(state, GOLD, 1.0)
+        _, decision = admit(state, arrival(), 3.0)
+        assert isinstance(decision, Admitted)
+
+    def test_a_deadline_that_cannot_be_met(self) -> None:
+        late = arrival(
+            can_start=False, wait_s=3.0, least_s=0.5, remaining_s=1.0
+        )
+        _, decision = admit(AdmissionState(), late, 0.0)
+        assert refused(decision).code == "deadline-unreachable"
+        assert refused(decision).retry_after_s == 2.5
+
+    def test_a_refused_request_takes_no_token(self) -> None:
+        late = arrival(can_start=False, wait_s=3.0)
+        state, _ = admit(AdmissionState(), late, 0.0)
+        _, decision = admit(state, arrival(), 0.0)
+        assert isinstance(decision, Admitted)
+
+    def test_overload_sheds_the_plan_above_its_allowance(self) -> None:
+        state = admitted(AdmissionState(), 3)
+        state, _ = admit(state, arrival(), 1.0)
+        shares = {"gold": (GOLD, 1.0), "iron": (IRON, 1.0)}
+        _, decision = admit(state, arrival(IRON, overloaded=True), 1.0, shares)
+        assert decision == Admitted("gold", ("shed:gold",))
+        _, decision = admit(state, arrival(overloaded=True), 2.0, shares)
+        assert refused(decision).code == "overload"
+
+    def test_refused_requests_count_as_demand(self) -> None:
+        state = close_step(AdmissionState(), 0.0)
+        for _ in range(50):
+            state, _ = admit(state, arrival(), 0.1)
+        assert published_demand(close_step(state, 0.5)) == {"gold": 100.0}
+
+    @given(st.integers(1, 500), st.lists(st.floats(0.001, 1.0), min_size=1))
+    @settings(derandomize=True, deadline=None)
+    def test_whole_shares_add_at_most_one_each(
+        self, limit: int, weights: list[float]
+    ) -> None:
+        total = sum(weights)
+        given_out = sum(whole_share(limit, w / total) for w in weights)
+        assert given_out <= limit + len(weights)
