--- a/acaciawing/fold/steps.py
+++ b/acaciawing/fold/steps.py
@@ -10,14 +10,20 @@
 
 from acaciawing.budgets import ledger
 from acaciawing.configuration import publication
+from acaciawing.fold import marks
 from acaciawing.fold.state import FleetState
+from acaciawing.leases import Fence, check_fence
+from acaciawing.leases import records as lease_records
+from acaciawing.leases import table as leases
 from acaciawing.lending import loans
 from acaciawing.maintenance import waves
 from acaciawing.membership import roster
 from acaciawing.outcomes import Ignored, Verdict
+from acaciawing.ownership import records as ownership_records
+from acaciawing.ownership import table as ownership
 from acaciawing.placement import records as task_records
 from acaciawing.placement import table as tasks
-from acaciawing.records import LogPosition, Malformed, decode
+from acaciawing.records import Envelope, LogPosition, Malformed, decode
 
 Apply = Callable[[Any, Any, LogPosition], tuple[Any, Verdict]]
 
@@ -27,6 +33,17 @@
     publication.ConfigurationPublished: ("configuration", publication.apply),
     roster.EntryJoined: ("roster", roster.apply),
     roster.EntryLeft: ("roster", roster.apply),
+    lease_records.LeaseClaimed: ("leases", leases.apply),
+    lease_records.LeasesRenewed: ("leases", leases.apply),
+    lease_records.LeasesReleased: ("leases", leases.apply),
+    ownership_records.InstanceAdopted: ("ownership", ownership.apply),
+    ownership_records.InstanceReplaced: ("ownership", ownership.apply),
+    ownership_records.InstanceRetired: ("ownership", ownership.apply),
+    ownership_records.MoveBegun: ("ownership", ownership.apply),
+    ownership_records.MoveFinished: ("ownership", ownership.apply),
+    ownership_records.MoveCancelled: ("ownership", ownership.apply),
+    ownership_records.InstanceReturned: ("ownership", ownership.apply),
+    marks.SnapshotWritten: ("snapshot", marks.apply),
     ledger.PlanCounts: ("budgets", ledger.apply),
     ledger.BudgetReserved: ("budgets", ledger.apply),
     ledger.BudgetReleased: ("budgets", ledger.apply),
@@ -51,6 +68,12 @@
     task_records.TaskStopped: ("tasks", tasks.apply),
 }
 
+_LEASE_RECORDS = (
+    lease_records.LeaseClaimed,
+    lease_records.LeasesRenewed,
+    lease_records.LeasesReleased,
+)
+
 
 @dataclass(frozen=True)
 class Step:
@@ -61,12 +84,14 @@
         verdict: Whether the record took effect, or why not.
         record: The decoded record, or None if it was malformed.
         writer: ``instance/incarnation`` of its writer, or an empty string.
+        position: Place of the record in the log.
     """
 
     state: FleetState
     verdict: Verdict
     record: Any
     writer: str
+    position: LogPosition
 
 
 def step(state: FleetState, payload: bytes, position: LogPosition) -> Step:
@@ -79,21 +104,42 @@
 
     Returns:
         The step. A record below ``state.offset`` is ignored, so that reading
-        a range twice changes nothing.
+        a range twice changes nothing. A record with a field ``fence`` is
+        ignored unless the fence names the current lease of its subject.
     """
     if position.offset < state.offset:
-        return Step(state, Ignored("already-applied", ""), None, "")
+        return Step(state, Ignored("already-applied", ""), None, "", position)
     moved = replace(state, offset=position.offset + 1)
     envelope = decode(payload)
     if isinstance(envelope, Malformed):
         ignored = Ignored(envelope.reason, envelope.detail)
-        return Step(moved, ignored, None, "")
+        return Step(moved, ignored, None, "", position)
     subject = _SUBJECTS.get(type(envelope.record))
     if subject is None:
         ignored = Ignored("other-stream", type(envelope.record).__name__)
-        return Step(moved, ignored, envelope.record, envelope.writer)
+        return Step(moved, ignored, envelope.record, envelope.writer, position)
+    refusal = _check_writer(envelope, state, position)
+    if refusal is not None:
+        return Step(moved, refusal, envelope.record, envelope.writer, position)
     name, apply = subject
     table, verdict = apply(envelope.record, getattr(state, name), position)
     if table is not getattr(state, name):
         moved = replace(moved, **{name: table})
-    return Step(moved, verdict, envelope.record, envelope.writer)
+    return Step(moved, verdict, envelope.record, envelope.writer, position)
+
+
+def _check_writer(
+    envelope: Envelope, state: FleetState, position: LogPosition
+) -> Ignored | None:
+    """Checks what a record says of its writer against the leases.
+
+    This is the only check across tables. It is made here, so that a subject
+    package sees no table but its own.
+    """
+    record, writer = envelope.record, envelope.writer
+    if isinstance(record, _LEASE_RECORDS) and record.holder != writer:
+        return Ignored("not-holder", f"{record.holder} named by {writer}")
+    fence = getattr(record, "fence", None)
+    if isinstance(fence, Fence):
+        return check_fence(state.leases, fence, writer, position)
+    return None
