Add placement of tasks on workers

Cause: tasks need a worker within 2 ms at 1,400 workers, must never run twice, and must neither wait for ever nor starve other teams.

Ruled out: a scan of all workers for each task; capacity checked by the fold (it does not know the workers; the worker's epoch lets the first of two placements on the same room win); freeing room when a task is told to stop (it may still run, so room and task are free only after the confirmed stop).

Workers are indexed by zone, free accelerators and the binary order of magnitude of free processors and memory. Tasks hold leases of 900 s, renewed in groups below 600 s, so that a log outage of ten minutes interrupts none. Urgent tasks and teams below their quota displace the cheapest tasks on a sampled worker; pruning drops needless victims. A task refused at once ends with all reasons.

--- a/acaciawing/fold/state.py
+++ b/acaciawing/fold/state.py
@@ -7,6 +7,7 @@
 from acaciawing.lending import LoanTable
 from acaciawing.maintenance import WaveTable
 from acaciawing.membership import Roster
+from acaciawing.placement import TaskTable
 
 
 @dataclass(frozen=True)
@@ -20,6 +21,7 @@
         budgets: Counts and reservations of the plans.
         waves: Maintenance waves and outages.
         loans: Instances lent between pools.
+        tasks: Tasks that have not ended.
     """
 
     offset: int = 0
@@ -28,3 +30,4 @@
     budgets: Ledger = Ledger()
     waves: WaveTable = WaveTable()
     loans: LoanTable = LoanTable()
+    tasks: TaskTable = TaskTable()
--- a/acaciawing/fold/steps.py
+++ b/acaciawing/fold/steps.py
@@ -15,6 +15,8 @@
 from acaciawing.maintenance import waves
 from acaciawing.membership import roster
 from acaciawing.outcomes import Ignored, Verdict
+from acaciawing.placement import records as task_records
+from acaciawing.placement import table as tasks
 from acaciawing.records import LogPosition, Malformed, decode
 
 Apply = Callable[[Any, Any, LogPosition], tuple[Any, Verdict]]
@@ -37,6 +39,16 @@
     loans.LoanExtended: ("loans", loans.apply),
     loans.LoanReturnBegun: ("loans", loans.apply),
     loans.LoanClosed: ("loans", loans.apply),
+    task_records.TaskSubmitted: ("tasks", tasks.apply),
+    task_records.TaskRefused: ("tasks", tasks.apply),
+    task_records.TaskPlaced: ("tasks", tasks.apply),
+    task_records.TaskLeasesRenewed: ("tasks", tasks.apply),
+    task_records.TaskStarted: ("tasks", tasks.apply),
+    task_records.TaskFinished: ("tasks", tasks.apply),
+    task_records.TaskFailed: ("tasks", tasks.apply),
+    task_records.TasksCancelled: ("tasks", tasks.apply),
+    task_records.TaskPreempted: ("tasks", tasks.apply),
+    task_records.TaskStopped: ("tasks", tasks.apply),
 }
 
 
--- /dev/null
+++ b/acaciawing/placement/quotas.py
@@ -0,0 +1,136 @@
+"""Order of waiting tasks under team quotas, with borrowing.
+
+Teams share by their dominant share of the quota (dominant resource fairness,
+Ghodsi et al. 2011): the team that uses the smallest share of its quota is next.
+A team above its quota borrows what no team below its quota waits for.
+"""
+
+import heapq
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+from immutables import Map
+
+from acaciawing.placement.records import Resources
+from acaciawing.placement.table import Task, TaskTable
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """A waiting task in its order.
+
+    Attributes:
+        task: The task.
+        borrowed: Whether it would take its team above the quota.
+    """
+
+    task: Task
+    borrowed: bool
+
+
+def dominant_share(used: Resources, quota: Resources) -> float:
+    """Largest share of the quota over all resources.
+
+    A resource without quota counts only when it is used.
+
+    >>> dominant_share(Resources(2, 10, 1), Resources(4, 100, 1))
+    1.0
+    >>> dominant_share(Resources(0, 0, 1), Resources(4, 100, 0))
+    inf
+    """
+    pairs = (
+        (used.processors, quota.processors),
+        (used.memory_mb, quota.memory_mb),
+        (used.accelerators, quota.accelerators),
+    )
+    return max(
+        part / whole if whole > 0 else (float("inf") if part > 0 else 0.0)
+        for part, whole in pairs
+    )
+
+
+def waiting_order(
+    table: TaskTable, quotas: Mapping[str, Resources]
+) -> Iterator[Candidate]:
+    """Waiting tasks in the order in which they should be placed.
+
+    Urgent tasks come first, then tasks within their team's quota by dominant
+    share, then tasks that borrow. Tasks of a team keep their order of arrival.
+
+    Args:
+        table: The fold's tasks.
+        quotas: Quota of each team; a team without one always borrows.
+
+    Yields:
+        Candidates. The shares assume that those yielded before are placed.
+    """
+    urgent, others = [], {}
+    for team, names in table.waiting.items():
+        tasks = [table.tasks[n] for n in names]
+        tasks.sort(key=lambda t: t.offset)
+        urgent += [t for t in tasks if t.submitted.urgent]
+        others[team] = [t for t in tasks if not t.submitted.urgent]
+    urgent.sort(key=lambda t: t.offset)
+    used = dict(table.used.items())
+    for task in urgent:
+        yield _candidate(task, used, quotas)
+    borrowing: list[Candidate] = []
+    yield from _by_share(others, used, quotas, borrowing)
+    borrowing.sort(key=lambda c: c.task.offset)
+    yield from borrowing
+
+
+def _by_share(
+    others: Mapping[str, list[Task]],
+    used: dict[str, Resources],
+    quotas: Mapping[str, Resources],
+    borrowing: list[Candidate],
+) -> Iterator[Candidate]:
+    """Yields tasks within the quotas; collects the rest as borrowing."""
+    heap = [(_share(team, used, quotas), team, 0) for team in others]
+    heapq.heapify(heap)
+    while heap:
+        _, team, position = heapq.heappop(heap)
+        tasks = others[team]
+        if position == len(tasks):
+            continue
+        candidate = _candidate(tasks[position], used, quotas)
+        if candidate.borrowed:
+            # A later, smaller task must not pass an earlier one of its team.
+            borrowing.extend(Candidate(t, True) for t in tasks[position:])
+            continue
+        yield candidate
+        share = _share(team, used, quotas)
+        heapq.heappush(heap, (share, team, position + 1))
+
+
+def _share(
+    team: str,
+    used: Mapping[str, Resources],
+    quotas: Mapping[str, Resources],
+) -> float:
+    quota = quotas.get(team, Resources())
+    return dominant_share(used.get(team, Resources()), quota)
+
+
+def _candidate(
+    task: Task, used: dict[str, Resources], quotas: Mapping[str, Resources]
+) -> Candidate:
+    team = task.submitted.team
+    after = used.get(team, Resources()) + task.submitted.size
+    within = quotas.get(team, Resources()).covers(after)
+    if within:
+        used[team] = after
+    return Candidate(task, not within)
+
+
+def over_quota(
+    table: TaskTable, quotas: Mapping[str, Resources]
+) -> Map[str, float]:
+    """Teams above their quota, with their dominant share."""
+    shares = {
+        team: dominant_share(used, quotas.get(team, Resources()))
+        for team, used in table.used.items()
+        if not quotas.get(team, Resources()).covers(used)
+    }
+    return Map(shares)
--- /dev/null
+++ b/acaciawing/placement/table.py
@@ -0,0 +1,483 @@
+"""Tasks as agreed through the log.
+
+A placement names the worker's epoch, so that of two placements that were decided
+on the same free capacity the fold accepts the first. A task is never placed
+again before its last placement has ended: finished, failed, confirmed stopped,
+or with its lease lapsed.
+"""
+
+from dataclasses import dataclass, field, replace
+from enum import Enum
+from functools import singledispatch
+
+from immutables import Map
+
+from acaciawing.outcomes import Accepted, Ignored, Verdict
+from acaciawing.placement.records import (
+    LEASE_EXPIRED,
+    Method,
+    Resources,
+    TaskFailed,
+    TaskFinished,
+    TaskLeasesRenewed,
+    TaskPlaced,
+    TaskPreempted,
+    TaskRefused,
+    TasksCancelled,
+    TaskStarted,
+    TaskStopped,
+    TaskSubmitted,
+)
+from acaciawing.records import LogPosition
+
+MAX_FAILURES = 3
+QUARANTINE_AFTER = 3
+
+# First quarantine of a worker, doubled each time its trial task fails too.
+_QUARANTINE_S = 600.0
+_LONGEST_QUARANTINE_S = 86_400.0
+
+# Ids of ended tasks are kept between one and two of these, so that a late
+# repeat of a submission does not run again.
+_ENDED_GENERATION_S = 86_400.0
+
+# Share of the processors that a throttled task keeps.
+THROTTLED_SHARE = 0.5
+
+
+class TaskState(Enum):
+    """Where a task is; a task that has ended is no longer in the table."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclass(frozen=True)
+class Task:
+    """A task that has not ended.
+
+    Attributes:
+        submitted: Its submission.
+        offset: Log offset of the submission; the order of arrival.
+        state: Its state.
+        attempt: Number of its last placement.
+        failures: Placements that failed.
+        failed_domains: Zone and rack of each failed placement.
+        worker: Worker that holds it, or an empty string.
+        domain: Zone and rack of that worker.
+        size: Size that it was placed with.
+        started_at: Start of the present placement, in seconds.
+        lease_until: End of its lease on the log's clock, in seconds.
+        borrowed: Whether it runs above its team's quota.
+        throttled: Whether it runs with fewer processors.
+        cancelled: Whether it ends once it has stopped.
+        grown: Whether it ran out of memory before.
+    """
+
+    submitted: TaskSubmitted
+    offset: int
+    state: TaskState = TaskState.WAITING
+    attempt: int = 0
+    failures: int = 0
+    failed_domains: tuple[tuple[str, str], ...] = ()
+    worker: str = ""
+    domain: tuple[str, str] = ("", "")
+    size: Resources = Resources()
+    started_at: float = 0.0
+    lease_until: float = 0.0
+    borrowed: bool = False
+    throttled: bool = False
+    cancelled: bool = False
+    grown: bool = False
+
+
+@dataclass(frozen=True)
+class Load:
+    """What a worker holds.
+
+    Attributes:
+        epoch: Placements accepted so far.
+        tasks: Ids of its tasks.
+    """
+
+    epoch: int = 0
+    tasks: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True)
+class Health:
+    """Failures of a worker since its last success.
+
+    Attributes:
+        failed: Different tasks that failed in a row.
+        quarantined_until: End of the quarantine, in seconds.
+        quarantines: Quarantines since the last success.
+    """
+
+    failed: frozenset[str] = frozenset()
+    quarantined_until: float = 0.0
+    quarantines: int = 0
+
+
+@dataclass(frozen=True)
+class TaskTable:
+    """All tasks that have not ended, and what they use.
+
+    Attributes:
+        tasks: Tasks by id.
+        waiting: Waiting tasks, by team and then id.
+        loads: What each worker holds.
+        health: Workers with a failure since their last success.
+        used: Resources that each team's tasks hold.
+        ended: Ids that ended lately.
+        ended_before: Ids of the generation before.
+        generation_at: Start of the generation, in seconds.
+        tokens: Highest fencing token, by subject.
+    """
+
+    tasks: Map[str, Task] = field(default_factory=Map)
+    waiting: Map[str, Map[str, int]] = field(default_factory=Map)
+    loads: Map[str, Load] = field(default_factory=Map)
+    health: Map[str, Health] = field(default_factory=Map)
+    used: Map[str, Resources] = field(default_factory=Map)
+    ended: Map[str, str] = field(default_factory=Map)
+    ended_before: Map[str, str] = field(default_factory=Map)
+    generation_at: float = 0.0
+    tokens: Map[str, int] = field(default_factory=Map)
+
+
+def accepts_task(table: TaskTable, worker: str, now: float) -> str | None:
+    """Why a worker's health rules out a new task.
+
+    Returns:
+        ``quarantined``, ``on-trial`` (it has its one trial task), or None.
+    """
+    health = table.health.get(worker)
+    if health is None or not health.quarantines:
+        return None
+    if now < health.quarantined_until:
+        return "quarantined"
+    load = table.loads.get(worker, Load())
+    return "on-trial" if load.tasks else None
+
+
+@singledispatch
+def apply(
+    record: object, table: TaskTable, position: LogPosition
+) -> tuple[TaskTable, Verdict]:
+    """Applies a record to the tasks; see `acaciawing.fold.step`."""
+    raise TypeError(type(record).__name__)
+
+
+@apply.register
+def _(
+    record: TaskSubmitted, table: TaskTable, position: LogPosition
+) -> tuple[TaskTable, Verdict]:
+    name = record.task
+    known = name in table.tasks or name in table.ended
+    if known or name in table.ended_before:
+        return table, Ignored("duplicate", name)
+    task = Task(record, position.offset)
+    return _waiting(_rotated(table, position), task), Accepted()
+
+
+@apply.register
+def _(
+    record: TaskRefused, table: TaskTable, position: LogPosition
+) -> tuple[TaskTable, Verdict]:
+    task = table.tasks.get(record.task)
+    if task is None or task.state is not TaskState.WAITING:
+        return table, Ignored("not-waiting", record.task)
+    team = task.submitted.team
+    queue = table.waiting[team].delete(record.task)
+    left = replace(table, waiting=table.waiting.set(team, queue))
+    return _ended(left, task, "refused", position), Accepted()
+
+
+@apply.register
+def _(
+    record: TaskPlaced, table: TaskTable, position: LogPosition
+) -> tuple[TaskTable, Verdict]:
+    task = table.tasks.get(record.task)
+    refused = _stale(table, record.subject, record.token)
+    refused = refused or _refused_placement(record, table, task, position)
+    if refused is not None or task is None:
+        return table, refused or Ignored("unknown-task", record.task)
+    load = table.loads.get(record.worker, Load())
+    placed = replace(
+        task,
+        state=TaskState.PLACED,
+        attempt=record.attempt,
+        worker=record.worker,
+        domain=(record.zone, record.rack),
+        size=record.size,
+        started_at=position.appended_at,
+        lease_until=position.appended_at + record.lease_s,
+        borrowed=record.borrowed,
+        throttled=False,
+    )
+    team = task.submitted.team
+    queue = table.waiting[team].delete(record.task)
+    used = table.used.get(team, Resources()) + record.size
+    changed = replace(
+        table,
+        tasks=table.tasks.set(record.task, placed),
+        waiting=table.waiting.set(team, queue),
+        loads=table.loads.set(
+            record.worker, Load(load.epoch + 1, load.tasks | {record.task})
+        ),
+        used=table.used.set(team, used),
+        tokens=table.tokens.set(record.subject, record.token),
+    )
+    return changed, Accepted()
+
+
+@apply.register
+def _(
+    record: TaskLeasesRenewed, table: TaskTable, position: LogPosition
+) -> tuple[TaskTable, Verdict]:
+    refused = _stale(table, record.subject, record.token)
+    if refused is not None:
+        return table, refused
+    until = position.appended_at + record.lease_s
+    tasks = table.tasks
+    for renewal in record.attempts:
+        task = tasks.get(renewal.task)
+        held = task is not None and task.worker != ""
+        if task and held and task.attempt == renewal.attempt:
+            tasks = tasks.set(renewal.task, replace(task, lease_until=until))
+    if tasks is table.tasks:
+        return table, Ignored("stale-attempt", f"{len(record.attempts)}")
+    return replace(table, tasks=tasks), Accepted()
+
+
+@apply.register
+def _(
+    record: TaskStarted, table: TaskTable, position: LogPosition
+) -> tuple[TaskTable, Verdict]:
+    task = _held(table, record.task, record.attempt)
+    if isinstance(task, Ignored):
+        return table, task
+    if task.state is not TaskState.PLACED:
+        return table, Ignored("duplicate", record.task)
+    running = replace(
+        task, state=TaskState.RUNNING, started_at=position.appended_at
+    )
+    tasks = table.tasks.set(record.task, running)
+    return replace(table, tasks=tasks), Accepted()
+
+
+@apply.register
+def _(
+    record: TaskFinished, table: TaskTable, position: LogPosition
+) -> tuple[TaskTable, Verdict]:
+    task = _held(table, record.task, record.attempt)
+    if isinstance(task, Ignored):
+        return table, task
+    freed = _freed(table, task)
+    if task.worker in freed.health:
+        freed = replace(freed, health=freed.health.delete(task.worker))
+    return _ended(freed, task, "finished", position), Accepted()
+
+
+@apply.register
+def _(
+    record: TaskFailed, table: TaskTable, position: LogPosition
+) -> tuple[TaskTable, Verdict]:
+    task = _held(table, record.task, record.attempt)
+    if isinstance(task, Ignored):
+        return table, task
+    lapsed = position.appended_at > task.lease_until
+    if record.reason == LEASE_EXPIRED and not lapsed:
+        return table, Ignored("lease-held", record.task)
+    freed = _with_failure(_freed(table, task), task, position)
+    if task.cancelled:
+        return _ended(freed, task, "cancelled", position), Accepted()
+    if task.failures + 1 >= MAX_FAILURES:
+        return _ended(freed, task, "failed", position), Accepted()
+    again = replace(
+        task,
+        failures=task.failures + 1,
+        failed_domains=(*task.failed_domains, task.domain),
+        grown=task.grown or record.reason == "out-of-memory",
+    )
+    return _waiting(freed, again), Accepted()
+
+
+@apply.register
+def _(
+    record: TasksCancelled, table: TaskTable, position: LogPosition
+) -> tuple[TaskTable, Verdict]:
+    tasks, waiting = table.tasks, table.waiting
+    ended = _rotated(table, position)
+    endings = ended.ended
+    for name in record.tasks:
+        task = tasks.get(name)
+        if task is None or task.cancelled:
+            continue
+        if task.worker:
+            stopping = replace(task, cancelled=True, state=TaskState.STOPPING)
+            tasks = tasks.set(name, stopping)
+            continue
+        team = task.submitted.team
+        waiting = waiting.set(team, waiting[team].delete(name))
+        tasks = tasks.delete(name)
+        endings = endings.set(name, "cancelled")
+    if tasks is table.tasks:
+        return table, Ignored("unknown-task", f"{len(record.tasks)} tasks")
+    changed = replace(ended, tasks=tasks, waiting=waiting, ended=endings)
+    return changed, Accepted()
+
+
+@apply.register
+def _(
+    record: TaskPreempted, table: TaskTable, position: LogPosition
+) -> tuple[TaskTable, Verdict]:
+    refused = _stale(table, record.subject, record.token)
+    if refused is not None:
+        return table, refused
+    task = _held(table, record.task, record.attempt)
+    if isinstance(task, Ignored):
+        return table, task
+    if task.state is TaskState.STOPPING:
+        return table, Ignored("duplicate", record.task)
+    if record.method is not Method.THROTTLE:
+        stopping = replace(task, state=TaskState.STOPPING)
+        tasks = table.tasks.set(record.task, stopping)
+        return replace(table, tasks=tasks), Accepted()
+    if task.throttled:
+        return table, Ignored("duplicate", record.task)
+    return _throttled(table, task), Accepted()
+
+
+@apply.register
+def _(
+    record: TaskStopped, table: TaskTable, position: LogPosition
+) -> tuple[TaskTable, Verdict]:
+    task = _held(table, record.task, record.attempt)
+    if isinstance(task, Ignored):
+        return table, task
+    if task.state is not TaskState.STOPPING:
+        return table, Ignored("not-stopping", record.task)
+    freed = _freed(table, task)
+    if task.cancelled:
+        return _ended(freed, task, "cancelled", position), Accepted()
+    return _waiting(freed, task), Accepted()
+
+
+def _refused_placement(
+    record: TaskPlaced,
+    table: TaskTable,
+    task: Task | None,
+    position: LogPosition,
+) -> Ignored | None:
+    if task is None or task.state is not TaskState.WAITING:
+        return Ignored("not-waiting", record.task)
+    if record.attempt != task.attempt + 1:
+        return Ignored("stale-attempt", f"{record.attempt}")
+    epoch = table.loads.get(record.worker, Load()).epoch
+    if record.worker_epoch != epoch:
+        return Ignored("stale-epoch", f"{record.worker_epoch}, now {epoch}")
+    if (record.zone, record.rack) in task.failed_domains:
+        return Ignored("failed-domain", f"{record.zone}/{record.rack}")
+    obstacle = accepts_task(table, record.worker, position.appended_at)
+    return Ignored(obstacle, record.worker) if obstacle else None
+
+
+def _stale(table: TaskTable, subject: str, token: int) -> Ignored | None:
+    newest = table.tokens.get(subject, -1)
+    if token < newest:
+        return Ignored("stale-token", f"{token}, newest is {newest}")
+    return None
+
+
+def _held(table: TaskTable, name: str, attempt: int) -> Task | Ignored:
+    task = table.tasks.get(name)
+    if task is None:
+        return Ignored("unknown-task", name)
+    if task.attempt != attempt or not task.worker:
+        return Ignored("stale-attempt", f"{name}: {attempt}")
+    return task
+
+
+def _waiting(table: TaskTable, task: Task) -> TaskTable:
+    name, team = task.submitted.task, task.submitted.team
+    task = replace(
+        task,
+        state=TaskState.WAITING,
+        worker="",
+        size=Resources(),
+        borrowed=False,
+        throttled=False,
+    )
+    queue = table.waiting.get(team, Map()).set(name, task.offset)
+    return replace(
+        table,
+        tasks=table.tasks.set(name, task),
+        waiting=table.waiting.set(team, queue),
+    )
+
+
+def _freed(table: TaskTable, task: Task) -> TaskTable:
+    """Takes the task off its worker and its team's use."""
+    load = table.loads[task.worker]
+    left = replace(load, tasks=load.tasks - {task.submitted.task})
+    team = task.submitted.team
+    used = table.used.get(team, Resources()) - task.size
+    return replace(
+        table,
+        loads=table.loads.set(task.worker, left),
+        used=table.used.set(team, used),
+    )
+
+
+def _throttled(table: TaskTable, task: Task) -> TaskTable:
+    size = replace(task.size, processors=task.size.processors * THROTTLED_SHARE)
+    team = task.submitted.team
+    used = table.used.get(team, Resources()) - task.size + size
+    throttled = replace(task, size=size, throttled=True)
+    return replace(
+        table,
+        tasks=table.tasks.set(task.submitted.task, throttled),
+        used=table.used.set(team, used),
+    )
+
+
+def _with_failure(
+    table: TaskTable, task: Task, position: LogPosition
+) -> TaskTable:
+    health = table.health.get(task.worker, Health())
+    failed = health.failed | {task.submitted.task}
+    quarantines, until = health.quarantines, health.quarantined_until
+    # The set is cleared by a success, so a failed trial quarantines again.
+    if len(failed) >= QUARANTINE_AFTER:
+        length = min(_QUARANTINE_S * 2**quarantines, _LONGEST_QUARANTINE_S)
+        until = position.appended_at + length
+        quarantines += 1
+    changed = Health(failed, until, quarantines)
+    return replace(table, health=table.health.set(task.worker, changed))
+
+
+def _ended(
+    table: TaskTable, task: Task, outcome: str, position: LogPosition
+) -> TaskTable:
+    rotated = _rotated(table, position)
+    name = task.submitted.task
+    return replace(
+        rotated,
+        tasks=rotated.tasks.delete(name),
+        ended=rotated.ended.set(name, outcome),
+    )
+
+
+def _rotated(table: TaskTable, position: LogPosition) -> TaskTable:
+    if position.appended_at - table.generation_at < _ENDED_GENERATION_S:
+        return table
+    return replace(
+        table,
+        ended=Map(),
+        ended_before=table.ended,
+        generation_at=position.appended_at,
+    )
--- /dev/null
+++ b/acaciawing/placement/tests/test_placement.py
@@ -0,0 +1,408 @@
+"""Tests of the choice of a worker and of the fold of tasks."""
+
+import random
+from dataclasses import replace
+
+import hypothesis.strategies as st
+from hypothesis import given, settings
+
+from acaciawing.outcomes import Accepted, Ignored
+from acaciawing.placement import (
+    LEASE_EXPIRED,
+    LEASE_S,
+    Corrections,
+    NoRoom,
+    Placed,
+    PlacementRequest,
+    PlacementSnapshot,
+    Reason,
+    Resources,
+    TaskAttempt,
+    TaskFailed,
+    TaskFinished,
+    TaskPlaced,
+    TaskRefused,
+    TasksCancelled,
+    TaskStarted,
+    TaskStopped,
+    Unplaceable,
+    UsageSample,
+    build,
+    cancel,
+    learn,
+    lost,
+    place,
+    refresh,
+    renewals,
+    running_sizes,
+)
+from acaciawing.placement.tests.fake_workers import (
+    SUBJECT,
+    FakeWorkers,
+    worker,
+)
+from acaciawing.placement.tests.naive import first_fit, naive_cancel
+
+_SMALL = Resources(4, 8_000)
+
+
+class TestFeasibility:
+    """Guards against a sample or an index that misses the worker that fits."""
+
+    @settings(derandomize=True, max_examples=120, deadline=None)
+    @given(st.data())
+    def test_places_exactly_when_first_fit_does(
+        self, data: st.DataObject
+    ) -> None:
+        count = data.draw(st.integers(1, 60))
+        kinds = st.tuples(st.sampled_from([8.0, 32.0, 64.0]), st.integers(0, 4))
+        fake = FakeWorkers([worker(n, *data.draw(kinds)) for n in range(count)])
+        sizes = st.tuples(
+            st.sampled_from([0.5, 4.0, 20.0, 32.0, 70.0]),
+            st.sampled_from([100, 64_000, 128_000, 200_000]),
+            st.integers(0, 5),
+            st.sampled_from([(), ("z0",), ("z1", "z2")]),
+        )
+        for number in range(data.draw(st.integers(1, 25))):
+            processors, memory, accelerators, zones = data.draw(sizes)
+            size = Resources(processors, memory, accelerators)
+            fake.submit(f"t{number}", size, zones=zones)
+            task = fake.table.tasks[f"t{number}"]
+            naive = first_fit(fake.snapshot, task, fake.now)
+            decision = fake.decide(f"t{number}")
+            assert isinstance(decision, Placed) == (naive is not None)
+            if isinstance(decision, Placed):
+                record = fake.record(f"t{number}", decision)
+                assert fake.append(record) == Accepted()
+        assert all(
+            min(f.processors, f.memory_mb, f.accelerators) >= 0
+            for f in fake.index.free.values()
+        )
+
+    def test_finds_the_one_free_worker_of_many(self) -> None:
+        """More equal workers than the sample, all but one unavailable."""
+        fake = FakeWorkers([worker(n) for n in range(400)])
+        fake.unavailable = frozenset(
+            w.worker for w in fake.workers if w.worker != "w217"
+        )
+        fake.submit("t", _SMALL)
+        assert fake.place("t") == "w217"
+
+    @settings(derandomize=True, max_examples=50, deadline=None)
+    @given(st.lists(st.integers(0, 19), min_size=12, max_size=40))
+    def test_refreshed_index_equals_a_new_one(self, ends: list[int]) -> None:
+        fake = FakeWorkers([worker(3 * n, 8) for n in range(8)])
+        index = fake.index
+        for number, end in enumerate(ends):
+            fake.submit(f"t{number}", _SMALL)
+            changed = set()
+            if isinstance(fake.decide(f"t{number}"), Placed):
+                changed.add(fake.place(f"t{number}"))
+            task = fake.table.tasks.get(f"t{end}")
+            if task is not None and task.worker:
+                fake.append(TaskFinished(f"t{end}", 1))
+                changed.add(task.worker)
+            index = refresh(index, fake.table, changed)
+        new = fake.index
+        assert index.free == new.free
+        assert {k: set(v) for k, v in index.buckets.items()} == {
+            k: set(v) for k, v in new.buckets.items()
+        }
+
+
+class TestReasons:
+    """Guards against tasks that wait for ever, or without an explanation."""
+
+    def test_never_fitting_task_is_refused_with_every_reason(self) -> None:
+        fake = FakeWorkers([worker(n) for n in range(6)])
+        fake.submit("t", Resources(40, 200_000, 1), zones=("z0",))
+        assert fake.decide("t") == Unplaceable(
+            (
+                Reason("accelerators", 6),
+                Reason("memory", 6),
+                Reason("processors", 6),
+                Reason("zone", 4),
+            )
+        )
+        assert fake.append(TaskRefused("t", ("memory",))) == Accepted()
+        assert "t" not in fake.table.tasks
+
+    def test_task_that_fits_later_waits(self) -> None:
+        fake = FakeWorkers([worker(0), worker(1)])
+        for name in ("a", "b"):
+            fake.submit(name, Resources(30, 1_000))
+            fake.place(name)
+        fake.submit("t", Resources(30, 1_000))
+        decision = fake.decide("t")
+        assert isinstance(decision, NoRoom)
+        assert decision.reasons == (Reason("processors", 2),)
+
+    def test_plain_task_leaves_accelerators_free(self) -> None:
+        workers = [worker(n, accelerators=4 * (n % 2)) for n in range(8)]
+        fake = FakeWorkers(workers)
+        for number in range(4):
+            fake.submit(f"t{number}", Resources(30, 1_000))
+            assert int(fake.place(f"t{number}")[1:]) % 2 == 0
+
+
+class TestCompetition:
+    """Guards against two instances that fill the same room."""
+
+    def test_second_placement_on_one_epoch_is_ignored(self) -> None:
+        fake = FakeWorkers([worker(0)])
+        records = []
+        for name in "ab":
+            fake.submit(name, Resources(30, 1_000))
+            decision = fake.decide(name)
+            assert isinstance(decision, Placed)
+            records.append(fake.record(name, decision))
+        assert fake.append(records[0]) == Accepted()
+        verdict = fake.append(records[1])
+        assert verdict == Ignored("stale-epoch", "0, now 1")
+
+    def test_old_token_places_nothing(self) -> None:
+        fake = FakeWorkers([worker(0), worker(1)])
+        fake.submit("a", _SMALL)
+        fake.submit("b", _SMALL)
+        decision = fake.decide("b")
+        assert isinstance(decision, Placed)
+        first, second = (fake.record(n, decision) for n in "ab")
+        assert fake.append(replace(first, token=2)) == Accepted()
+        second = replace(second, worker_epoch=1)
+        assert isinstance(fake.append(second), Ignored)
+
+    def test_late_submission_does_not_run_again(self) -> None:
+        fake = FakeWorkers([worker(0)])
+        submitted = fake.submit("t", _SMALL).submitted
+        fake.place("t")
+        assert fake.append(TaskFinished("t", 1)) == Accepted()
+        fake.now += 100_000.0
+        fake.submit("other", _SMALL)
+        assert fake.append(submitted) == Ignored("duplicate", "t")
+
+
+class TestFailures:
+    """Guards against endless attempts and workers that fail everything."""
+
+    def test_three_attempts_in_different_domains(self) -> None:
+        fake = FakeWorkers([worker(n) for n in range(24)])
+        fake.submit("t", _SMALL)
+        domains = []
+        for attempt in (1, 2, 3):
+            fake.place("t")
+            domains.append(fake.table.tasks["t"].domain)
+            assert fake.append(TaskFailed("t", attempt, "exit-1")) == (
+                Accepted()
+            )
+        assert len(set(domains)) == 3
+        assert "t" not in fake.table.tasks
+        assert fake.table.ended["t"] == "failed"
+
+    def test_fold_refuses_a_failed_domain(self) -> None:
+        fake = FakeWorkers([worker(0)])
+        fake.submit("t", _SMALL)
+        decision = fake.decide("t")
+        assert isinstance(decision, Placed)
+        fake.append(fake.record("t", decision))
+        fake.append(TaskFailed("t", 1, "exit-1"))
+        again = replace(fake.record("t", decision), worker_epoch=1)
+        assert fake.append(again) == Ignored("failed-domain", "z0/r0")
+
+    def _quarantined(self) -> FakeWorkers:
+        fake = FakeWorkers([worker(0)])
+        for number in range(3):
+            fake.submit(f"t{number}", _SMALL)
+            fake.place(f"t{number}")
+            fake.append(TaskFailed(f"t{number}", 1, "exit-1"))
+        return fake
+
+    def test_failing_worker_is_quarantined_then_tried_once(self) -> None:
+        fake = self._quarantined()
+        fake.submit("a", _SMALL)
+        fake.submit("b", _SMALL)
+        decision = fake.decide("a")
+        assert isinstance(decision, NoRoom)
+        assert Reason("quarantined", 1) in decision.reasons
+        early = TaskPlaced(
+            "a", 1, "w0", 3, "z0", "r0", _SMALL, 9.0, False, SUBJECT, 1
+        )
+        assert fake.append(early) == Ignored("quarantined", "w0")
+        fake.now = 601.0
+        fake.place("a")
+        decision = fake.decide("b")
+        assert isinstance(decision, NoRoom)
+        assert decision.reasons == (Reason("on-trial", 1),)
+        fake.append(TaskFinished("a", 1))
+        fake.place("b")
+
+    def test_failed_trial_doubles_the_quarantine(self) -> None:
+        fake = self._quarantined()
+        fake.submit("a", _SMALL)
+        fake.now = 601.0
+        fake.place("a")
+        fake.append(TaskFailed("a", 1, "exit-1"))
+        assert fake.table.health["w0"].quarantined_until == 601 + 1200
+
+    def test_one_task_alone_quarantines_nobody(self) -> None:
+        """Some tasks can never run; that is no fault of the worker."""
+        fake = FakeWorkers([worker(n) for n in range(24)])
+        fake.submit("t", _SMALL)
+        for attempt in (1, 2, 3):
+            fake.place("t")
+            fake.append(TaskFailed("t", attempt, "exit-1"))
+        assert all(not h.quarantines for h in fake.table.health.values())
+
+
+class TestLeases:
+    """Guards against a task that runs twice or is lost with its worker."""
+
+    def test_placement_ends_only_after_its_lease(self) -> None:
+        fake = FakeWorkers([worker(n) for n in range(8)])
+        fake.submit("t", _SMALL)
+        fake.place("t")
+        expired = TaskFailed("t", 1, LEASE_EXPIRED)
+        fake.now = LEASE_S
+        assert lost(fake.table, (), fake.now) == ()
+        assert fake.append(expired) == Ignored("lease-held", "t")
+        fake.now = LEASE_S + 1
+        assert lost(fake.table, (), fake.now) == (expired,)
+        assert fake.append(expired) == Accepted()
+        assert fake.append(TaskFinished("t", 1)) != Accepted()
+        fake.place("t")
+
+    def test_renewal_is_grouped_and_keeps_the_lease(self) -> None:
+        fake = FakeWorkers([worker(n) for n in range(8)])
+        for number in range(20):
+            fake.submit(f"t{number}", _SMALL)
+            fake.place(f"t{number}")
+        reported = [TaskAttempt(f"t{n}", 1) for n in range(20)]
+        assert renewals(fake.table, reported, SUBJECT, 1, 1.0) == ()
+        fake.now = 400.0
+        records = renewals(fake.table, reported, SUBJECT, 1, fake.now)
+        assert len(records) == 1
+        assert fake.append(records[0]) == Accepted()
+        assert lost(fake.table, (), LEASE_S + 100) == ()
+
+    def test_ended_worker_is_not_waited_for(self) -> None:
+        fake = FakeWorkers([worker(0)])
+        fake.submit("t", _SMALL)
+        fake.place("t")
+        failures = lost(fake.table, {"w0"}, 1.0)
+        assert failures == (TaskFailed("t", 1, "worker-ended"),)
+
+
+class TestSizes:
+    """Guards against declared sizes that are far from the real ones."""
+
+    def test_learnt_size_packs_more_than_the_declared(self) -> None:
+        declared = Resources(16, 64_000)
+        fake = FakeWorkers([worker(0)])
+        for _ in range(5):
+            fake.corrections = learn(
+                fake.corrections, "render", declared, Resources(2, 8_000)
+            )
+        for number in range(6):  # two as declared
+            fake.submit(f"t{number}", declared)
+            fake.place(f"t{number}")
+
+    def test_growth_never_makes_a_fitting_task_unplaceable(self) -> None:
+        fake = FakeWorkers([worker(0)])
+        declared = Resources(8, 100_000)
+        for _ in range(5):
+            fake.corrections = learn(
+                fake.corrections, "render", declared, Resources(8, 120_000)
+            )
+        fake.submit("t", declared)
+        decision = fake.decide("t")
+        assert isinstance(decision, Placed)
+        assert decision.size.memory_mb == 128_000
+
+    def test_out_of_memory_doubles_the_next_attempt(self) -> None:
+        fake = FakeWorkers([worker(n) for n in range(8)])
+        fake.submit("t", _SMALL)
+        fake.place("t")
+        fake.append(TaskFailed("t", 1, "out-of-memory"))
+        fake.place("t")
+        assert fake.table.tasks["t"].size.memory_mb == 16_000
+
+    def test_lagging_usage_only_raises(self) -> None:
+        fake = FakeWorkers([worker(0)])
+        fake.submit("t", _SMALL)
+        fake.place("t")
+        fake.append(TaskStarted("t", 1))
+        tasks = fake.table.tasks
+        low = UsageSample("t", 200.0, 1.0, 1_000)
+        fresh = running_sizes(tasks, [low], 210.0)
+        assert fresh["t"].memory_mb < _SMALL.memory_mb
+        assert running_sizes(tasks, [low], 300.0) == {}
+        early = UsageSample("t", 10.0, 1.0, 20_000)
+        assert running_sizes(tasks, [early], 11.0)["t"].memory_mb == 25_000
+
+    def test_measured_use_frees_room(self) -> None:
+        fake = FakeWorkers([worker(0)])
+        fake.submit("big", Resources(32, 8_000))
+        fake.place("big")
+        fake.append(TaskStarted("big", 1))
+        fake.submit("t", _SMALL)
+        assert isinstance(fake.decide("t"), NoRoom)
+        used = UsageSample("big", 200.0, 10.0, 6_000)
+        sizes = running_sizes(fake.table.tasks, [used], 201.0)
+        index = build(fake.workers, fake.table, sizes)
+        snapshot = PlacementSnapshot(fake.table, index, Corrections())
+        request = PlacementRequest(fake.table.tasks["t"])
+        decision = place(snapshot, request, 201.0, random.Random(1))
+        assert isinstance(decision, Placed)
+
+
+class TestCancellation:
+    """Guards against a burst of cancellations that stalls placement."""
+
+    def test_burst_is_one_record_and_one_call_for_each_worker(self) -> None:
+        fake = FakeWorkers([worker(n) for n in range(10)])
+        names = [f"t{n}" for n in range(900)]
+        for name in names:
+            fake.submit(name, _SMALL)
+        placed = 0
+        while placed < 60:
+            fake.place(names[placed])
+            placed += 1
+        burst = list(reversed(names))
+        assert naive_cancel(list(names), list(burst)) > 100 * len(names)
+        plan = cancel(fake.table, [*burst, *burst, "unknown"])
+        assert len(plan.records) == 1
+        assert len(plan.records[0].tasks) == 900
+        assert sum(len(s) for s in plan.stops.values()) == 60
+        assert len(plan.stops) <= 10
+        assert fake.append(plan.records[0]) == Accepted()
+        assert len(fake.table.tasks) == 60
+        assert not any(fake.table.waiting.values())
+        assert cancel(fake.table, names).records == ()
+
+    def test_cancelled_running_task_holds_its_room_until_stopped(
+        self,
+    ) -> None:
+        fake = FakeWorkers([worker(0)])
+        fake.submit("t", Resources(32, 1_000))
+        fake.place("t")
+        fake.append(TasksCancelled(("t",)))
+        assert fake.index.free["w0"].processors == 0
+        assert fake.append(TaskStopped("t", 1)) == Accepted()
+        assert fake.index.free["w0"].processors == 32
+        assert fake.table.ended["t"] == "cancelled"
+        assert fake.table.used["red"] == Resources()
+
+    def test_late_records_of_an_old_attempt_change_nothing(self) -> None:
+        fake = FakeWorkers([worker(n) for n in range(8)])
+        fake.submit("t", _SMALL)
+        fake.place("t")
+        fake.append(TaskFailed("t", 1, "exit-1"))
+        fake.place("t")
+        late = [
+            TaskFinished("t", 1),
+            TaskFailed("t", 1, "exit-1"),
+            TaskStopped("t", 1),
+            TaskStarted("t", 1),
+        ]
+        for record in late:
+            assert isinstance(fake.append(record), Ignored)
+        assert fake.table.tasks["t"].attempt == 2
--- /dev/null
+++ b/acaciawing/placement/tests/test_sharing.py
@@ -0,0 +1,343 @@
+"""Tests of quotas, preemption and stragglers."""
+
+import random
+from collections.abc import Mapping
+
+import hypothesis.strategies as st
+from hypothesis import given, settings
+
+from acaciawing.budgets import BudgetSnapshot, Ledger
+from acaciawing.configuration import Plan
+from acaciawing.outcomes import Accepted, Ignored
+from acaciawing.placement import (
+    Method,
+    NoRoom,
+    NoVictims,
+    Placed,
+    Preemption,
+    PreemptionRequest,
+    Resources,
+    StragglerView,
+    TaskFinished,
+    TaskPlaced,
+    TaskPreempted,
+    TaskStarted,
+    TaskStopped,
+    UrgentTimes,
+    Victim,
+    preempt,
+    protected_teams,
+    stragglers,
+    waiting_order,
+)
+from acaciawing.placement.table import TaskState
+from acaciawing.placement.tests.fake_workers import (
+    SUBJECT,
+    FakeWorkers,
+    worker,
+)
+
+_HALF = Resources(16, 64_000)
+_QUOTAS = {"red": Resources(64, 256_000), "blue": Resources(64, 256_000)}
+
+
+def _give_way(fake: FakeWorkers, victim: Victim, reason: str) -> TaskPreempted:
+    name = victim.task.submitted.task
+    attempt = victim.task.attempt
+    return TaskPreempted(name, attempt, victim.method, reason, SUBJECT, 1)
+
+
+def _preempt(
+    fake: FakeWorkers,
+    name: str,
+    quotas: Mapping[str, Resources] | None = None,
+    protected: frozenset[str] = frozenset(),
+) -> Preemption | NoVictims:
+    request = PreemptionRequest(fake.table.tasks[name], quotas or {}, protected)
+    return preempt(fake.snapshot, request, fake.now, random.Random(1))
+
+
+def _full(workers: int, checkpointable: bool = False) -> FakeWorkers:
+    """Each worker runs two tasks of half its size, started one by one."""
+    fake = FakeWorkers([worker(n) for n in range(workers)])
+    for number in range(2 * workers):
+        fake.now += 10.0
+        name = f"t{number}"
+        fake.submit(name, _HALF, checkpointable=checkpointable)
+        fake.place(name)
+        fake.append(TaskStarted(name, 1))
+    return fake
+
+
+class TestUrgent:
+    """Guards against urgent work that waits for lower classes."""
+
+    def test_starts_within_two_seconds(self) -> None:
+        fake = _full(4)
+        start = fake.now
+        fake.submit("u", _HALF, urgent=True)
+        # Waiting for a task to end would take its run time.
+        assert isinstance(fake.decide("u"), NoRoom)
+        times = UrgentTimes()
+        fake.now += times.read_s + times.decide_s
+        decision = _preempt(fake, "u")
+        assert isinstance(decision, Preemption)
+        fake.now += times.append_s
+        for victim in decision.victims:
+            record = _give_way(fake, victim, "urgent")
+            assert fake.append(record) == Accepted()
+        chosen = decision.worker
+        placed = Placed(chosen, decision.worker_epoch, decision.size, 0, 1)
+        assert fake.append(fake.record("u", placed)) == Accepted()
+        fake.now += times.confirm_s + times.stop_s
+        for victim in decision.victims:
+            if victim.method is not Method.THROTTLE:
+                name = victim.task.submitted.task
+                assert fake.append(TaskStopped(name, 1)) == Accepted()
+        free = fake.index.free[chosen.worker]
+        assert min(free.processors, free.memory_mb) >= 0
+        fake.now += times.start_s
+        assert fake.append(TaskStarted("u", 1)) == Accepted()
+        assert fake.now - start <= 2.0
+
+    def test_cheapest_victim_is_the_youngest_without_checkpoints(
+        self,
+    ) -> None:
+        fake = _full(4)
+        fake.submit("u", _HALF, urgent=True)
+        decision = _preempt(fake, "u")
+        assert isinstance(decision, Preemption)
+        names = [v.task.submitted.task for v in decision.victims]
+        assert names == ["t7"]
+
+    def test_second_urgent_task_counts_on_stops_in_progress(self) -> None:
+        fake = _full(1)
+        for name in ("u1", "u2"):
+            fake.submit(name, _HALF, urgent=True)
+            decision = _preempt(fake, name)
+            assert isinstance(decision, Preemption)
+            (victim,) = decision.victims
+            record = _give_way(fake, victim, "urgent")
+            assert fake.append(record) == Accepted()
+            placed = Placed(
+                decision.worker, decision.worker_epoch, decision.size, 0, 1
+            )
+            assert fake.append(fake.record(name, placed)) == Accepted()
+
+    def test_throttles_when_only_processors_lack(self) -> None:
+        fake = _full(1)
+        fake.now += 10_000.0
+        fake.submit("u", Resources(8, 0), urgent=True)
+        decision = _preempt(fake, "u")
+        assert isinstance(decision, Preemption)
+        assert [v.method for v in decision.victims] == [Method.THROTTLE]
+        record = _give_way(fake, decision.victims[0], "urgent")
+        assert fake.append(record) == Accepted()
+        assert fake.append(record) == Ignored("duplicate", record.task)
+        fake.place("u")
+
+    def test_urgent_and_protected_tasks_stay(self) -> None:
+        fake = FakeWorkers([worker(0)])
+        fake.submit("first", _HALF, urgent=True)
+        fake.place("first")
+        fake.submit("second", _HALF, team="blue")
+        fake.place("second")
+        fake.submit("u", _HALF, urgent=True)
+        assert isinstance(
+            _preempt(fake, "u", protected=frozenset({"blue"})), NoVictims
+        )
+        decision = _preempt(fake, "u")
+        assert isinstance(decision, Preemption)
+        victims = [v.task.submitted.task for v in decision.victims]
+        assert victims == ["second"]
+
+    def test_spent_budget_protects_the_team(self) -> None:
+        plan = Plan("gold", 0.99, 60.0, 5.0, 1.0, 1, 1, (), team="blue")
+        budgets = BudgetSnapshot(Ledger(), {"gold": plan}, frozenset())
+        assert protected_teams(budgets, 0.0) == {"blue"}
+
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from([1.0, 4.0, 16.0]), st.booleans()),
+            max_size=20,
+        ),
+        st.sampled_from([4.0, 20.0, 32.0]),
+    )
+    def test_victims_are_enough_and_none_is_needless(
+        self, tasks: list[tuple[float, bool]], wanted: float
+    ) -> None:
+        fake = FakeWorkers([worker(0)])
+        for number, (processors, checkpointable) in enumerate(tasks):
+            size = Resources(processors, 8_000)
+            fake.submit(f"t{number}", size, checkpointable=checkpointable)
+            if isinstance(fake.decide(f"t{number}"), Placed):
+                fake.place(f"t{number}")
+        fake.submit("u", Resources(wanted, 16_000), urgent=True)
+        decision = _preempt(fake, "u")
+        assert isinstance(decision, Preemption)
+
+        def freed(victims: list[Victim]) -> Resources:
+            free = fake.index.free[decision.worker.worker]
+            for v in victims:
+                if v.method is Method.THROTTLE:
+                    free = free + Resources(v.task.size.processors / 2)
+                else:
+                    free = free + v.task.size
+            return free
+
+        victims = list(decision.victims)
+        assert freed(victims).covers(decision.size)
+        for victim in victims:
+            others = [v for v in victims if v is not victim]
+            assert not freed(others).covers(decision.size)
+
+    def test_preempted_task_runs_again_only_after_it_stopped(self) -> None:
+        fake = _full(1, checkpointable=True)
+        fake.submit("u", _HALF, urgent=True)
+        decision = _preempt(fake, "u")
+        assert isinstance(decision, Preemption)
+        victim = decision.victims[0]
+        assert victim.method is Method.CHECKPOINT
+        name = victim.task.submitted.task
+        fake.append(_give_way(fake, victim, "urgent"))
+        assert fake.table.tasks[name].state is TaskState.STOPPING
+        early = TaskPlaced(
+            name, 2, "w9", 0, "z0", "r9", _HALF, 9.0, False, SUBJECT, 1
+        )
+        assert fake.append(early) == Ignored("not-waiting", name)
+        assert fake.append(TaskStopped(name, 1)) == Accepted()
+        task = fake.table.tasks[name]
+        assert (task.state, task.failures) == (TaskState.WAITING, 0)
+
+
+class TestQuotas:
+    """Guards against a team that is kept out of its own quota."""
+
+    def _order(self, fake: FakeWorkers) -> list[tuple[str, bool]]:
+        return [
+            (c.task.submitted.task, c.borrowed)
+            for c in waiting_order(fake.table, _QUOTAS)
+        ]
+
+    def test_smallest_share_first_then_borrowers(self) -> None:
+        fake = FakeWorkers([worker(n) for n in range(4)])
+        for number in range(6):  # four of them fill the quota
+            fake.submit(f"red{number}", _HALF)
+        fake.submit("blue0", _HALF, team="blue")
+        fake.submit("blue1", _HALF, team="blue")
+        fake.submit("u", _HALF, urgent=True)
+        order = self._order(fake)
+        assert order[0] == ("u", False)
+        assert [name for name, _ in order[1:4]] == ["blue0", "blue1", "red0"]
+        assert [name for name, borrowed in order if borrowed] == [
+            "red3",
+            "red4",
+            "red5",
+        ]
+
+    def test_first_come_would_starve_the_second_team(self) -> None:
+        """First come first served gives all room to who asks first."""
+        fake = FakeWorkers([worker(n) for n in range(2)])
+        for number in range(8):
+            fake.submit(f"red{number}", _HALF)
+        for number in range(2):
+            fake.submit(f"blue{number}", _HALF, team="blue")
+        naive = sorted(fake.table.tasks.values(), key=lambda t: t.offset)
+        assert all(t.submitted.team == "red" for t in naive[:4])
+        fair = [name for name, _ in self._order(fake)][:4]
+        assert {"blue0", "blue1"} <= set(fair)
+
+    def test_borrowed_room_is_given_back(self) -> None:
+        fake = FakeWorkers([worker(n) for n in range(3)])
+        for number in range(6):
+            fake.submit(f"red{number}", _HALF)
+        for candidate in list(waiting_order(fake.table, _QUOTAS)):
+            name = candidate.task.submitted.task
+            fake.place(name, candidate.borrowed)
+        fake.submit("blue0", _HALF, team="blue")
+        assert isinstance(fake.decide("blue0"), NoRoom)
+        decision = _preempt(fake, "blue0", _QUOTAS)
+        assert isinstance(decision, Preemption)
+        assert {v.task.submitted.task for v in decision.victims} <= {
+            "red4",
+            "red5",
+        }
+        # Within their quota, tasks are not displaced by another team.
+        for name in ("red0", "red1"):
+            fake.append(TaskFinished(name, 1))
+        for number in (1, 2):
+            fake.submit(f"blue{number}", _HALF, team="blue")
+            fake.place(f"blue{number}")
+        assert isinstance(_preempt(fake, "blue0", _QUOTAS), NoVictims)
+
+    @settings(derandomize=True, max_examples=80, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["red", "blue", "none"]),
+                st.sampled_from([1.0, 16.0, 40.0]),
+                st.booleans(),
+            ),
+            max_size=30,
+        )
+    )
+    def test_every_waiting_task_is_ordered_once(
+        self, tasks: list[tuple[str, float, bool]]
+    ) -> None:
+        fake = FakeWorkers([worker(0)])
+        for number, (team, processors, urgent) in enumerate(tasks):
+            size = Resources(processors, 1_000)
+            fake.submit(f"t{number}", size, team=team, urgent=urgent)
+        order = list(waiting_order(fake.table, _QUOTAS))
+        names = [c.task.submitted.task for c in order]
+        assert sorted(names) == sorted(fake.table.tasks)
+        used: dict[str, Resources] = {}
+        for candidate in order:
+            submitted = candidate.task.submitted
+            if not candidate.borrowed:
+                team = submitted.team
+                used[team] = used.get(team, Resources()) + submitted.size
+        assert all(_QUOTAS[t].covers(u) for t, u in used.items())
+
+
+class TestStragglers:
+    """Guards against a few long tasks that hold the short ones up."""
+
+    def _late(self, checkpointable: bool) -> FakeWorkers:
+        fake = FakeWorkers([worker(0)])
+        fake.submit("t", _HALF, checkpointable=checkpointable)
+        fake.place("t")
+        fake.append(TaskStarted("t", 1))
+        fake.now = 300.0  # five times the declared minute
+        return fake
+
+    def test_methods(self) -> None:
+        slow = StragglerView(slowdowns={"w0": 2.5})
+        wanted = StragglerView(wanted=frozenset({"w0"}))
+        cases = [
+            (True, slow, Method.CHECKPOINT, "slow-worker"),
+            (True, wanted, Method.CHECKPOINT, "others-wait"),
+            (False, wanted, Method.THROTTLE, "others-wait"),
+            (False, slow, None, "no-checkpoint"),
+            (True, StragglerView(), None, "nobody-waits"),
+        ]
+        for checkpointable, view, method, reason in cases:
+            fake = self._late(checkpointable)
+            (action,) = stragglers(fake.table, view, fake.now)
+            assert (action.method, action.reason) == (method, reason)
+
+    def test_usual_run_time_is_no_straggler(self) -> None:
+        fake = self._late(False)
+        view = StragglerView(medians={"render": 100.0})
+        assert stragglers(fake.table, view, fake.now) == ()
+
+    def test_throttled_once(self) -> None:
+        fake = self._late(False)
+        view = StragglerView(wanted=frozenset({"w0"}))
+        (action,) = stragglers(fake.table, view, fake.now)
+        assert action.method is Method.THROTTLE
+        record = TaskPreempted("t", 1, Method.THROTTLE, "straggler", SUBJECT, 1)
+        assert fake.append(record) == Accepted()
+        (action,) = stragglers(fake.table, view, fake.now)
+        assert (action.method, action.reason) == (None, "throttled-already")
