--- a/acaciawing/fold/state.py
+++ b/acaciawing/fold/state.py
@@ -6,9 +6,11 @@
 from acaciawing.configuration import ConfigurationState
 from acaciawing.fold.marks import SnapshotMark
 from acaciawing.leases import LeaseTable
+from acaciawing.lending import LoanTable
 from acaciawing.maintenance import WaveTable
 from acaciawing.membership import Roster
 from acaciawing.ownership import Ownership
+from acaciawing.placement import TaskTable
 
 
 @dataclass(frozen=True)
@@ -24,6 +26,8 @@
         snapshot: The newest complete snapshot.
         budgets: Counts and reservations of the plans.
         waves: Maintenance waves and outages.
+        loans: Instances lent between pools.
+        tasks: Tasks that have not ended.
     """
 
     offset: int = 0
@@ -34,3 +38,5 @@
     snapshot: SnapshotMark = SnapshotMark()
     budgets: Ledger = Ledger()
     waves: WaveTable = WaveTable()
+    loans: LoanTable = LoanTable()
+    tasks: TaskTable = TaskTable()
--- a/acaciawing/fold/steps.py
+++ b/acaciawing/fold/steps.py
@@ -15,11 +15,14 @@
 from acaciawing.leases import Fence, check_fence
 from acaciawing.leases import records as lease_records
 from acaciawing.leases import table as leases
+from acaciawing.lending import loans
 from acaciawing.maintenance import waves
 from acaciawing.membership import roster
 from acaciawing.outcomes import Ignored, Verdict
 from acaciawing.ownership import records as ownership_records
 from acaciawing.ownership import table as ownership
+from acaciawing.placement import records as task_records
+from acaciawing.placement import table as tasks
 from acaciawing.records import Envelope, LogPosition, Malformed, decode
 
 Apply = Callable[[Any, Any, LogPosition], tuple[Any, Verdict]]
@@ -49,6 +52,20 @@
     waves.OutageChanged: ("waves", waves.apply),
     waves.WaveStopped: ("waves", waves.apply),
     waves.WaveResumed: ("waves", waves.apply),
+    loans.LoanBegun: ("loans", loans.apply),
+    loans.LoanExtended: ("loans", loans.apply),
+    loans.LoanReturnBegun: ("loans", loans.apply),
+    loans.LoanClosed: ("loans", loans.apply),
+    task_records.TaskSubmitted: ("tasks", tasks.apply),
+    task_records.TaskRefused: ("tasks", tasks.apply),
+    task_records.TaskPlaced: ("tasks", tasks.apply),
+    task_records.TaskLeasesRenewed: ("tasks", tasks.apply),
+    task_records.TaskStarted: ("tasks", tasks.apply),
+    task_records.TaskFinished: ("tasks", tasks.apply),
+    task_records.TaskFailed: ("tasks", tasks.apply),
+    task_records.TasksCancelled: ("tasks", tasks.apply),
+    task_records.TaskPreempted: ("tasks", tasks.apply),
+    task_records.TaskStopped: ("tasks", tasks.apply),
 }
 
 _LEASE_RECORDS = (
