Add the claim task that request threads and peers call

Cause: request threads need a decision with a timeout, while the log may hang and peers ask at the same time.

A decision to run that comes after its requester gave up is released, since nobody runs it.

--- a/acaciawing/idempotency/__init__.py
+++ b/acaciawing/idempotency/__init__.py
@@ -21,6 +21,7 @@
 from acaciawing.idempotency.rules import step
 from acaciawing.idempotency.state import ClaimState
 from acaciawing.idempotency.table import RETENTION_S, ClaimTable, Holder
+from acaciawing.idempotency.task import ClaimTask
 
 __all__ = [
     "RETENTION_S",
@@ -31,6 +32,7 @@
     "ClaimReleased",
     "ClaimState",
     "ClaimTable",
+    "ClaimTask",
     "Finished",
     "Holder",
     "InProgress",
--- a/acaciawing/idempotency/agreement.py
+++ b/acaciawing/idempotency/agreement.py
@@ -276,7 +276,7 @@
 
 
 def knows_all(state: ClaimState, now: float) -> bool:
-    """Whether a read that just reached the head completes the memory.
+    """Whether a read that begins now completes the memory at the log's head.
 
     Every grant is remembered by each member of its time, so one complete
     member tells all of them. The others are asked too, since they must know
--- a/acaciawing/idempotency/events.py
+++ b/acaciawing/idempotency/events.py
@@ -98,9 +98,16 @@
 @record_type("grants-question", version=1)
 @dataclass(frozen=True)
 class GrantsQuestion:
-    """A member that joined asks for all grants, and makes itself known."""
+    """A member that joined asks for all grants, and makes itself known.
+
+    Attributes:
+        shard: Number of the claim stream.
+        address: ``ip:port`` where the sender answers questions; set by the
+            task that sends the question.
+    """
 
     shard: int = 0
+    address: str = ""
 
 
 @record_type("grants-remembered", version=1)
@@ -211,9 +218,14 @@
     position: LogPosition
 
 
+@dataclass(frozen=True)
+class ReadBegan:
+    """A read of the stream begins after all earlier inputs arrived."""
+
+
 @dataclass(frozen=True)
 class CaughtUp:
-    """A read that began after all earlier inputs reached the log's head."""
+    """The last read that began reached the log's head."""
 
 
 @dataclass(frozen=True)
--- a/acaciawing/idempotency/rules.py
+++ b/acaciawing/idempotency/rules.py
@@ -28,6 +28,7 @@
     Output,
     PeerAnswered,
     PeerAsked,
+    ReadBegan,
     ReleaseWanted,
     Reply,
     RosterRead,
@@ -113,7 +114,9 @@
     for pending in tuple(state.pending.values()):
         state, more = settle(state, pending, Unknown("not-on-roster"))
         outputs.extend(more)
-    state = replace(state, predecessors=None, complete=False)
+    state = replace(
+        state, predecessors=None, complete=False, read_completes=False
+    )
     return state, tuple(outputs)
 
 
@@ -350,13 +353,28 @@
     )
 
 
+@step.register
+def _(event: ReadBegan, state: ClaimState, now: float) -> Stepped:
+    state = replace(
+        state,
+        read_ended=state.ended,
+        read_completes=agreement.knows_all(state, now),
+        read_offset=state.inflight_offset,
+    )
+    return state, ()
+
+
 @step.register
 def _(event: CaughtUp, state: ClaimState, now: float) -> Stepped:
-    state = replace(state, log_up=True, covered=state.covered | state.ended)
-    if state.inflight_offset is not None:
+    state = replace(
+        state,
+        log_up=True,
+        covered=state.covered | state.read_ended,
+        complete=state.complete or state.read_completes,
+    )
+    offset = state.inflight_offset
+    if offset is not None and offset == state.read_offset:
         state = replace(state, inflight=None, inflight_offset=None)
-    if not state.complete:
-        state = replace(state, complete=agreement.knows_all(state, now))
     state, outputs = agreement.advance_all(state, now)
     state, more = commit(state, now)
     return state, outputs + more
--- a/acaciawing/idempotency/state.py
+++ b/acaciawing/idempotency/state.py
@@ -121,6 +121,9 @@
         outbox: Claims to append, by claim id.
         releases: Releases to append, by claim id.
         finished: Ends to append, by claim id.
+        read_ended: `ended` when the last read began.
+        read_completes: Whether `complete` follows from that read.
+        read_offset: `inflight_offset` when that read began.
         inflight: Batch that was given to the log, until it is read back.
         inflight_offset: Its offset, once known.
         last_append_at: Time of the last append, in seconds.
@@ -153,6 +156,9 @@
     outbox: Map[str, Claim] = Map()
     releases: Map[str, ClaimReleased] = Map()
     finished: Map[str, ClaimFinished] = Map()
+    read_ended: frozenset[str] = frozenset()
+    read_completes: bool = False
+    read_offset: int | None = None
     inflight: ClaimBatch | None = None
     inflight_offset: int | None = None
     last_append_at: float = float("-inf")
--- /dev/null
+++ b/acaciawing/idempotency/task.py
@@ -0,0 +1,391 @@
+"""Task that decides claims for the request threads of one entry instance.
+
+One thread applies the rules, one owns the log client, and a few ask peers, so
+that a log that hangs does not hold up agreement. All talk by queues.
+"""
+
+import itertools
+import queue
+import threading
+from collections.abc import Callable, Collection, Mapping
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, replace
+from typing import TypeAlias
+
+from acaciawing.idempotency import events as e
+from acaciawing.idempotency.records import (
+    Claim,
+    ClaimBatch,
+    key_digest,
+    shard_of,
+    stream_name,
+)
+from acaciawing.idempotency.rules import step
+from acaciawing.idempotency.state import ClaimState, instance_of
+from acaciawing.idempotency.table import RETENTION_S, ClaimTable
+from acaciawing.platform import (
+    Appended,
+    Batch,
+    Expired,
+    Log,
+    NotAppended,
+)
+from acaciawing.records import Envelope, decode, encode
+
+AskPeer: TypeAlias = Callable[[str, str, bytes], bytes | None]
+
+_READ_EVERY_S = 0.5
+_READ_LIMIT = 500
+_TICK_S = 0.1
+# A proxied claim takes at most 1 s; see `agreement`.
+_ANSWER_S = 1.5
+_ASK_THREADS = 16
+_JOIN_S = 5.0
+
+
+@dataclass(frozen=True)
+class _Input:
+    shard: int
+    event: object
+
+
+@dataclass(frozen=True)
+class _Waiting:
+    """An input whose decision or answer somebody waits for."""
+
+    shard: int
+    event: e.ClaimWanted | e.PeerAsked
+    reply: "queue.SimpleQueue[object]"
+
+
+@dataclass(frozen=True)
+class _GaveUp:
+    """Nobody reads this reply queue any more."""
+
+    shard: int
+    token: int
+    reply: "queue.SimpleQueue[object]"
+
+
+_Posted: TypeAlias = _Input | _Waiting | _GaveUp | None
+
+
+class ClaimTask:
+    """At-most-once decisions for one entry instance.
+
+    Args:
+        log: Client of the log; used by one thread only.
+        ask: Sends a payload to ``(instance, address)`` and returns the answer,
+            or None. Called from several threads. The address is empty if the
+            task does not know it.
+        member: ``instance/incarnation`` of this instance.
+        address: ``ip:port`` where peers reach `answer_peer`.
+        clock: Monotonic clock, in seconds.
+        shards: Number of claim streams; the same in the whole fleet.
+        retention_s: Seconds for which a claim holds; at most the retention of
+            the log.
+        accept_memory_loss: Whether to take keyed work although no member is
+            left that knows the grants of the last outage of the log.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        ask: AskPeer,
+        *,
+        member: str,
+        address: str,
+        clock: Callable[[], float],
+        shards: int = 1,
+        retention_s: float = RETENTION_S,
+        accept_memory_loss: bool = False,
+    ) -> None:
+        """Starts the threads."""
+        self._log = log
+        self._ask_peer = ask
+        self._member = member
+        self._address = address
+        self._clock = clock
+        self._states = [
+            ClaimState(
+                member,
+                shard=shard,
+                shards=shards,
+                accept_memory_loss=accept_memory_loss,
+                table=ClaimTable(retention_s),
+            )
+            for shard in range(shards)
+        ]
+        self._addresses: dict[str, str] = {}
+        self._inbox: queue.SimpleQueue[_Posted] = queue.SimpleQueue()
+        self._appends: queue.SimpleQueue[tuple[int, ClaimBatch] | None] = (
+            queue.SimpleQueue()
+        )
+        self._replies: dict[int, queue.SimpleQueue[object]] = {}
+        self._tokens = itertools.count(1)
+        self._complete = threading.Event()
+        self._stopping = threading.Event()
+        self._askers = ThreadPoolExecutor(_ASK_THREADS, "claims-ask")
+        self._threads = (
+            threading.Thread(target=self._decide, name="claims", daemon=True),
+            threading.Thread(
+                target=self._use_log, name="claims-log", daemon=True
+            ),
+        )
+        for thread in self._threads:
+            thread.start()
+
+    @property
+    def flushed(self) -> bool:
+        """Whether the log holds all that this instance must remember.
+
+        Until then the instance must not record that it left the roster.
+        """
+        return all(state.flushed for state in self._states)
+
+    def wait_complete(self, timeout_s: float) -> bool:
+        """Waits until keyed work is taken; tells whether it is."""
+        return self._complete.wait(timeout_s)
+
+    def claim(
+        self, customer: str, key: str, fingerprint: str, deadline: float
+    ) -> e.ClaimDecision:
+        """Decides about a request with an idempotency key.
+
+        Args:
+            customer: Name of the customer.
+            key: The idempotency key.
+            fingerprint: Digest of the request; see `request_fingerprint`.
+            deadline: Time by which a decision is needed, by the clock.
+
+        Returns:
+            The decision; `Unknown` if there is none by the deadline.
+        """
+        digest = key_digest(customer, key)
+        shard = shard_of(digest, len(self._states))
+        token = next(self._tokens)
+        wanted = e.ClaimWanted(token, customer, digest, fingerprint, deadline)
+        reply: queue.SimpleQueue[object] = queue.SimpleQueue()
+        self._inbox.put(_Waiting(shard, wanted, reply))
+        try:
+            left = max(0.0, deadline - self._clock())
+            decision = reply.get(timeout=left)
+        except queue.Empty:
+            # A decision to run that arrives from now on is released.
+            self._inbox.put(_GaveUp(shard, token, reply))
+            return e.Unknown("claim-timeout")
+        assert isinstance(
+            decision,
+            e.Run | e.InProgress | e.Finished | e.KeyReused | e.Unknown,
+        )
+        return decision
+
+    def finish(self, claim: Claim, status: int) -> None:
+        """Records the status that the request of a claim ended with."""
+        self._post(claim, e.FinishWanted(claim, status))
+
+    def release(self, claim: Claim) -> None:
+        """Gives a claim back; its request did not run and will not."""
+        self._post(claim, e.ReleaseWanted(claim))
+
+    def joined(self, predecessors: Collection[str]) -> None:
+        """Tells that the log has this instance on the roster.
+
+        Args:
+            predecessors: Members, as ``instance/incarnation``, on the roster
+                just before the instance's own join record.
+        """
+        self._post_all(e.Joined(frozenset(predecessors)))
+
+    def set_roster(
+        self, members: Mapping[str, str], ended: Collection[str]
+    ) -> None:
+        """Tells the roster after each change; call after `joined`.
+
+        Args:
+            members: Addresses by ``instance/incarnation``, this one included.
+            ended: Members that the platform's list reports as ended. A list
+                older than the member's join says nothing about it.
+        """
+        self._addresses = {**self._addresses, **members}
+        self._post_all(e.RosterRead(frozenset(members), frozenset(ended)))
+
+    def answer_peer(self, payload: bytes) -> bytes:
+        """Answers the question of a peer."""
+        envelope = decode(payload)
+        answer: object = e.Denied("not-understood")
+        if isinstance(envelope, Envelope):
+            question = envelope.record
+            if isinstance(question, e.ClaimQuestion | e.GrantsQuestion):
+                answer = self._answer(envelope.writer, question)
+        return encode(answer, self._member)
+
+    def stop(self) -> None:
+        """Ends the threads; undecided claims end as unknown."""
+        self._stopping.set()
+        self._inbox.put(None)
+        self._appends.put(None)
+        for thread in self._threads:
+            thread.join(_JOIN_S)
+        self._askers.shutdown(wait=False, cancel_futures=True)
+
+    def _post(self, claim: Claim, event: object) -> None:
+        shard = shard_of(claim.digest, len(self._states))
+        self._inbox.put(_Input(shard, event))
+
+    def _post_all(self, event: object) -> None:
+        for shard in range(len(self._states)):
+            self._inbox.put(_Input(shard, event))
+
+    def _answer(self, sender: str, question: e.PeerQuestion) -> object:
+        if not 0 <= question.shard < len(self._states):
+            return e.Denied("other-shards")
+        if isinstance(question, e.GrantsQuestion) and question.address:
+            self._addresses = {**self._addresses, sender: question.address}
+        token = next(self._tokens)
+        reply: queue.SimpleQueue[object] = queue.SimpleQueue()
+        asked = e.PeerAsked(token, sender, question)
+        self._inbox.put(_Waiting(question.shard, asked, reply))
+        try:
+            return reply.get(timeout=_ANSWER_S)
+        except queue.Empty:
+            return e.Denied("claim-timeout")
+
+    # Thread that applies the rules.
+
+    def _decide(self) -> None:
+        next_tick = self._clock()
+        while not self._stopping.is_set():
+            wait = max(0.0, min(next_tick, self._append_due()) - self._clock())
+            try:
+                posted = self._inbox.get(timeout=wait)
+            except queue.Empty:
+                posted = None
+            if posted is not None:
+                self._take(posted)
+            now = self._clock()
+            if now >= min(next_tick, self._append_due()):
+                for state in self._states:
+                    self._step(state.shard, e.Tick(), now)
+                next_tick = now + _TICK_S
+            if not self._complete.is_set() and all(
+                state.complete for state in self._states
+            ):
+                self._complete.set()
+        for reply in self._replies.values():
+            reply.put(e.Unknown("stopping"))
+
+    def _append_due(self) -> float:
+        """Time at which waiting claims may be appended."""
+        return min(
+            (
+                state.last_append_at + state.interval_s
+                for state in self._states
+                if state.log_up and state.outbox and state.inflight is None
+            ),
+            default=float("inf"),
+        )
+
+    def _take(self, posted: _Input | _Waiting | _GaveUp) -> None:
+        now = self._clock()
+        if isinstance(posted, _GaveUp):
+            self._replies.pop(posted.token, None)
+            self._step(posted.shard, e.WantedNoMore(posted.token), now)
+            while not posted.reply.empty():
+                decision = posted.reply.get_nowait()
+                if isinstance(decision, e.Run):
+                    released = e.ReleaseWanted(decision.claim)
+                    self._step(posted.shard, released, now)
+            return
+        if isinstance(posted, _Waiting):
+            self._replies[posted.event.token] = posted.reply
+        self._step(posted.shard, posted.event, now)
+
+    def _step(self, shard: int, event: object, now: float) -> None:
+        self._states[shard], outputs = step(event, self._states[shard], now)
+        for output in outputs:
+            self._act(shard, output)
+
+    def _act(self, shard: int, output: e.Output) -> None:
+        if isinstance(output, e.Append):
+            self._appends.put((shard, output.batch))
+        elif isinstance(output, e.Ask):
+            self._askers.submit(self._ask, shard, output.peer, output.question)
+        else:
+            reply = self._replies.pop(output.token, None)
+            if reply is None:
+                return
+            if isinstance(output, e.Decided):
+                reply.put(output.decision)
+            else:
+                reply.put(output.answer)
+
+    def _ask(self, shard: int, peer: str, question: e.PeerQuestion) -> None:
+        if isinstance(question, e.GrantsQuestion):
+            question = replace(question, address=self._address)
+        answer: e.PeerAnswer | None = None
+        try:
+            payload = self._ask_peer(
+                instance_of(peer),
+                self._addresses.get(peer, ""),
+                encode(question, self._member),
+            )
+            envelope = decode(payload) if payload is not None else None
+            # A replacement at the same address can't answer for its
+            # predecessor.
+            if isinstance(envelope, Envelope) and envelope.writer == peer:
+                answer = envelope.record
+        finally:
+            event = e.PeerAnswered(peer, question, answer)
+            self._inbox.put(_Input(shard, event))
+
+    # Thread that owns the log client.
+
+    def _use_log(self) -> None:
+        offsets = [self._read(shard, 0) for shard in range(len(self._states))]
+        while not self._stopping.is_set():
+            shards = range(len(offsets))
+            try:
+                order = self._appends.get(timeout=_READ_EVERY_S)
+                if order is not None:
+                    self._append(*order)
+                    shards = range(order[0], order[0] + 1)
+            except queue.Empty:
+                pass
+            for shard in shards:
+                offsets[shard] = self._read(shard, offsets[shard])
+
+    def _append(self, shard: int, batch: ClaimBatch) -> None:
+        payload = encode(batch, self._member)
+        outcome = self._log.append(stream_name(shard), payload)
+        event: object = e.BatchUnknown()
+        if isinstance(outcome, Appended):
+            event = e.BatchAppended(outcome.position.offset)
+        elif isinstance(outcome, NotAppended):
+            event = e.BatchNotAppended()
+        self._inbox.put(_Input(shard, event))
+
+    def _read(self, shard: int, offset: int) -> int:
+        """Reads to the head; returns the next offset."""
+        self._inbox.put(_Input(shard, e.ReadBegan()))
+        while not self._stopping.is_set():
+            found = self._log.read(stream_name(shard), offset, _READ_LIMIT)
+            if isinstance(found, Expired):
+                # Claims older than the log's retention hold no longer.
+                offset = found.first_offset
+                continue
+            if not isinstance(found, Batch):
+                self._inbox.put(_Input(shard, e.LogAway()))
+                return offset
+            for entry in found.entries:
+                envelope = decode(entry.payload)
+                if isinstance(envelope, Envelope) and isinstance(
+                    envelope.record, ClaimBatch
+                ):
+                    event = e.BatchRead(envelope.record, entry.position)
+                    self._inbox.put(_Input(shard, event))
+            offset = found.next_offset
+            if offset >= found.head_offset:
+                self._inbox.put(_Input(shard, e.CaughtUp()))
+                return offset
+        return offset
--- a/acaciawing/idempotency/tests/model.py
+++ b/acaciawing/idempotency/tests/model.py
@@ -23,6 +23,7 @@
     alive: bool = True
     log_reachable: bool = True
     next_offset: int = 0
+    read_head: int | None = None
     questions: dict[int, tuple[str, e.PeerQuestion]] = field(
         default_factory=dict
     )
@@ -108,16 +109,31 @@
             return
         if limit is None:
             self.feed(member, e.RosterRead(self.roster(), frozenset()))
-        head = len(self.log)
-        if limit is not None:
-            head = min(head, node.next_offset + limit)
+            self.begin_read(member)
+            self.end_read(member)
+        else:
+            head = min(len(self.log), node.next_offset + limit)
+            self._read_to(member, head)
+
+    def begin_read(self, member: str) -> None:
+        node = self.nodes[member]
+        node.read_head = len(self.log)
+        self.feed(member, e.ReadBegan())
+
+    def end_read(self, member: str) -> None:
+        node = self.nodes[member]
+        if node.log_reachable and node.read_head is not None:
+            self._read_to(member, node.read_head)
+            self.feed(member, e.CaughtUp())
+        node.read_head = None
+
+    def _read_to(self, member: str, head: int) -> None:
+        node = self.nodes[member]
         while node.next_offset < head:
             offset = node.next_offset
             node.next_offset += 1
             position = LogPosition(offset, float(offset))
             self.feed(member, e.BatchRead(self.log[offset], position))
-        if limit is None:
-            self.feed(member, e.CaughtUp())
 
     def list_ended(self, member: str) -> None:
         """The platform's list tells a member which incarnations ended."""
--- a/acaciawing/idempotency/tests/test_interleavings.py
+++ b/acaciawing/idempotency/tests/test_interleavings.py
@@ -55,6 +55,12 @@
             model.deliver(a, keep=b == 7)
 
 
+def _converse(model: Model, a: int, b: int) -> None:
+    for number in range(12):
+        if model.network:
+            model.deliver(a + b * number)
+
+
 def _time(model: Model, a: int, b: int) -> None:
     model.now += (0.01, 0.1, 0.6, 3.0)[a % 4]
     for member in model.running():
@@ -90,9 +96,12 @@
 _ACTS: dict[str, _Act] = {
     "request": _on_node(lambda m, n, b: _request(m, n, b)),
     "deliver": _deliver,
+    "converse": _converse,
     "drop": _drop,
     "time": _time,
     "read": _on_node(lambda m, n, b: m.read(n)),
+    "begin-read": _on_node(lambda m, n, b: m.begin_read(n)),
+    "end-read": _on_node(lambda m, n, b: m.end_read(n)),
     "read-some": _on_node(lambda m, n, b: m.read(n, 1 + b % 2)),
     "fate": _fate,
     "late": _late,
@@ -261,6 +270,49 @@
         model.settle()
         assert _decision(model, "a/1") == e.Finished(200)
 
+    def test_member_that_yielded_keeps_its_claim_in_the_log(self) -> None:
+        # c's claim is first in the log, but c gave it up for a, which ran.
+        model = Model(3)
+        model.fate = 1
+        model.request("c/1", "k")
+        _away(model, *model.nodes)
+        model.network.clear()
+        assert isinstance(_decision(model, "a/1"), e.Run)
+        model.nodes["c/1"].log_reachable = True
+        model.settle()
+        assert isinstance(_decision(model, "c/1"), e.Unknown)
+
+    def test_member_that_just_joined_is_asked(self) -> None:
+        # Only d sees the log; the others know d from its question alone.
+        model = Model(3)
+        _away(model, *model.nodes)
+        model.join("d/1")
+        model.settle()
+        assert isinstance(_decision(model, "d/1"), e.Run)
+        assert isinstance(_decision(model, "a/1"), e.Unknown)
+        assert isinstance(_decision(model, "a/1", "new"), e.Run)
+
+    def test_member_known_only_to_a_granting_peer_is_asked(self) -> None:
+        model = Model(3)
+        _away(model, *model.nodes)
+        model.request("a/1", "k")
+        question = model.network[0].question
+        model.network.clear()
+        for peer in ("b/1", "c/1"):
+            granted = e.Granted(("a/1", "b/1", "c/1", "d/1"), ())
+            model.feed("a/1", e.PeerAnswered(peer, question, granted))
+        assert [m.receiver for m in model.network] == ["d/1"]
+        assert not model.live
+
+    def test_ended_member_is_skipped_once_the_log_was_read(self) -> None:
+        model = Model(3)
+        model.crash("b/1")
+        for member in ("a/1", "c/1"):
+            model.list_ended(member)
+        model.settle()
+        _away(model, "a/1", "c/1")
+        assert isinstance(_decision(model, "a/1"), e.Run)
+
     def test_silent_peer_blocks_agreement(self) -> None:
         model = Model(3)
         _away(model, *model.nodes)
