Run control rounds inside each entry instance

Appends come from the task's own log client; what became of them comes from the reader of the control stream as messages, since a second reader would double the log's reads. Calls run in a thread of their own, so that renewals don't wait for a slow worker, and each is checked against the lease's end just before it. Ruled out: time.monotonic (it stands still while a machine is suspended); retiring what the list leaves out (a rebooting instance is off the list too), so the platform is asked first.

The naive loop that believes its appends drains an instance for a move that the fold ignored.

--- /dev/null
+++ b/acaciawing/control/listed.py
@@ -0,0 +1,88 @@
+"""Adoption, replacement and retirement of the instances on the list."""
+
+from collections.abc import Iterator
+
+from acaciawing.control.view import STATUS, Call, ControlView
+from acaciawing.fold import FleetState
+from acaciawing.leases import pool_subject
+from acaciawing.ownership import (
+    InstanceAdopted,
+    InstanceReplaced,
+    InstanceRetired,
+)
+from acaciawing.platform import ListedInstance, Listing
+
+LIVE = "live"
+
+# The list lags and leaves out an instance that reboots. Only one that is off
+# the list for this long is asked for, and only one that the platform doesn't
+# know is retired.
+ABSENT_S = 10.0
+
+
+def adoptions(
+    state: FleetState, view: ControlView, now: float
+) -> Iterator[InstanceAdopted | InstanceReplaced]:
+    """Yields records for new instances and for new incarnations."""
+    if view.listing is None:
+        return
+    for listed in sorted(view.listing.instances, key=lambda i: i.instance):
+        if listed.state == LIVE:
+            record = _adoption(state, view, view.listing, listed, now)
+            if record is not None:
+                yield record
+
+
+def _adoption(
+    state: FleetState,
+    view: ControlView,
+    listing: Listing,
+    listed: ListedInstance,
+    now: float,
+) -> InstanceAdopted | InstanceReplaced | None:
+    known = state.ownership.instances.get(listed.instance)
+    pool = listed.pool if known is None else known.pool
+    fence = view.fence(pool_subject(pool), now)
+    if fence is None:
+        return None
+    place = (listed.zone, listed.rack, listed.address)
+    if known is None:
+        return InstanceAdopted(
+            listed.instance,
+            listed.incarnation,
+            listed.pool,
+            *place,
+            listing.as_of,
+            fence,
+        )
+    if listed.incarnation <= known.incarnation:
+        return None
+    return InstanceReplaced(
+        known.instance,
+        known.epoch,
+        listed.incarnation,
+        *place,
+        listing.as_of,
+        fence,
+    )
+
+
+def retirements(
+    state: FleetState, view: ControlView, now: float
+) -> Iterator[InstanceRetired | Call]:
+    """Yields a status call for an absent instance, then its retirement."""
+    if view.listing is None:
+        return
+    for instance, since in sorted(view.absent_since.items()):
+        known = state.ownership.instances.get(instance)
+        if known is None or now - since < ABSENT_S:
+            continue
+        fence = view.fence(pool_subject(known.pool), now)
+        if fence is None:
+            continue
+        if instance in view.gone:
+            as_of = view.listing.as_of
+            yield InstanceRetired(instance, known.epoch, as_of, fence)
+        else:
+            operation_id = f"{instance}/{known.epoch}/{STATUS}"
+            yield Call(STATUS, instance, operation_id, fence)
--- /dev/null
+++ b/acaciawing/control/messages.py
@@ -0,0 +1,71 @@
+"""Messages that the control task and the worker task receive."""
+
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from acaciawing.control.view import Call
+from acaciawing.fold import FleetState, Step
+from acaciawing.platform import Listing, OperationOutcome
+
+
+@dataclass(frozen=True)
+class StepsFolded:
+    """The reader of the control stream has gone on.
+
+    Attributes:
+        state: State after the records.
+        steps: A step for each record; empty for a state taken from a peer or
+            from a snapshot.
+    """
+
+    state: FleetState
+    steps: tuple[Step, ...] = ()
+
+
+@dataclass(frozen=True)
+class LiveChanged:
+    """The live view of the entry instances.
+
+    Attributes:
+        live: Ids, this instance included.
+    """
+
+    live: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class ListingRead:
+    """The platform's list has answered."""
+
+    listing: Listing
+
+
+@dataclass(frozen=True)
+class OperationEnded:
+    """A call to the worker interface has ended.
+
+    Attributes:
+        call: The call.
+        outcome: Its outcome; None if the lease was over before the call.
+    """
+
+    call: Call
+    outcome: OperationOutcome | None
+
+
+ControlMessage: TypeAlias = (
+    StepsFolded | LiveChanged | ListingRead | OperationEnded
+)
+
+
+@dataclass(frozen=True)
+class TimedCall:
+    """A call and the time from which it may no longer be made.
+
+    Attributes:
+        call: The call.
+        before: Monotonic time in seconds.
+    """
+
+    call: Call
+    before: float
--- a/acaciawing/leases/__init__.py
+++ b/acaciawing/leases/__init__.py
@@ -21,6 +21,7 @@
     pool_subject,
 )
 from acaciawing.leases.table import (
+    LONGEST_LEASE_S,
     Lease,
     LeaseTable,
     Session,
@@ -31,6 +32,7 @@
 
 __all__ = [
     "LEASE_S",
+    "LONGEST_LEASE_S",
     "NO_LEASE",
     "Confirmation",
     "Fence",
