--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -6,7 +6,14 @@
 import time
 from pathlib import Path
 
-from demo.fleet import SERVICES, Fleet, start_fleet, start_log
+from demo.fleet import (
+    LATE_ENTRY,
+    SERVICES,
+    Fleet,
+    start_entry,
+    start_fleet,
+    start_log,
+)
 from demo.load import Balancer, Caller, CallerProfile, Sent
 from demo.operator import (
     HTTP,
@@ -25,7 +32,7 @@
     timed_row,
 )
 
-PROMISED = {"doorstep": 0.999, "office": 0.99}
+PROMISED = {"doorstep": 0.9995, "booking": 0.999, "office": 0.99}
 _CALLERS = 12
 
 
@@ -46,14 +53,15 @@
 def _run(processes: Processes) -> list[Row]:
     fleet = start_fleet(processes)
     wait_until(lambda: bool(call("GET", f"{fleet.log}/standin/state")), 10)
-    first = publish(fleet, 500.0, -1)
+    publish(fleet, processes.folder)
     balancer = Balancer(fleet.entries)
-    started = wait_until(lambda: balancer.check(HTTP) == len(fleet.entries), 20)
+    first = len(fleet.entries) - 1
+    started = wait_until(lambda: balancer.check(HTTP) == first, 20)
     if started is None:
         raise RuntimeError("not all entry instances became ready")
-    print(f"{len(fleet.entries)} entry instances ready", flush=True)
+    print(f"{first} entry instances ready", flush=True)
     callers = _start_callers(balancer)
-    rows = _steps(processes, fleet, balancer, first)
+    rows = _steps(processes, fleet, balancer)
     for caller in callers:
         caller.stop()
     for caller in callers:
@@ -69,11 +77,12 @@
 
 def _start_callers(balancer: Balancer) -> list[Caller]:
     profiles = [
-        CallerProfile("stylists", "doorstep", SERVICES[:3], 0.01, 0.3, 0.02),
-        CallerProfile("accounting", "office", SERVICES[3:], 0.01, 0.1, 0.0),
+        CallerProfile("stylists", "doorstep", SERVICES[:3], 0.02, 0.1, 0.0),
+        CallerProfile("residents", "booking", SERVICES[:1], 0.05, 0.8, 0.02),
+        CallerProfile("accounting", "office", SERVICES[3:4], 0.1, 0.1, 0.05),
     ]
     callers = [
-        Caller(number, profiles[number % 2], balancer)
+        Caller(number, profiles[number % len(profiles)], balancer)
         for number in range(_CALLERS)
     ]
     for caller in callers:
@@ -81,12 +90,11 @@
     return callers
 
 
-def _steps(
-    processes: Processes, fleet: Fleet, balancer: Balancer, first: int
-) -> list[Row]:
+def _steps(processes: Processes, fleet: Fleet, balancer: Balancer) -> list[Row]:
     time.sleep(2)
-    version = publish(fleet, 400.0, first)
-    changed = roll_out_s(fleet, list(fleet.entries), version)
+    version = publish(fleet, processes.folder, "230/s")
+    running = [name for name in fleet.entries if name != LATE_ENTRY]
+    changed = roll_out_s(fleet, running, version)
     print("configuration changed under load", flush=True)
     drained = _drain_worker(fleet)
     print("one worker drained", flush=True)
@@ -94,10 +102,14 @@
     print("one entry instance stopped", flush=True)
     processes.signal("log", signal.SIGKILL)
     print("log killed", flush=True)
-    time.sleep(4)
+    start_entry(processes, fleet, LATE_ENTRY)
+    late = f"http://{fleet.entries[LATE_ENTRY]}/readyz"
+    recovered = wait_until(lambda: HTTP.request("GET", late).status == 200, 10)
+    balancer.check(HTTP)
+    time.sleep(3)
     start_log(processes, fleet)
     wait_until(lambda: bool(call("GET", f"{fleet.log}/standin/state")), 10)
-    again = publish(fleet, 300.0, version)
+    again = publish(fleet, processes.folder, "220/s")
     left = [name for name in fleet.entries if name != _STOPPED]
     after = roll_out_s(fleet, left, again)
     print("log back, configuration changed again", flush=True)
@@ -105,6 +117,7 @@
         timed_row("roll-out of a change", 2.0, changed),
         timed_row("last new work at a leaving endpoint", 3.0, drained),
         timed_row("planned stop of an entry instance", 30.0, stopped),
+        timed_row("new instance ready while the log is away", 10.0, recovered),
         timed_row("roll-out after a log outage", 5.0, after),
     ]
 
@@ -130,7 +143,7 @@
 ) -> float | None:
     begun = time.monotonic()
     processes.signal(_STOPPED, signal.SIGTERM)
-    wait_until(lambda: balancer.check(HTTP) == len(fleet.entries) - 1, 5)
+    wait_until(lambda: balancer.check(HTTP) == len(fleet.entries) - 2, 5)
     status = processes.wait(_STOPPED, 30)
     return time.monotonic() - begun if status == 0 else None
 
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -5,14 +5,16 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from acaciawing.configuration import Configuration, Customer, Plan, Service
 from demo.processes import Processes, free_ports
 
 ZONES = ("ljubljana", "maribor", "koper")
 SERVICES = ("visits", "routing", "supplies", "accounts", "portal")
 WORKERS_PER_SERVICE = 6
 ENTRIES_PER_ZONE = 2
+# Started only while the log is away, to show recovery from peers.
+LATE_ENTRY = "entry-maribor-3"
 OPERATOR = "sample-operator"
+SAMPLES = Path(__file__).parents[1] / "samples" / "frizura"
 
 
 @dataclass(frozen=True)
@@ -34,23 +36,6 @@
     endpoints: dict[str, str]
 
 
-def configuration(rate_per_s: float) -> Configuration:
-    """The operators' lists for the demonstration."""
-    services = tuple(
-        Service(name, name, spare=name == "portal", spill=True)
-        for name in SERVICES
-    )
-    plans = tuple(
-        Plan(name, rate, 604800.0, 5.0, rate_per_s, 300, 200, SERVICES)
-        for name, rate in (("doorstep", 0.999), ("office", 0.99))
-    )
-    customers = tuple(
-        Customer(name, plan, _digest(f"sample-{name}"))
-        for name, plan in (("stylists", "doorstep"), ("accounting", "office"))
-    )
-    return Configuration(customers, plans, services)
-
-
 def _digest(secret: str) -> str:
     return hashlib.sha256(secret.encode()).hexdigest()
 
@@ -67,6 +52,7 @@
         for zone in ZONES
         for number in range(1, ENTRIES_PER_ZONE + 1)
     ]
+    entries.append(LATE_ENTRY)
     ports = free_ports(2 + len(workers) + 2 * len(entries))
     addresses = [f"127.0.0.1:{port}" for port in ports]
     log, instance_list = addresses[:2]
@@ -88,12 +74,18 @@
             *("--listen", address, "--instance", name, "--service-ms", "5"),
         )
     for name in entries:
-        processes.start(
-            name, "acaciawing.entry", entry_settings(processes, fleet, name)
-        )
+        if name != LATE_ENTRY:
+            start_entry(processes, fleet, name)
     return fleet
 
 
+def start_entry(processes: Processes, fleet: Fleet, name: str) -> None:
+    """Starts one entry instance."""
+    processes.start(
+        name, "acaciawing", "entry", entry_settings(processes, fleet, name)
+    )
+
+
 def start_log(processes: Processes, fleet: Fleet) -> None:
     """Starts the log stand-in; a restart finds its records in a journal."""
     processes.start(
--- a/standins/platform_service.py
+++ b/standins/platform_service.py
@@ -4,9 +4,11 @@
 """
 
 import argparse
+import gzip
 import json
 import threading
 import time
+import zlib
 from dataclasses import asdict
 from pathlib import Path
 from typing import Any
@@ -25,6 +27,7 @@
     def __init__(self, state: PlatformState) -> None:
         """Serves the given state."""
         self._state = state
+        self._bytes = 0
         self._http = urllib3.PoolManager(
             timeout=urllib3.Timeout(total=1.0), retries=False
         )
@@ -41,10 +44,25 @@
         parts = path.strip("/").split("/")
         if parts[:1] == ["standin"]:
             return self._control(method, parts, body)
+        status, headers, content = self._answer(
+            method, parts, query, body, environ
+        )
+        # Header sections of a request and an answer have about 350 bytes.
+        self._bytes += len(body) + len(content) + 350
+        return status, headers, content
+
+    def _answer(
+        self,
+        method: str,
+        parts: list[str],
+        query: dict[str, str],
+        body: bytes,
+        environ: dict[str, Any],
+    ) -> Answer:
         if parts[:2] == ["v1", "streams"] and len(parts) == 4:
             return self._log(method, parts[2], query, body)
         if parts[:2] == ["v1", "instances"]:
-            return self._instances(method, parts[2:], body)
+            return self._instances(method, parts[2:], body, environ)
         return json_answer(404, {"error": "unknown path"})
 
     def _control(self, method: str, parts: list[str], body: bytes) -> Answer:
@@ -61,6 +79,7 @@
                 "faults": asdict(self._state.faults),
                 "appends": self._state.appends,
                 "reads": self._state.reads,
+                "bytes": self._bytes,
             },
         )
 
@@ -93,10 +112,16 @@
             return json_answer(410, {"first_offset": first})
         return json_answer(200, found)
 
-    def _instances(self, method: str, rest: list[str], body: bytes) -> Answer:
+    def _instances(
+        self,
+        method: str,
+        rest: list[str],
+        body: bytes,
+        environ: dict[str, Any],
+    ) -> Answer:
         now = time.time()
         if not rest:
-            return json_answer(200, self._state.listing(now))
+            return _listing(self._state.listing(now), environ)
         if method == "GET":
             instance = self._state.instance(rest[0])
         else:
@@ -156,6 +181,20 @@
             return
 
 
+def _listing(listing: dict[str, Any], environ: dict[str, Any]) -> Answer:
+    """Answers with the list, or 304 if the client has it already."""
+    content = json.dumps(listing["instances"]).encode()
+    tag = f'"{zlib.crc32(content):08x}"'
+    if environ.get("HTTP_IF_NONE_MATCH") == tag:
+        return 304, {"ETag": tag}, b""
+    status, headers, body = json_answer(200, listing)
+    headers["ETag"] = tag
+    if "gzip" in environ.get("HTTP_ACCEPT_ENCODING", ""):
+        headers["Content-Encoding"] = "gzip"
+        body = gzip.compress(body, 6)
+    return status, headers, body
+
+
 def main() -> None:
     """Starts the stand-in."""
     parser = argparse.ArgumentParser()
