Fence the records of budgets, waves, loans and placements

Cause: these records carried a token as a number, checked by each table against the highest token seen. A paused holder passed that check until its successor had appended something.

Each table checks that the fence is that of its own subject: the pool for waves, `lending` for loans, `placement` for placements. Reservations are fenced too. The tests now claim, renew and take over real leases.

Ruled out: keeping both checks; the second adds nothing.

--- a/acaciawing/budgets/ledger.py
+++ b/acaciawing/budgets/ledger.py
@@ -12,6 +12,7 @@
 from immutables import Map
 
 from acaciawing.budgets.series import INTERVAL_S, Series, add
+from acaciawing.leases import Fence
 from acaciawing.outcomes import Accepted, Ignored, Verdict
 from acaciawing.records import LogPosition, record_type
 
@@ -81,11 +82,13 @@
         reservation: Unique id, derived from the action's subject and epoch.
         amounts: What is reserved, for each plan.
         duration_s: Time after the append when it lapses, in seconds.
+        fence: Lease under which the action was decided.
     """
 
     reservation: str
     amounts: tuple[PlanAmount, ...]
     duration_s: float
+    fence: Fence
 
 
 @record_type("budget-released", version=1)
@@ -95,9 +98,11 @@
 
     Attributes:
         reservation: Id of the reservation.
+        fence: Lease under which the release was decided.
     """
 
     reservation: str
+    fence: Fence
 
 
 @dataclass(frozen=True)
--- a/acaciawing/budgets/tests/test_budgets.py
+++ b/acaciawing/budgets/tests/test_budgets.py
@@ -25,11 +25,13 @@
 from acaciawing.budgets.tests.naive import NaiveLedger
 from acaciawing.configuration import Plan
 from acaciawing.fold import FleetState, step
+from acaciawing.leases import NO_LEASE, Fence, LeaseClaimed
 from acaciawing.outcomes import Accepted, Ignored
 from acaciawing.records import LogPosition, encode
 
 _PLAN = Plan("gold", 0.99, 3600.0, 5.0, 100.0, 10, 10, ("visits",))
 _PLANS = {"gold": _PLAN}
+_FENCE = Fence("pool:a", 1)
 _REBOOT = DisruptionRequest(Action.REBOOT, {"gold": 6.0})
 
 
@@ -126,15 +128,20 @@
         decision = ask(_snapshot(table), _REBOOT, 1.0)
         assert isinstance(decision, Granted)
         records = [
-            BudgetReserved(name, decision.amounts, 60.0) for name in "ab"
+            BudgetReserved(name, decision.amounts, 60.0, _FENCE)
+            for name in "ab"
         ]
         naive = NaiveLedger()
         for record in records:
             naive.reserve(record)
         assert naive.reserved > 10
-        state = FleetState(budgets=table)
+        claim = LeaseClaimed("pool:a", "entry-1/1", NO_LEASE, 10.0)
+        claimed = encode(claim, "entry-1/1")
+        state = step(
+            FleetState(budgets=table), claimed, LogPosition(1, 1.0)
+        ).state
         verdicts = []
-        for offset, record in enumerate(records, 1):
+        for offset, record in enumerate(records, 2):
             position = LogPosition(offset, float(offset))
             folded = step(state, encode(record, "entry-1/1"), position)
             state = folded.state
@@ -149,7 +156,7 @@
         decision = ask(_snapshot(table), _REBOOT, 1.0)
         assert isinstance(decision, Granted)
         table = _fold([_counts("entry-1", 1, 2, 1010, 9)], table, 1)
-        record = BudgetReserved("a", decision.amounts, 60.0)
+        record = BudgetReserved("a", decision.amounts, 60.0, _FENCE)
         _, verdict = ledger.apply(record, table, LogPosition(2, 2.0))
         assert isinstance(verdict, Ignored)
         assert verdict.reason == "counts-moved"
@@ -187,9 +194,11 @@
         table = _fold([_counts("entry-1", 1, 1, 1000, 0)])
         decision = ask(_snapshot(table), _REBOOT, 1.0)
         assert isinstance(decision, Granted)
-        table = _fold([BudgetReserved("a", decision.amounts, 600.0)], table, 1)
+        table = _fold(
+            [BudgetReserved("a", decision.amounts, 600.0, _FENCE)], table, 1
+        )
         assert budget(_snapshot(table), _PLAN, 2.0).reserved == 6
-        released = _fold([BudgetReleased("a")], table, 3)
+        released = _fold([BudgetReleased("a", _FENCE)], table, 3)
         # What the action broke may still be uncounted right after it ended.
         assert budget(_snapshot(released), _PLAN, 4.0).reserved == 6
         assert budget(_snapshot(released), _PLAN, 23.0).reserved == 0
@@ -211,7 +220,9 @@
             request = DisruptionRequest(Action.MOVE, {"gold": float(failures)})
             decision = ask(snapshot, request, float(offset))
             if isinstance(decision, Granted):
-                record = BudgetReserved(str(offset), decision.amounts, 1e6)
+                record = BudgetReserved(
+                    str(offset), decision.amounts, 1e6, _FENCE
+                )
                 table = _fold([record], table, offset)
             seen.append(table)
         state = budget(_snapshot(table), _PLAN, float(len(rounds) + 1))
--- a/acaciawing/lending/__init__.py
+++ b/acaciawing/lending/__init__.py
@@ -10,6 +10,7 @@
     observe,
 )
 from acaciawing.lending.loans import (
+    LENDING_SUBJECT,
     Loan,
     LoanBegun,
     LoanClosed,
@@ -32,6 +33,7 @@
 
 __all__ = [
     "IDLE_SHARE",
+    "LENDING_SUBJECT",
     "OVERLOAD_SHARE",
     "SMALL_POOL",
     "DemandHistory",
--- a/acaciawing/lending/loans.py
+++ b/acaciawing/lending/loans.py
@@ -10,9 +10,13 @@
 
 from immutables import Map
 
+from acaciawing.leases import Fence
 from acaciawing.outcomes import Accepted, Ignored, Verdict
 from acaciawing.records import LogPosition, record_type
 
+# One lease for all loans, since a loan concerns two pools.
+LENDING_SUBJECT = "lending"
+
 
 @record_type("loan-begun", version=1)
 @dataclass(frozen=True)
@@ -25,7 +29,7 @@
         home: Pool that it returns to.
         borrower: Pool that it is lent to.
         due_at: Time on the log's clock when it returns, in seconds.
-        token: Fencing token of the lending lease.
+        fence: Lease of `LENDING_SUBJECT`.
     """
 
     instance: str
@@ -33,7 +37,7 @@
     home: str
     borrower: str
     due_at: float
-    token: int
+    fence: Fence
 
 
 @record_type("loan-extended", version=1)
@@ -45,13 +49,13 @@
         instance: Id of the instance.
         epoch: Epoch of the loan.
         due_at: New due time, in seconds; must be later than the old one.
-        token: Fencing token of the lending lease.
+        fence: Lease of `LENDING_SUBJECT`.
     """
 
     instance: str
     epoch: int
     due_at: float
-    token: int
+    fence: Fence
 
 
 @record_type("loan-return-begun", version=1)
@@ -63,13 +67,13 @@
         instance: Id of the instance.
         epoch: Epoch of the loan.
         reason: ``due``, ``idle`` or ``home-needs-it``.
-        token: Fencing token of the lending lease.
+        fence: Lease of `LENDING_SUBJECT`.
     """
 
     instance: str
     epoch: int
     reason: str
-    token: int
+    fence: Fence
 
 
 @record_type("loan-closed", version=1)
@@ -80,12 +84,12 @@
     Attributes:
         instance: Id of the instance.
         epoch: Epoch of the loan.
-        token: Fencing token of the lending lease.
+        fence: Lease of `LENDING_SUBJECT`.
     """
 
     instance: str
     epoch: int
-    token: int
+    fence: Fence
 
 
 @dataclass(frozen=True)
@@ -118,12 +122,10 @@
     Attributes:
         active: Loans that are not closed, by instance.
         epochs: Epoch of the last closed loan, by instance.
-        token: Highest fencing token seen.
     """
 
     active: Map[str, Loan] = field(default_factory=Map)
     epochs: Map[str, int] = field(default_factory=Map)
-    token: int = -1
 
 
 @singledispatch
@@ -138,8 +140,8 @@
 def _(
     record: LoanBegun, table: LoanTable, position: LogPosition
 ) -> tuple[LoanTable, Verdict]:
-    if record.token < table.token:
-        return table, _stale_token(record.token, table)
+    if record.fence.subject != LENDING_SUBJECT:
+        return table, Ignored("wrong-subject", record.fence.subject)
     if record.instance in table.active:
         return table, Ignored("lent-already", record.instance)
     last = table.epochs.get(record.instance, -1)
@@ -155,66 +157,60 @@
         position.appended_at,
         record.due_at,
     )
-    return _with_loan(table, loan, record.token), Accepted()
+    return _with_loan(table, loan), Accepted()
 
 
 @apply.register
 def _(
     record: LoanExtended, table: LoanTable, position: LogPosition
 ) -> tuple[LoanTable, Verdict]:
-    loan = _known(table, record.instance, record.epoch, record.token)
+    loan = _known(table, record.instance, record.epoch, record.fence)
     if isinstance(loan, Ignored):
         return table, loan
     if loan.returning or record.due_at <= loan.due_at:
         return table, Ignored("superseded", record.instance)
     extended = replace(loan, due_at=record.due_at)
-    return _with_loan(table, extended, record.token), Accepted()
+    return _with_loan(table, extended), Accepted()
 
 
 @apply.register
 def _(
     record: LoanReturnBegun, table: LoanTable, position: LogPosition
 ) -> tuple[LoanTable, Verdict]:
-    loan = _known(table, record.instance, record.epoch, record.token)
+    loan = _known(table, record.instance, record.epoch, record.fence)
     if isinstance(loan, Ignored):
         return table, loan
     if loan.returning:
         return table, Ignored("duplicate", record.instance)
     returning = replace(loan, returning=True)
-    return _with_loan(table, returning, record.token), Accepted()
+    return _with_loan(table, returning), Accepted()
 
 
 @apply.register
 def _(
     record: LoanClosed, table: LoanTable, position: LogPosition
 ) -> tuple[LoanTable, Verdict]:
-    loan = _known(table, record.instance, record.epoch, record.token)
+    loan = _known(table, record.instance, record.epoch, record.fence)
     if isinstance(loan, Ignored):
         return table, loan
     closed = replace(
         table,
         active=table.active.delete(record.instance),
         epochs=table.epochs.set(record.instance, record.epoch),
-        token=max(table.token, record.token),
     )
     return closed, Accepted()
 
 
 def _known(
-    table: LoanTable, instance: str, epoch: int, token: int
+    table: LoanTable, instance: str, epoch: int, fence: Fence
 ) -> Loan | Ignored:
-    if token < table.token:
-        return _stale_token(token, table)
+    if fence.subject != LENDING_SUBJECT:
+        return Ignored("wrong-subject", fence.subject)
     loan = table.active.get(instance)
     if loan is None or loan.epoch != epoch:
         return Ignored("stale-epoch", instance)
     return loan
 
 
-def _stale_token(token: int, table: LoanTable) -> Ignored:
-    return Ignored("stale-token", f"{token}, newest is {table.token}")
-
-
-def _with_loan(table: LoanTable, loan: Loan, token: int) -> LoanTable:
-    active = table.active.set(loan.instance, loan)
-    return replace(table, active=active, token=max(table.token, token))
+def _with_loan(table: LoanTable, loan: Loan) -> LoanTable:
+    return replace(table, active=table.active.set(loan.instance, loan))
--- a/acaciawing/lending/rounds.py
+++ b/acaciawing/lending/rounds.py
@@ -20,6 +20,7 @@
     Granted,
     ask,
 )
+from acaciawing.leases import Fence
 from acaciawing.lending.demand import (
     OVERLOAD_SHARE,
     DemandHistory,
@@ -84,10 +85,10 @@
     """Request for a round.
 
     Attributes:
-        token: Fencing token of the lending lease.
+        fence: Lease of `LENDING_SUBJECT`, held by this process.
     """
 
-    token: int
+    fence: Fence
 
 
 @dataclass(frozen=True)
@@ -175,7 +176,7 @@
 
     Args:
         snapshot: Loans, pools, demand and budgets.
-        request: The fencing token.
+        request: The fence.
         now: Time on the log's clock, in seconds.
 
     Returns:
@@ -245,12 +246,12 @@
         # A lent instance that is at home without a return begun has not moved
         # yet. One that is owned by nobody was replaced under another id.
         if owner is None or (loan.returning and home):
-            yield LoanClosed(name, loan.epoch, request.token)
+            yield LoanClosed(name, loan.epoch, request.fence)
     needed = _needed_reservations(snapshot, owners)
     for name, made in sorted(snapshot.budgets.ledger.reservations.items()):
         ours = name.startswith("loan/") and not made.released
         if ours and name not in needed:
-            yield BudgetReleased(name)
+            yield BudgetReleased(name, request.fence)
 
 
 def _needed_reservations(
@@ -288,14 +289,16 @@
             continue
         if reason == "extend":
             due = now + _LOAN_MULTIPLE * snapshot.move_cost_s
-            yield LoanExtended(name, loan.epoch, due, request.token)
+            yield LoanExtended(name, loan.epoch, due, request.fence)
         elif loan.borrower not in returned:
             # One at a time, since idleness is judged for one instance less.
             returned.add(loan.borrower)
             back = _reservation_id(name, loan.epoch, back=True)
-            obstacle = _reserve(snapshot, name, back, loan.borrower, now)
+            obstacle = _reserve(
+                snapshot, request, name, back, loan.borrower, now
+            )
             yield obstacle or LoanReturnBegun(
-                name, loan.epoch, reason, request.token
+                name, loan.epoch, reason, request.fence
             )
 
 
@@ -371,7 +374,9 @@
         if instance is None:
             continue
         name = _reservation_id(instance.instance, instance.epoch)
-        obstacle = _reserve(snapshot, instance.instance, name, view.pool, now)
+        obstacle = _reserve(
+            snapshot, request, instance.instance, name, view.pool, now
+        )
         if obstacle is not None:
             return obstacle
         due = now + _LOAN_MULTIPLE * snapshot.move_cost_s
@@ -381,13 +386,14 @@
             lender.pool,
             view.pool,
             due,
-            request.token,
+            request.fence,
         )
     return Postponed(view.pool, "no-lender", "no pool has an instance to spare")
 
 
 def _reserve(
     snapshot: LendingSnapshot,
+    request: LendingRequest,
     instance: str,
     reservation: str,
     borrower: str,
@@ -403,7 +409,9 @@
         codes = ", ".join(f"{r.code}:{r.plan}" for r in decision.reasons)
         return Postponed(borrower, "budget", codes)
     duration = _LOAN_MULTIPLE * snapshot.move_cost_s
-    return BudgetReserved(reservation, decision.amounts, duration)
+    return BudgetReserved(
+        reservation, decision.amounts, duration, request.fence
+    )
 
 
 def _lenders(
--- a/acaciawing/lending/tests/test_lending.py
+++ b/acaciawing/lending/tests/test_lending.py
@@ -10,7 +10,15 @@
 from acaciawing.budgets import BudgetSnapshot, PlanCount, PlanCounts
 from acaciawing.configuration import Plan
 from acaciawing.fold import FleetState, step
+from acaciawing.leases import (
+    LEASE_S,
+    NO_LEASE,
+    Fence,
+    LeaseClaimed,
+    LeasesRenewed,
+)
 from acaciawing.lending import (
+    LENDING_SUBJECT,
     DemandHistory,
     LendingDecision,
     LendingRequest,
@@ -27,6 +35,7 @@
 from acaciawing.lending.tests.naive import naive_moves
 from acaciawing.outcomes import Accepted, Ignored, Verdict
 from acaciawing.records import LogPosition, encode
+from acaciawing.snapshots import decode_state, encode_state
 
 _PLAN = Plan("gold", 0.99, 3600.0, 5.0, 100.0, 10, 10, ("a",))
 _COST_S = 10.0
@@ -42,7 +51,8 @@
     failed: int = 0
     now: float = 0.0
     offset: int = 0
-    token: int = 1
+    controller: int = 0
+    fence: Fence = Fence(LENDING_SUBJECT, -1)
     state: FleetState = FleetState()
     history: DemandHistory = DemandHistory()
     owner: dict[str, str] = field(default_factory=dict)
@@ -79,10 +89,27 @@
 
     def append(self, record: object) -> Verdict:
         position = LogPosition(self.offset, self.now)
-        folded = step(self.state, encode(record, "entry-1/1"), position)
+        payload = encode(record, self.writer)
+        folded = step(self.state, payload, position)
         self.state, self.offset = folded.state, self.offset + 1
         return folded.verdict
 
+    @property
+    def writer(self) -> str:
+        return f"entry-{self.controller}/1"
+
+    def take_over(self) -> None:
+        """A new controller claims the lease and knows no history."""
+        self.controller += 1
+        self.history = DemandHistory()
+        known = self.state.leases.leases.get(LENDING_SUBJECT)
+        replaces = NO_LEASE if known is None else known.token
+        if known is not None:
+            self.now += LEASE_S + 1.0
+        self.fence = Fence(LENDING_SUBJECT, self.offset)
+        claim = LeaseClaimed(LENDING_SUBJECT, self.writer, replaces, LEASE_S)
+        assert self.append(claim) == Accepted()
+
     def decide(self) -> LendingDecision:
         budgets = BudgetSnapshot(
             self.state.budgets, {"gold": _PLAN}, frozenset({"entry-1"})
@@ -97,13 +124,16 @@
                 budgets,
                 impact,
             ),
-            LendingRequest(self.token),
+            LendingRequest(self.fence),
             self.now,
         )
 
     def round(self, killed_after: int | None = None) -> LendingDecision:
         """Runs a round a second; a killed controller loses its history."""
+        if not self.controller:
+            self.take_over()
         self.now += 1.0
+        self.append(LeasesRenewed(self.writer, self.offset, LEASE_S))
         count = PlanCount("gold", 10_000, self.failed)
         self.append(PlanCounts("entry-1", 1, int(self.now), (count,)))
         for instance, (at, target) in list(self.moving.items()):
@@ -122,8 +152,7 @@
         for number, record in enumerate(decision.records, 1):
             self.append(record)
             if number == killed_after:
-                self.history = DemandHistory()
-                self.token += 1
+                self.take_over()
                 break
         return decision
 
@@ -171,6 +200,13 @@
         left = fake.state.budgets.reservations.values()
         assert all(r.released for r in left)
 
+    def test_loans_survive_a_snapshot(self) -> None:
+        fake = FakePools(8, _lasting)
+        fake.run(60)
+        state = fake.state
+        assert state.loans.active
+        assert decode_state(encode_state(state), FleetState) == state
+
     def test_small_pool_waits_twice_as_long(self) -> None:
         starts = []
         for workers in (8, 7):
@@ -246,15 +282,17 @@
         assert not fake.state.loans.active
 
     def test_late_and_competing_records(self) -> None:
-        begun = LoanBegun("w0", 3, "a", "b", 50.0, 7)
-        back = LoanReturnBegun("w0", 3, "due", 7)
+        fence = Fence(LENDING_SUBJECT, 7)
+        wrong = Fence("pool:a", 7)
+        begun = LoanBegun("w0", 3, "a", "b", 50.0, fence)
+        back = LoanReturnBegun("w0", 3, "due", fence)
         records = [
             (begun, Accepted()),
             (replace(begun, borrower="c"), Ignored("lent-already", "w0")),
-            (replace(back, token=6), Ignored("stale-token", "6, newest is 7")),
+            (replace(back, fence=wrong), Ignored("wrong-subject", "pool:a")),
             (back, Accepted()),
             (back, Ignored("duplicate", "w0")),
-            (LoanClosed("w0", 3, 7), Accepted()),
+            (LoanClosed("w0", 3, fence), Accepted()),
             (begun, Ignored("stale-epoch", "3, last 3")),
         ]
         table = LoanTable()
@@ -263,6 +301,18 @@
             table, verdict = loans.apply(record, table, position)
             assert verdict == expected, record
 
+    def test_paused_controller_lends_nothing(self) -> None:
+        fake = FakePools(8, _lasting)
+        while not any(isinstance(r, LoanBegun) for r in fake.decide().records):
+            fake.round()
+        stale = fake.decide().records
+        fake.take_over()
+        verdicts = [fake.append(record) for record in stale]
+        assert all(
+            isinstance(v, Ignored) and v.reason == "stale-token"
+            for v in verdicts
+        )
+
     def test_replaced_instance_ends_its_loan(self) -> None:
         fake = FakePools(8, _lasting)
         while not fake.state.loans.active:
--- a/acaciawing/maintenance/rounds.py
+++ b/acaciawing/maintenance/rounds.py
@@ -17,6 +17,7 @@
     DisruptionRequest,
     ask,
 )
+from acaciawing.leases import Fence
 from acaciawing.maintenance.waves import (
     Bounds,
     Member,
@@ -117,12 +118,12 @@
     Attributes:
         pool: Name of the pool.
         bounds: Bounds for a wave that this round may plan.
-        token: Fencing token of the pool's maintenance lease.
+        fence: Lease of the pool, held by this process.
     """
 
     pool: str
     bounds: Bounds
-    token: int
+    fence: Fence
 
 
 @dataclass(frozen=True)
@@ -192,7 +193,7 @@
 
     Args:
         snapshot: Waves, budgets and observed instances.
-        request: The pool, the bounds and the fencing token.
+        request: The pool, the bounds and the fence.
         now: Time on the log's clock, in seconds.
 
     Returns:
@@ -201,7 +202,7 @@
     """
     outages = tuple(_outages(snapshot, request))
     wave = snapshot.waves.active.get(request.pool)
-    releases = tuple(_releases(snapshot, request.pool, wave))
+    releases = tuple(_releases(snapshot, request, wave))
     if wave is None:
         planned = _planned(snapshot, request, now)
         return RoundDecision((*outages, *releases, *planned))
@@ -223,13 +224,13 @@
             continue
         down = instance in waves.outages
         if not seen.serving and not down:
-            yield OutageChanged(request.pool, seen.place, True, request.token)
+            yield OutageChanged(request.pool, seen.place, True, request.fence)
         elif seen.serving and down:
-            yield OutageChanged(request.pool, seen.place, False, request.token)
+            yield OutageChanged(request.pool, seen.place, False, request.fence)
     for instance, lost in waves.outages.items():
         # The platform no longer lists it: it was replaced by another id.
         if lost.pool == request.pool and instance not in snapshot.observed:
-            yield OutageChanged(request.pool, lost.place, False, request.token)
+            yield OutageChanged(request.pool, lost.place, False, request.fence)
 
 
 def _planned(
@@ -251,7 +252,7 @@
     due.sort(key=lambda place: place.instance)
     epoch = snapshot.waves.epochs.get(request.pool, 0)
     wave = WavePlanned(
-        request.pool, epoch, tuple(due), request.bounds, request.token
+        request.pool, epoch, tuple(due), request.bounds, request.fence
     )
     return (wave,)
 
@@ -274,7 +275,7 @@
                 instance,
                 member.epoch,
                 stage,
-                request.token,
+                request.fence,
                 reason,
             )
 
@@ -438,7 +439,7 @@
             instance,
             member.epoch,
             Stage.DRAINING,
-            request.token,
+            request.fence,
         )
     failures = snapshot.impact.get(instance, {})
     decision = ask(
@@ -446,11 +447,11 @@
     )
     if isinstance(decision, Denied):
         return decision
-    return BudgetReserved(name, decision.amounts, 2 * duration)
+    return BudgetReserved(name, decision.amounts, 2 * duration, request.fence)
 
 
 def _releases(
-    snapshot: MaintenanceSnapshot, pool: str, wave: Wave | None
+    snapshot: MaintenanceSnapshot, request: RoundRequest, wave: Wave | None
 ) -> Iterator[BudgetReleased]:
     """Releases every reservation of the pool that no member needs."""
     members = wave.members.values() if wave else ()
@@ -460,9 +461,9 @@
         if wave and not member.stage.final
     }
     for name, made in sorted(snapshot.budgets.ledger.reservations.items()):
-        mine = name.startswith(_reservation_prefix(pool))
+        mine = name.startswith(_reservation_prefix(request.pool))
         if mine and not made.released and name not in needed:
-            yield BudgetReleased(name)
+            yield BudgetReleased(name, request.fence)
 
 
 def _calls(snapshot: MaintenanceSnapshot, wave: Wave) -> Iterator[PlatformCall]:
--- a/acaciawing/maintenance/tests/fake_fleet.py
+++ b/acaciawing/maintenance/tests/fake_fleet.py
@@ -5,6 +5,14 @@
 from acaciawing.budgets import BudgetSnapshot, PlanCount, PlanCounts
 from acaciawing.configuration import Plan
 from acaciawing.fold import FleetState, step
+from acaciawing.leases import (
+    LEASE_S,
+    NO_LEASE,
+    Fence,
+    LeaseClaimed,
+    LeasesRenewed,
+    pool_subject,
+)
 from acaciawing.maintenance import (
     Bounds,
     MaintenanceSnapshot,
@@ -14,10 +22,11 @@
     RoundRequest,
     decide,
 )
-from acaciawing.outcomes import Verdict
+from acaciawing.outcomes import Accepted, Verdict
 from acaciawing.records import LogPosition, encode
 
 POOL = "visits"
+SUBJECT = pool_subject(POOL)
 PLAN = Plan("gold", 0.99, 3600.0, 5.0, 100.0, 10, 10, (POOL,))
 ROUND_S = 5.0
 
@@ -44,7 +53,8 @@
     state: FleetState = FleetState()
     now: float = 0.0
     offset: int = 0
-    token: int = 1
+    controller: int = 1
+    fence: Fence = Fence(SUBJECT, -1)
     requests: int = 100_000
     failed: int = 0
     done: set[str] = field(default_factory=set)
@@ -53,12 +63,36 @@
     def append(self, record: object) -> Verdict:
         """Appends and folds one record."""
         position = LogPosition(self.offset, self.now)
-        folded = step(self.state, encode(record, "entry-1/1"), position)
+        payload = encode(record, self.writer)
+        folded = step(self.state, payload, position)
         self.state = folded.state
         self.offset += 1
         self.log.append((record, folded.verdict))
         return folded.verdict
 
+    @property
+    def writer(self) -> str:
+        """The present controller."""
+        return f"entry-{self.controller}/1"
+
+    def claim(self) -> None:
+        """Claims the lease of the pool for the present controller."""
+        known = self.state.leases.leases.get(SUBJECT)
+        replaces = NO_LEASE if known is None else known.token
+        claim = LeaseClaimed(SUBJECT, self.writer, replaces, LEASE_S)
+        self.fence = Fence(SUBJECT, self.offset)
+        assert self.append(claim) == Accepted()
+
+    def take_over(self) -> None:
+        """Another controller claims the lease once it has ended."""
+        self.controller += 1
+        self.now += LEASE_S + 1.0
+        self.claim()
+
+    def request(self) -> RoundRequest:
+        """The request of the present controller."""
+        return RoundRequest(POOL, self.bounds, self.fence)
+
     def report(self) -> None:
         """Appends counts of the one entry instance."""
         count = PlanCount("gold", self.requests, self.failed)
@@ -90,13 +124,12 @@
             Whether the controller was killed.
         """
         self.now += ROUND_S
+        if not self.fence.token >= 0:
+            self.claim()
+        self.append(LeasesRenewed(self.writer, self.offset, LEASE_S))
         self.report()
         self._progress()
-        decision = decide(
-            self.snapshot(),
-            RoundRequest(POOL, self.bounds, self.token),
-            self.now,
-        )
+        decision = decide(self.snapshot(), self.request(), self.now)
         for call in decision.calls:
             self.call(call)
         for count, record in enumerate(decision.records, 1):
--- a/acaciawing/maintenance/tests/test_waves.py
+++ b/acaciawing/maintenance/tests/test_waves.py
@@ -5,6 +5,13 @@
 import hypothesis.strategies as st
 from hypothesis import given, settings
 
+from acaciawing.budgets import PlanCounts
+from acaciawing.leases import (
+    NO_LEASE,
+    Fence,
+    LeaseClaimed,
+    LeasesRenewed,
+)
 from acaciawing.maintenance import (
     ALL_POOLS,
     Bounds,
@@ -19,12 +26,13 @@
     calculate,
     decide,
 )
-from acaciawing.maintenance.rounds import RoundRequest
 from acaciawing.maintenance.tests.fake_fleet import POOL, FakeFleet, fleet
 from acaciawing.maintenance.tests.naive import naive_wave
 from acaciawing.outcomes import Accepted, Ignored
 
 _ROUNDS = 2000
+# Appended in each round, whatever is decided.
+_UPKEEP = (PlanCounts, LeasesRenewed, LeaseClaimed)
 
 
 def _finish(fake: FakeFleet) -> None:
@@ -67,7 +75,7 @@
     def test_kill_after_each_record(self) -> None:
         whole = fleet()
         _finish(whole)
-        appends = sum(type(r).__name__ != "PlanCounts" for r, _ in whole.log)
+        appends = sum(type(r) not in _UPKEEP for r, _ in whole.log)
         assert appends > 8 * 5
         for kill_at in range(1, appends):
             fake = fleet()
@@ -76,8 +84,10 @@
                 before = len(fake.log)
                 if fake.round(killed_after=kill_at - done):
                     break
-                done += len(fake.log) - before - 1  # less the counts
-            fake.token += 1
+                done += sum(
+                    type(r) not in _UPKEEP for r, _ in fake.log[before:]
+                )
+            fake.take_over()
             _finish(fake)
             counts = [i.rebooted for i in fake.instances.values()]
             assert counts == [1] * 8, f"killed after record {kill_at}"
@@ -85,9 +95,9 @@
     def test_paused_controller_changes_nothing(self) -> None:
         fake = fleet()
         fake.round()
-        old = RoundRequest(POOL, fake.bounds, fake.token)
+        old = fake.request()
         stale = decide(fake.snapshot(), old, fake.now)
-        fake.token += 1
+        fake.take_over()
         for _ in range(4):
             fake.round()
         table = fake.state.waves
@@ -101,7 +111,7 @@
         fake = fleet()
         for _ in range(5):
             fake.round()
-            request = RoundRequest(POOL, fake.bounds, fake.token)
+            request = fake.request()
             decision = decide(fake.snapshot(), request, fake.now)
             first = [fake.append(r) for r in decision.records]
             second = [fake.append(r) for r in decision.records]
@@ -109,15 +119,26 @@
 
     def test_old_token_is_refused_even_on_the_present_epoch(self) -> None:
         fake = fleet()
-        fake.token = 5
         fake.round()
-        step = WaveStep(POOL, 0, "w0", 0, Stage.DRAINING, 4)
-        assert fake.append(step) == Ignored("stale-token", "4, newest is 5")
+        step = WaveStep(POOL, 0, "w0", 0, Stage.DRAINING, fake.fence)
+        fake.take_over()
+        verdict = fake.append(step)
+        assert isinstance(verdict, Ignored)
+        assert verdict.reason == "stale-token"
+
+    def test_lease_of_another_pool_is_refused(self) -> None:
+        fake = fleet()
+        fake.round()
+        claim = LeaseClaimed("pool:other", fake.writer, NO_LEASE, 10.0)
+        other = Fence("pool:other", fake.offset)
+        assert fake.append(claim) == Accepted()
+        step = WaveStep(POOL, 0, "w0", 0, Stage.DRAINING, other)
+        assert fake.append(step) == Ignored("wrong-subject", "pool:other")
 
     def test_late_repeat_of_a_step_does_not_drain_again(self) -> None:
         fake = fleet()
         fake.round()
-        drain = WaveStep(POOL, 0, "w0", 0, Stage.DRAINING, 1)
+        drain = WaveStep(POOL, 0, "w0", 0, Stage.DRAINING, fake.fence)
         later = [
             replace(drain, epoch=1, stage=Stage.RESTORING),
             replace(drain, epoch=2, stage=Stage.WAITING),
@@ -171,7 +192,7 @@
             fake.fail(f"w{number}", repair_s)
             for _ in range(rounds):
                 if fake.round(killed_after):
-                    fake.token += 1
+                    fake.take_over()
                 check()
         for _ in range(_ROUNDS):
             fake.round()
@@ -189,7 +210,7 @@
         )
         fake.round()
         steps = [
-            WaveStep(POOL, 0, name, 0, Stage.DRAINING, 1)
+            WaveStep(POOL, 0, name, 0, Stage.DRAINING, fake.fence)
             for name in ("w0", "w1")
         ]
         first, second = (fake.append(s) for s in steps)
@@ -216,7 +237,7 @@
         fake = fleet(bounds=Bounds(1, 1, 1))
         fake.round()
         fake.round()
-        request = RoundRequest(POOL, fake.bounds, fake.token)
+        request = fake.request()
         ready = decide(fake.snapshot(), request, fake.now).records
         assert [type(r) for r in ready] == [WaveStep]
         fake.fail("w7", 300.0)
@@ -229,7 +250,7 @@
         for _ in range(20):
             fake.round()
         assert not fake.state.waves.in_progress
-        request = RoundRequest(POOL, fake.bounds, fake.token)
+        request = fake.request()
         held = decide(fake.snapshot(), request, fake.now).held
         assert all(h.reasons == ("budget-spent:gold",) for h in held)
         assert len(held) == 8
--- a/acaciawing/maintenance/waves.py
+++ b/acaciawing/maintenance/waves.py
@@ -13,6 +13,7 @@
 
 from immutables import Map
 
+from acaciawing.leases import Fence, pool_subject
 from acaciawing.outcomes import Accepted, Ignored, Verdict
 from acaciawing.records import LogPosition, record_type
 
@@ -110,14 +111,14 @@
         epoch: Number of the pool's waves that have ended.
         members: Instances to maintain.
         bounds: Bounds that hold for each drain of the wave.
-        token: Fencing token of the pool's maintenance lease.
+        fence: Lease of the pool.
     """
 
     pool: str
     epoch: int
     members: tuple[Place, ...]
     bounds: Bounds
-    token: int
+    fence: Fence
 
 
 @record_type("wave-step", version=1)
@@ -131,7 +132,7 @@
         instance: Id of the instance.
         epoch: Epoch of the member that the writer saw.
         stage: The new stage.
-        token: Fencing token of the pool's maintenance lease.
+        fence: Lease of the pool.
         reason: Code that explains the step, or an empty string.
     """
 
@@ -140,7 +141,7 @@
     instance: str
     epoch: int
     stage: Stage
-    token: int
+    fence: Fence
     reason: str = ""
 
 
@@ -153,13 +154,13 @@
         pool: Pool of the instance.
         place: Where it is.
         down: Whether it is out of service.
-        token: Fencing token of the pool's maintenance lease.
+        fence: Lease of the pool.
     """
 
     pool: str
     place: Place
     down: bool
-    token: int
+    fence: Fence
 
 
 @record_type("wave-stopped", version=1)
@@ -251,7 +252,6 @@
         outages: Instances that failed unplanned.
         maintained: Time of the last maintenance or replacement, by instance.
         stopped: Offset of the operator's stop, by pool.
-        tokens: Highest fencing token seen, by pool.
     """
 
     active: Map[str, Wave] = field(default_factory=Map)
@@ -261,7 +261,6 @@
     outages: Map[str, Down] = field(default_factory=Map)
     maintained: Map[str, float] = field(default_factory=Map)
     stopped: Map[str, int] = field(default_factory=Map)
-    tokens: Map[str, int] = field(default_factory=Map)
 
     def is_stopped(self, pool: str) -> bool:
         """Whether an operator stopped maintenance of the pool."""
@@ -322,9 +321,8 @@
 def _(
     record: WavePlanned, table: WaveTable, position: LogPosition
 ) -> tuple[WaveTable, Verdict]:
-    stale = _stale_token(table, record.pool, record.token)
-    if stale is not None:
-        return table, stale
+    if not _covers(record.fence, record.pool):
+        return table, Ignored("wrong-subject", record.fence.subject)
     epoch = table.epochs.get(record.pool, 0)
     if record.pool in table.active or record.epoch != epoch:
         return table, Ignored("stale-epoch", f"{record.epoch}, now {epoch}")
@@ -336,7 +334,7 @@
     }
     wave = Wave(record.pool, epoch, record.bounds, Map(members))
     planned = replace(table, active=table.active.set(record.pool, wave))
-    return _with_token(planned, record.pool, record.token), Accepted()
+    return planned, Accepted()
 
 
 @apply.register
@@ -360,16 +358,15 @@
     stepped = _with_effects(stepped, record, member.place, position)
     if all(m.stage.final for m in wave.members.values()):
         stepped = _closed(stepped, wave, position.appended_at)
-    return _with_token(stepped, record.pool, record.token), Accepted()
+    return stepped, Accepted()
 
 
 @apply.register
 def _(
     record: OutageChanged, table: WaveTable, position: LogPosition
 ) -> tuple[WaveTable, Verdict]:
-    stale = _stale_token(table, record.pool, record.token)
-    if stale is not None:
-        return table, stale
+    if not _covers(record.fence, record.pool):
+        return table, Ignored("wrong-subject", record.fence.subject)
     instance = record.place.instance
     if record.down == (instance in table.outages):
         return table, Ignored("duplicate", instance)
@@ -378,7 +375,7 @@
     else:
         outages = table.outages.delete(instance)
     changed = replace(table, outages=outages)
-    return _with_token(changed, record.pool, record.token), Accepted()
+    return changed, Accepted()
 
 
 @apply.register
@@ -402,9 +399,8 @@
 
 
 def _refused_step(record: WaveStep, table: WaveTable) -> Ignored | None:
-    stale = _stale_token(table, record.pool, record.token)
-    if stale is not None:
-        return stale
+    if not _covers(record.fence, record.pool):
+        return Ignored("wrong-subject", record.fence.subject)
     wave = table.active.get(record.pool)
     if wave is None or wave.number != record.wave:
         return Ignored("unknown-wave", f"{record.pool}/{record.wave}")
@@ -457,14 +453,5 @@
     )
 
 
-def _stale_token(table: WaveTable, pool: str, token: int) -> Ignored | None:
-    newest = table.tokens.get(pool, -1)
-    if token < newest:
-        return Ignored("stale-token", f"{token}, newest is {newest}")
-    return None
-
-
-def _with_token(table: WaveTable, pool: str, token: int) -> WaveTable:
-    if table.tokens.get(pool, -1) >= token:
-        return table
-    return replace(table, tokens=table.tokens.set(pool, token))
+def _covers(fence: Fence, pool: str) -> bool:
+    return fence.subject == pool_subject(pool)
--- a/acaciawing/placement/__init__.py
+++ b/acaciawing/placement/__init__.py
@@ -36,6 +36,7 @@
 )
 from acaciawing.placement.records import (
     LEASE_EXPIRED,
+    PLACEMENT_SUBJECT,
     Method,
     Resources,
     TaskAttempt,
@@ -82,6 +83,7 @@
     "LEASE_EXPIRED",
     "LEASE_S",
     "MAX_FAILURES",
+    "PLACEMENT_SUBJECT",
     "Cancellation",
     "Candidate",
     "CapacityIndex",
--- a/acaciawing/placement/records.py
+++ b/acaciawing/placement/records.py
@@ -3,8 +3,13 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from acaciawing.leases import Fence
 from acaciawing.records import record_type
 
+# Competing placements are settled by the workers' epochs; the lease only keeps
+# instances from doing the same work twice.
+PLACEMENT_SUBJECT = "placement"
+
 
 @dataclass(frozen=True)
 class Resources:
@@ -112,8 +117,7 @@
         size: Size that was reckoned with.
         lease_s: Length of the lease from the append, in seconds.
         borrowed: Whether the team is above its quota with this task.
-        subject: Subject of the writer's control lease.
-        token: Fencing token of that lease.
+        fence: Lease of `PLACEMENT_SUBJECT`.
     """
 
     task: str
@@ -125,8 +129,7 @@
     size: Resources
     lease_s: float
     borrowed: bool
-    subject: str
-    token: int
+    fence: Fence
 
 
 @dataclass(frozen=True)
@@ -145,14 +148,12 @@
     Attributes:
         attempts: The placements.
         lease_s: Length from the append, in seconds.
-        subject: Subject of the writer's control lease.
-        token: Fencing token of that lease.
+        fence: Lease of `PLACEMENT_SUBJECT`.
     """
 
     attempts: tuple[TaskAttempt, ...]
     lease_s: float
-    subject: str
-    token: int
+    fence: Fence
 
 
 @record_type("task-started", version=1)
@@ -210,16 +211,14 @@
         attempt: Number of its placement.
         method: How it gives way.
         reason: ``urgent``, ``quota`` or ``straggler``.
-        subject: Subject of the writer's control lease.
-        token: Fencing token of that lease.
+        fence: Lease of `PLACEMENT_SUBJECT`.
     """
 
     task: str
     attempt: int
     method: Method
     reason: str
-    subject: str
-    token: int
+    fence: Fence
 
 
 @record_type("task-stopped", version=1)
--- a/acaciawing/placement/table.py
+++ b/acaciawing/placement/table.py
@@ -12,9 +12,11 @@
 
 from immutables import Map
 
+from acaciawing.leases import Fence
 from acaciawing.outcomes import Accepted, Ignored, Verdict
 from acaciawing.placement.records import (
     LEASE_EXPIRED,
+    PLACEMENT_SUBJECT,
     Method,
     Resources,
     TaskFailed,
@@ -134,7 +136,6 @@
         ended: Ids that ended lately.
         ended_before: Ids of the generation before.
         generation_at: Start of the generation, in seconds.
-        tokens: Highest fencing token, by subject.
     """
 
     tasks: Map[str, Task] = field(default_factory=Map)
@@ -145,7 +146,6 @@
     ended: Map[str, str] = field(default_factory=Map)
     ended_before: Map[str, str] = field(default_factory=Map)
     generation_at: float = 0.0
-    tokens: Map[str, int] = field(default_factory=Map)
 
 
 def accepts_task(table: TaskTable, worker: str, now: float) -> str | None:
@@ -201,7 +201,7 @@
     record: TaskPlaced, table: TaskTable, position: LogPosition
 ) -> tuple[TaskTable, Verdict]:
     task = table.tasks.get(record.task)
-    refused = _stale(table, record.subject, record.token)
+    refused = _wrong_subject(record.fence)
     refused = refused or _refused_placement(record, table, task, position)
     if refused is not None or task is None:
         return table, refused or Ignored("unknown-task", record.task)
@@ -229,7 +229,6 @@
             record.worker, Load(load.epoch + 1, load.tasks | {record.task})
         ),
         used=table.used.set(team, used),
-        tokens=table.tokens.set(record.subject, record.token),
     )
     return changed, Accepted()
 
@@ -238,7 +237,7 @@
 def _(
     record: TaskLeasesRenewed, table: TaskTable, position: LogPosition
 ) -> tuple[TaskTable, Verdict]:
-    refused = _stale(table, record.subject, record.token)
+    refused = _wrong_subject(record.fence)
     if refused is not None:
         return table, refused
     until = position.appended_at + record.lease_s
@@ -335,7 +334,7 @@
 def _(
     record: TaskPreempted, table: TaskTable, position: LogPosition
 ) -> tuple[TaskTable, Verdict]:
-    refused = _stale(table, record.subject, record.token)
+    refused = _wrong_subject(record.fence)
     if refused is not None:
         return table, refused
     task = _held(table, record.task, record.attempt)
@@ -386,11 +385,10 @@
     return Ignored(obstacle, record.worker) if obstacle else None
 
 
-def _stale(table: TaskTable, subject: str, token: int) -> Ignored | None:
-    newest = table.tokens.get(subject, -1)
-    if token < newest:
-        return Ignored("stale-token", f"{token}, newest is {newest}")
-    return None
+def _wrong_subject(fence: Fence) -> Ignored | None:
+    if fence.subject == PLACEMENT_SUBJECT:
+        return None
+    return Ignored("wrong-subject", fence.subject)
 
 
 def _held(table: TaskTable, name: str, attempt: int) -> Task | Ignored:
--- a/acaciawing/placement/tests/fake_workers.py
+++ b/acaciawing/placement/tests/fake_workers.py
@@ -4,9 +4,17 @@
 from dataclasses import dataclass, field
 
 from acaciawing.fold import FleetState, step
+from acaciawing.leases import (
+    LONGEST_LEASE_S,
+    NO_LEASE,
+    Fence,
+    LeaseClaimed,
+    LeasesRenewed,
+)
 from acaciawing.outcomes import Accepted, Verdict
 from acaciawing.placement import (
     LEASE_S,
+    PLACEMENT_SUBJECT,
     CapacityIndex,
     Corrections,
     Placed,
@@ -24,7 +32,8 @@
 )
 from acaciawing.records import LogPosition, encode
 
-SUBJECT = "placement/0"
+FENCE = Fence(PLACEMENT_SUBJECT, 0)
+_WRITER = "entry-1/1"
 
 
 def worker(
@@ -62,8 +71,26 @@
         )
 
     def append(self, record: object) -> Verdict:
-        position = LogPosition(self.offset, self.now)
-        folded = step(self.state, encode(record, "entry-1/1"), position)
+        """Appends under a lease that the writer keeps."""
+        if not self.offset:
+            self._fold(
+                LeaseClaimed(
+                    PLACEMENT_SUBJECT, _WRITER, NO_LEASE, LONGEST_LEASE_S
+                )
+            )
+        else:
+            session = self.state.leases.sessions[_WRITER]
+            while session.ends_at < self.now + 1.0:
+                self._fold(
+                    LeasesRenewed(_WRITER, self.offset, LONGEST_LEASE_S),
+                    session.ends_at,
+                )
+                session = self.state.leases.sessions[_WRITER]
+        return self._fold(record)
+
+    def _fold(self, record: object, at: float | None = None) -> Verdict:
+        position = LogPosition(self.offset, self.now if at is None else at)
+        folded = step(self.state, encode(record, _WRITER), position)
         self.state, self.offset = folded.state, self.offset + 1
         return folded.verdict
 
@@ -100,8 +127,7 @@
             placed.size,
             LEASE_S,
             borrowed,
-            SUBJECT,
-            1,
+            FENCE,
         )
 
     def place(self, name: str, borrowed: bool = False) -> str:
--- a/acaciawing/placement/tests/test_placement.py
+++ b/acaciawing/placement/tests/test_placement.py
@@ -6,10 +6,12 @@
 import hypothesis.strategies as st
 from hypothesis import given, settings
 
+from acaciawing.leases import Fence
 from acaciawing.outcomes import Accepted, Ignored
 from acaciawing.placement import (
     LEASE_EXPIRED,
     LEASE_S,
+    PLACEMENT_SUBJECT,
     Corrections,
     NoRoom,
     Placed,
@@ -36,8 +38,9 @@
     renewals,
     running_sizes,
 )
+from acaciawing.placement.table import apply
 from acaciawing.placement.tests.fake_workers import (
-    SUBJECT,
+    FENCE,
     FakeWorkers,
     worker,
 )
@@ -46,6 +49,7 @@
     naive_cancel,
     reasons_by_scan,
 )
+from acaciawing.records import LogPosition
 
 _SMALL = Resources(4, 8_000)
 
@@ -175,10 +179,21 @@
         fake.submit("b", _SMALL)
         decision = fake.decide("b")
         assert isinstance(decision, Placed)
-        first, second = (fake.record(n, decision) for n in "ab")
-        assert fake.append(replace(first, token=2)) == Accepted()
-        second = replace(second, worker_epoch=1)
-        assert isinstance(fake.append(second), Ignored)
+        record = fake.record("b", decision)
+        for fence, reason in (
+            (Fence(PLACEMENT_SUBJECT, 9), "stale-token"),
+            (Fence("pool:a", 0), "wrong-subject"),
+        ):
+            position = LogPosition(fake.offset, fake.now)
+            fenced = replace(record, fence=fence)
+            if reason == "wrong-subject":
+                # The lease itself is checked by the fold, before the table.
+                _, verdict = apply(fenced, fake.table, position)
+            else:
+                verdict = fake.append(fenced)
+            assert isinstance(verdict, Ignored)
+            assert verdict.reason == reason
+        assert fake.append(record) == Accepted()
 
     def test_late_submission_does_not_run_again(self) -> None:
         fake = FakeWorkers([worker(0)])
@@ -233,7 +248,7 @@
         assert isinstance(decision, NoRoom)
         assert Reason("quarantined", 1) in decision.reasons
         early = TaskPlaced(
-            "a", 1, "w0", 3, "z0", "r0", _SMALL, 9.0, False, SUBJECT, 1
+            "a", 1, "w0", 3, "z0", "r0", _SMALL, 9.0, False, FENCE
         )
         assert fake.append(early) == Ignored("quarantined", "w0")
         fake.now = 601.0
@@ -285,9 +300,9 @@
             fake.submit(f"t{number}", _SMALL)
             fake.place(f"t{number}")
         reported = [TaskAttempt(f"t{n}", 1) for n in range(20)]
-        assert renewals(fake.table, reported, SUBJECT, 1, 1.0) == ()
+        assert renewals(fake.table, reported, FENCE, 1.0) == ()
         fake.now = 400.0
-        records = renewals(fake.table, reported, SUBJECT, 1, fake.now)
+        records = renewals(fake.table, reported, FENCE, fake.now)
         assert len(records) == 1
         assert fake.append(records[0]) == Accepted()
         assert lost(fake.table, (), LEASE_S + 100) == ()
--- a/acaciawing/placement/tests/test_sharing.py
+++ b/acaciawing/placement/tests/test_sharing.py
@@ -32,7 +32,7 @@
 )
 from acaciawing.placement.table import TaskState
 from acaciawing.placement.tests.fake_workers import (
-    SUBJECT,
+    FENCE,
     FakeWorkers,
     worker,
 )
@@ -44,7 +44,7 @@
 def _give_way(fake: FakeWorkers, victim: Victim, reason: str) -> TaskPreempted:
     name = victim.task.submitted.task
     attempt = victim.task.attempt
-    return TaskPreempted(name, attempt, victim.method, reason, SUBJECT, 1)
+    return TaskPreempted(name, attempt, victim.method, reason, FENCE)
 
 
 def _preempt(
@@ -203,7 +203,7 @@
         fake.append(_give_way(fake, victim, "urgent"))
         assert fake.table.tasks[name].state is TaskState.STOPPING
         early = TaskPlaced(
-            name, 2, "w9", 0, "z0", "r9", _HALF, 9.0, False, SUBJECT, 1
+            name, 2, "w9", 0, "z0", "r9", _HALF, 9.0, False, FENCE
         )
         assert fake.append(early) == Ignored("not-waiting", name)
         assert fake.append(TaskStopped(name, 1)) == Accepted()
@@ -337,7 +337,7 @@
         view = StragglerView(wanted=frozenset({"w0"}))
         (action,) = stragglers(fake.table, view, fake.now)
         assert action.method is Method.THROTTLE
-        record = TaskPreempted("t", 1, Method.THROTTLE, "straggler", SUBJECT, 1)
+        record = TaskPreempted("t", 1, Method.THROTTLE, "straggler", FENCE)
         assert fake.append(record) == Accepted()
         (action,) = stragglers(fake.table, view, fake.now)
         assert (action.method, action.reason) == (None, "throttled-already")
--- a/acaciawing/placement/upkeep.py
+++ b/acaciawing/placement/upkeep.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection, Iterable, Mapping, Set
 from dataclasses import dataclass, field
 
+from acaciawing.leases import Fence
 from acaciawing.placement.records import (
     LEASE_EXPIRED,
     Method,
@@ -31,8 +32,7 @@
 def renewals(
     table: TaskTable,
     reported: Iterable[TaskAttempt],
-    subject: str,
-    token: int,
+    fence: Fence,
     now: float,
 ) -> tuple[TaskLeasesRenewed, ...]:
     """Renews leases of tasks that their workers report, grouped.
@@ -40,8 +40,7 @@
     Args:
         table: The fold's tasks.
         reported: Placements that workers reported as running just now.
-        subject: Subject of the control lease.
-        token: Its fencing token.
+        fence: Lease of `PLACEMENT_SUBJECT`, held by this process.
         now: Time on the log's clock, in seconds.
 
     Returns:
@@ -55,9 +54,7 @@
         if task.lease_until - now < _RENEW_BEFORE_S:
             due.append(attempt)
     return tuple(
-        TaskLeasesRenewed(
-            tuple(due[i : i + _IDS_PER_RECORD]), LEASE_S, subject, token
-        )
+        TaskLeasesRenewed(tuple(due[i : i + _IDS_PER_RECORD]), LEASE_S, fence)
         for i in range(0, len(due), _IDS_PER_RECORD)
     )
 
--- a/bench/lending.py
+++ b/bench/lending.py
@@ -11,7 +11,9 @@
 from dataclasses import dataclass, field
 
 from acaciawing.budgets import BudgetSnapshot, Ledger, PlanCounts, ledger
+from acaciawing.leases import Fence
 from acaciawing.lending import (
+    LENDING_SUBJECT,
     DemandHistory,
     LendingRequest,
     LendingSnapshot,
@@ -313,7 +315,7 @@
         budgets = BudgetSnapshot(self._ledger, {}, frozenset({"entry-1"}))
         decision = decide(
             LendingSnapshot(self._loans, views, self._history, cost, budgets),
-            LendingRequest(1),
+            LendingRequest(Fence(LENDING_SUBJECT, 0)),
             now,
         )
         self._history = decision.history
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -5,9 +5,11 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+from acaciawing.leases import Fence
 from acaciawing.measures import Summary, summarise
 from acaciawing.placement import (
     LEASE_S,
+    PLACEMENT_SUBJECT,
     CapacityIndex,
     Placed,
     PlacementRequest,
@@ -138,8 +140,7 @@
                 placed.size,
                 LEASE_S,
                 False,
-                "placement/0",
-                1,
+                Fence(PLACEMENT_SUBJECT, 0),
             )
         )
         self.index = refresh(self.index, self.table, (placed.worker.worker,))
