Fold plan counts faster

Cause: each new bucket of a plan looked at all its buckets, and `replace` made each count cost two copies of data classes.

--- a/acaciawing/budgets/ledger.py
+++ b/acaciawing/budgets/ledger.py
@@ -189,10 +189,11 @@
         grown = (count.requests - before[0], count.failed - before[1])
         if min(grown) < 0 or grown[1] > grown[0]:
             return table, Ignored("invalid-counts", count.plan)
-        if grown[0]:
-            old = series.get(count.plan, Series())
-            added = add(old, position.appended_at, *grown)
-            series = series.set(count.plan, added)
+        if not grown[0]:
+            continue
+        old = series.get(count.plan, Series())
+        added = add(old, position.appended_at, *grown)
+        series = series.set(count.plan, added)
         totals = totals.set(count.plan, (count.requests, count.failed))
     source = Source(record.interval, position.appended_at, totals)
     incarnations = incarnations.set(record.incarnation, source)
--- a/acaciawing/budgets/series.py
+++ b/acaciawing/budgets/series.py
@@ -1,7 +1,7 @@
 """Requests and failures of one plan over time, in buckets that age coarser.
 
 Recent buckets are narrow for the burn rate, old ones wide, so that a window of
-35 days needs about 350 buckets. This is the resolution scheme of round-robin
+35 days needs at most 450 buckets. This is the resolution scheme of round-robin
 databases (Oetiker 1998), applied on each append.
 """
 
@@ -59,23 +59,28 @@
     Returns:
         The series with the counts.
     """
-    totals = replace(
-        series,
-        requests_total=series.requests_total + requests,
-        failed_total=series.failed_total + failed,
-    )
     buckets = series.buckets
     start = at - at % INTERVAL_S
-    if buckets and buckets[-1].start >= start:
-        last = buckets[-1]
-        merged = replace(
-            last,
-            requests=last.requests + requests,
-            failed=last.failed + failed,
+    last = buckets[-1] if buckets else None
+    if last is not None and last.start >= start:
+        merged = Bucket(
+            last.start,
+            last.width,
+            last.requests + requests,
+            last.failed + failed,
         )
-        return replace(totals, buckets=(*buckets[:-1], merged))
-    bucket = Bucket(start, INTERVAL_S, requests, failed)
-    return replace(totals, buckets=(*_aged(buckets, start), bucket))
+        buckets = (*buckets[:-1], merged)
+    else:
+        # Buckets can only be merged when the time passes a wider boundary.
+        boundary = start - start % _TIERS[0][1]
+        if last is not None and last.start < boundary:
+            buckets = _aged(buckets, start)
+        buckets = (*buckets, Bucket(start, INTERVAL_S, requests, failed))
+    return Series(
+        buckets,
+        series.requests_total + requests,
+        series.failed_total + failed,
+    )
 
 
 def sums(series: Series, now: float, window_s: float) -> tuple[int, int]:
