Claim keys of bookings in the log, join the roster, run control rounds

Cause: a repeat of a booking through another entry instance ran again; nothing recorded who serves, how often plans succeed, or held leases. Keyed requests are now claimed before they run, each instance joins and leaves the roster, reports counts, and runs control rounds.

--- a/acaciawing/entry/dispatcher.py
+++ b/acaciawing/entry/dispatcher.py
@@ -5,6 +5,7 @@
 from functools import singledispatch
 from queue import SimpleQueue
 
+from acaciawing.entry.keyed import Claims
 from acaciawing.entry.messages import Completed, Finished, Granted, Submit
 from acaciawing.entry.recorder import Decision, Recorder
 from acaciawing.entry.requests import CallerRequest
@@ -35,6 +36,7 @@
     Args:
         scheduler: Task that grants endpoints.
         recorder: Task that logs decisions.
+        claims: Decides keyed requests.
         clock: Monotonic time in seconds.
     """
 
@@ -42,9 +44,11 @@
         self,
         scheduler: Scheduler,
         recorder: Recorder,
+        claims: Claims,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Keeps the arguments."""
+        self._claims = claims
         self._scheduler = scheduler
         self._recorder = recorder
         self._clock = clock
@@ -60,7 +64,11 @@
             The endpoint's whole answer, or a refusal that says truly whether
             the request has run.
         """
-        outcome = self._run(request)
+        deadline = self._clock() + request.timeout_s
+        if request.key is None:
+            outcome = self._run(request, deadline)
+        else:
+            outcome = self._claims.run(request, deadline, self._run)
         if isinstance(outcome, Answer):
             verdict, code = "succeeded", ""
             if outcome.status >= 500:
@@ -74,8 +82,7 @@
         )
         return outcome
 
-    def _run(self, request: CallerRequest) -> Answer | Refusal:
-        deadline = self._clock() + request.timeout_s
+    def _run(self, request: CallerRequest, deadline: float) -> Answer | Refusal:
         avoid = Avoid()
         earlier: Answer | Refusal | None = None
         for attempt in range(1, MAX_ATTEMPTS + 1):
@@ -156,9 +163,19 @@
         )
 
 
-# Refusals of a plan that asks above its allowance; all others count against
-# the promised rate.
-_OWN_EXCESS = frozenset({"rate-limit", "queue-limit", "overload", "shed"})
+# Refusals that the caller brings about: a plan above its allowance, or a repeat.
+# All others count against the promised rate.
+_OWN_EXCESS = frozenset(
+    {
+        "rate-limit",
+        "queue-limit",
+        "overload",
+        "shed",
+        "already-ran",
+        "idempotency-key-reused",
+        "claim-in-progress",
+    }
+)
 
 
 def _is_own_excess(refusal: Refusal) -> bool:
--- /dev/null
+++ b/acaciawing/entry/distribution.py
@@ -0,0 +1,207 @@
+"""Passes what the observers read on to the other tasks."""
+
+import time
+from dataclasses import dataclass, replace
+
+from acaciawing.configuration import NO_VERSION, index
+from acaciawing.control import (
+    ControlTask,
+    ListingRead,
+    LiveChanged,
+    StepsFolded,
+)
+from acaciawing.entry.callers import Directory
+from acaciawing.entry.journal import Journal
+from acaciawing.entry.messages import ListingSeen, StateChanged
+from acaciawing.entry.observers import ReadResult
+from acaciawing.entry.scheduler import Scheduler
+from acaciawing.fold import FleetState, Step
+from acaciawing.idempotency.task import ClaimTask
+from acaciawing.membership import (
+    ENTRY_POOL,
+    EntryJoined,
+    Roster,
+    ended_members,
+)
+from acaciawing.outcomes import Accepted, Ignored
+from acaciawing.platform import Listing, ListUnavailable
+from acaciawing.telemetry import Event, log_event
+
+
+@dataclass(frozen=True)
+class Tasks:
+    """Tasks that want to know of new states and lists."""
+
+    scheduler: Scheduler
+    claims: ClaimTask
+    journal: Journal
+    control: ControlTask
+
+
+class Distribution:
+    """Receives the results of the log and list observers.
+
+    `log_read` is called by the log observer only and `list_read` by the list
+    observer only; each keeps its own attributes.
+
+    Args:
+        member: This entry instance.
+        directory: Configuration and readiness for the request threads.
+        tasks: Tasks to tell.
+    """
+
+    def __init__(
+        self, member: EntryJoined, directory: Directory, tasks: Tasks
+    ) -> None:
+        """Knows no state yet."""
+        self._member = member
+        self._directory = directory
+        self._tasks = tasks
+        self._state: FleetState | None = None
+        self._version = NO_VERSION
+        self._log_up = True
+        self._joined = False
+        self._listing: Listing | None = None
+        self._list_up = True
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force here."""
+        return self._version
+
+    def log_read(self, result: ReadResult) -> None:
+        """Takes a result of the log observer."""
+        self._report_log(result)
+        for step in result.steps:
+            _report_ignored(step)
+        if result.state is not self._state:
+            self._new_state(result)
+        if result.caught_up and self._state is not None:
+            self._tasks.journal.state_changed(self._state)
+        self._look_ready(result)
+
+    def list_read(self, outcome: Listing | ListUnavailable) -> None:
+        """Takes a result of the list observer."""
+        if isinstance(outcome, ListUnavailable):
+            if self._list_up:
+                log_event(Event.LIST_UNAVAILABLE, {"detail": outcome.detail})
+            self._list_up = False
+            return
+        self._list_up = True
+        if outcome is self._listing:
+            return
+        self._listing = outcome
+        served = replace(
+            outcome,
+            instances=tuple(
+                i for i in outcome.instances if i.pool != ENTRY_POOL
+            ),
+        )
+        self._tasks.scheduler.post(ListingSeen(served))
+        self._tasks.control.post(ListingRead(served))
+        self._tell_roster()
+
+    def _new_state(self, result: ReadResult) -> None:
+        before, self._state = self._state, result.state
+        self._tasks.scheduler.post(StateChanged(result.state))
+        self._tasks.control.post(StepsFolded(result.state, result.steps))
+        configuration = result.state.configuration
+        if configuration.version > self._version:
+            self._version = configuration.version
+            self._directory.index = index(configuration.configuration)
+            log_event(
+                Event.CONFIGURATION_IN_FORCE,
+                {
+                    "version": configuration.version,
+                    "age_s": round(time.time() - configuration.accepted_at, 3),
+                },
+            )
+        self._look_joined(before, result)
+        if before is None or before.roster != result.state.roster:
+            self._tell_roster()
+
+    def _look_joined(
+        self, before: FleetState | None, result: ReadResult
+    ) -> None:
+        if self._joined:
+            return
+        roster = before.roster if before is not None else Roster()
+        for step in result.steps:
+            if step.record == self._member and isinstance(
+                step.verdict, Accepted
+            ):
+                self._join(roster)
+                return
+            roster = step.state.roster
+        if self._is_member(result.state):
+            # The own join lies before a snapshot that was recovered from; all
+            # members of now are asked, which is the safe side.
+            self._join(result.state.roster)
+
+    def _join(self, predecessors: Roster) -> None:
+        self._joined = True
+        own = _name(self._member)
+        names = {_name(m) for m in predecessors.members.values()}
+        self._tasks.claims.joined(names - {own})
+
+    def _is_member(self, state: FleetState) -> bool:
+        return state.roster.members.get(self._member.instance) == self._member
+
+    def _tell_roster(self) -> None:
+        state, listing = self._state, self._listing
+        if state is None:
+            return
+        ended: tuple[EntryJoined, ...] = ()
+        if listing is not None:
+            ended = ended_members(
+                state.roster,
+                {i.instance for i in listing.instances},
+                listing.as_of,
+                self._member.instance,
+            )
+        members = {
+            _name(member): member.address
+            for member in state.roster.members.values()
+        }
+        if self._joined:
+            self._tasks.claims.set_roster(members, [_name(m) for m in ended])
+        if ended:
+            self._tasks.journal.ended(ended)
+
+    def _look_ready(self, result: ReadResult) -> None:
+        if self._directory.ready or self._version < 0:
+            return
+        # While the log is away keyed work may stay undecided; the rest is
+        # served.
+        keyed = self._tasks.claims.wait_complete(0.0)
+        if result.usable or (result.caught_up and keyed):
+            self._directory.ready = True
+            log_event(Event.ENTRY_READY, {"version": self._version})
+
+    def _report_log(self, result: ReadResult) -> None:
+        up = not result.problem
+        if up != self._log_up:
+            event = Event.LOG_AVAILABLE if up else Event.LOG_UNAVAILABLE
+            log_event(event, {"detail": result.problem})
+        self._log_up = up
+
+
+def tell_live(control: ControlTask, live: tuple[str, ...]) -> None:
+    """Tells the control task which entry instances are heard of."""
+    control.post(LiveChanged(live))
+
+
+def _name(member: EntryJoined) -> str:
+    return f"{member.instance}/{member.incarnation}"
+
+
+def _report_ignored(step: Step) -> None:
+    if isinstance(step.verdict, Ignored):
+        log_event(
+            Event.RECORD_IGNORED,
+            {
+                "reason": step.verdict.reason,
+                "detail": step.verdict.detail,
+                "writer": step.writer,
+            },
+        )
--- /dev/null
+++ b/acaciawing/entry/keyed.py
@@ -0,0 +1,154 @@
+"""Requests that are not idempotent: claim, run, and answer repeats."""
+
+import threading
+from collections import OrderedDict
+from collections.abc import Callable
+from functools import singledispatch
+from typing import Protocol
+
+from acaciawing.entry.requests import CallerRequest
+from acaciawing.exchange import Answer
+from acaciawing.idempotency import (
+    Claim,
+    ClaimDecision,
+    Finished,
+    InProgress,
+    KeyReused,
+    Run,
+    Unknown,
+    request_fingerprint,
+)
+from acaciawing.outcomes import AlreadyRan, NotRun, OutcomeUnknown, Refusal
+
+# Whole answers kept for repeats that reach the same entry instance.
+_KEPT_ANSWERS = 2000
+_KEPT_BYTES = 8 * 1024 * 1024
+
+RunRequest = Callable[[CallerRequest, float], Answer | Refusal]
+
+
+class ClaimDecider(Protocol):
+    """What is needed of `acaciawing.idempotency.task.ClaimTask`."""
+
+    def claim(
+        self, customer: str, key: str, fingerprint: str, deadline: float
+    ) -> ClaimDecision:
+        """Decides whether this copy may run."""
+        ...
+
+    def finish(self, claim: Claim, status: int) -> None:
+        """Records the end of a claimed request."""
+        ...
+
+    def release(self, claim: Claim) -> None:
+        """Gives a claim back; its request has not run."""
+        ...
+
+
+class KeptAnswers:
+    """Answers by claim digest, bounded in count and bytes."""
+
+    def __init__(
+        self, count: int = _KEPT_ANSWERS, size: int = _KEPT_BYTES
+    ) -> None:
+        """Starts empty."""
+        self._count = count
+        self._size = size
+        self._bytes = 0
+        self._lock = threading.Lock()
+        self._answers: OrderedDict[tuple[str, str], Answer] = OrderedDict()
+
+    def put(self, key: tuple[str, str], answer: Answer) -> None:
+        """Keeps an answer and forgets the oldest beyond the bounds."""
+        with self._lock:
+            self._answers[key] = answer
+            self._bytes += len(answer.body)
+            while len(self._answers) > self._count or self._bytes > self._size:
+                _, old = self._answers.popitem(last=False)
+                self._bytes -= len(old.body)
+
+    def get(self, key: tuple[str, str]) -> Answer | None:
+        """The answer kept for a key."""
+        with self._lock:
+            return self._answers.get(key)
+
+
+class Claims:
+    """Runs keyed requests at most once; called by the request threads.
+
+    Args:
+        decider: Decides which copy of a request runs.
+    """
+
+    def __init__(self, decider: ClaimDecider) -> None:
+        """Keeps the decider."""
+        self._decider = decider
+        self._answers = KeptAnswers()
+
+    def run(
+        self, request: CallerRequest, deadline: float, run: RunRequest
+    ) -> Answer | Refusal:
+        """Claims the key of a request, and runs it if the claim is won.
+
+        Args:
+            request: A request with a key.
+            deadline: Time by which it must end, monotonic seconds.
+            run: Runs the request.
+
+        Returns:
+            The answer, or a refusal. "Not run" is said only after the claim
+            was won and given back, so that no other copy has run.
+        """
+        assert request.key is not None
+        fingerprint = request_fingerprint(
+            request.method, request.target, request.body
+        )
+        decision = self._decider.claim(
+            request.customer.name, request.key, fingerprint, deadline
+        )
+        known = (request.customer.name, request.key)
+        if not isinstance(decision, Run):
+            kept = self._answers.get(known)
+            if kept is not None and isinstance(decision, Finished):
+                return kept
+            return refusal_of(decision)
+        outcome = run(request, deadline)
+        if isinstance(outcome, NotRun):
+            self._decider.release(decision.claim)
+            return outcome
+        if isinstance(outcome, Answer):
+            self._answers.put(known, outcome)
+        self._decider.finish(decision.claim, outcome.status)
+        return outcome
+
+
+@singledispatch
+def refusal_of(decision: ClaimDecision) -> Refusal:
+    """Refusal of a copy that does not run.
+
+    >>> refusal_of(Finished(201)).ran_status
+    201
+    """
+    raise TypeError(type(decision).__name__)
+
+
+@refusal_of.register
+def _(decision: Finished) -> Refusal:
+    return AlreadyRan(decision.status)
+
+
+@refusal_of.register
+def _(decision: InProgress) -> Refusal:
+    detail = "another copy of the request is in progress"
+    return OutcomeUnknown("claim-in-progress", detail, 409)
+
+
+@refusal_of.register
+def _(decision: KeyReused) -> Refusal:
+    detail = "the key belongs to a different request; this one has not run"
+    return NotRun("idempotency-key-reused", detail, 422)
+
+
+@refusal_of.register
+def _(decision: Unknown) -> Refusal:
+    return OutcomeUnknown("claim-undecided", decision.reason)
--- a/acaciawing/entry/problems.py
+++ b/acaciawing/entry/problems.py
@@ -5,7 +5,13 @@
 
 import msgspec
 
-from acaciawing.outcomes import NotRun, OutcomeUnknown, RanAndFailed, Refusal
+from acaciawing.outcomes import (
+    AlreadyRan,
+    NotRun,
+    OutcomeUnknown,
+    RanAndFailed,
+    Refusal,
+)
 
 OUTCOME_HEADER = "Acaciawing-Outcome"
 
@@ -35,6 +41,11 @@
     return "unknown"
 
 
+@outcome_name.register
+def _(refusal: AlreadyRan) -> str:
+    return "ran"
+
+
 def render(
     refusal: Refusal, request_id: str
 ) -> tuple[int, list[tuple[str, str]], bytes]:
@@ -48,16 +59,17 @@
         Status, headers and body.
     """
     name = outcome_name(refusal)
-    body = msgspec.json.encode(
-        {
-            "type": f"urn:acaciawing:{refusal.code}",
-            "title": refusal.code,
-            "status": refusal.status,
-            "detail": refusal.detail,
-            "outcome": name,
-            "request": request_id,
-        }
-    )
+    document: dict[str, object] = {
+        "type": f"urn:acaciawing:{refusal.code}",
+        "title": refusal.code,
+        "status": refusal.status,
+        "detail": refusal.detail,
+        "outcome": name,
+        "request": request_id,
+    }
+    if isinstance(refusal, AlreadyRan):
+        document["ran_status"] = refusal.ran_status
+    body = msgspec.json.encode(document)
     headers = [
         ("Content-Type", "application/problem+json"),
         (OUTCOME_HEADER, name),
--- a/acaciawing/membership/__init__.py
+++ b/acaciawing/membership/__init__.py
@@ -1,5 +1,11 @@
 """Membership of entry instances."""
 
-from acaciawing.membership.roster import EntryJoined, EntryLeft, Roster
+from acaciawing.membership.roster import (
+    ENTRY_POOL,
+    EntryJoined,
+    EntryLeft,
+    Roster,
+    ended_members,
+)
 
-__all__ = ["EntryJoined", "EntryLeft", "Roster"]
+__all__ = ["ENTRY_POOL", "EntryJoined", "EntryLeft", "Roster", "ended_members"]
--- a/acaciawing/membership/roster.py
+++ b/acaciawing/membership/roster.py
@@ -1,5 +1,6 @@
 """Roster of entry instances, agreed through the log."""
 
+from collections.abc import Collection
 from dataclasses import dataclass, replace
 from functools import singledispatch
 
@@ -47,9 +48,11 @@
 
     Attributes:
         members: Join records by instance id.
+        joined_at: Time of each join on the log's clock, in seconds.
     """
 
     members: Map[str, EntryJoined] = Map()
+    joined_at: Map[str, float] = Map()
 
 
 @singledispatch
@@ -68,7 +71,8 @@
     if known is not None and known.incarnation >= record.incarnation:
         return table, Ignored("stale-incarnation", record.instance)
     members = table.members.set(record.instance, record)
-    return replace(table, members=members), Accepted()
+    times = table.joined_at.set(record.instance, position.appended_at)
+    return replace(table, members=members, joined_at=times), Accepted()
 
 
 @apply.register
@@ -79,4 +83,38 @@
     if known is None or known.incarnation != record.incarnation:
         return table, Ignored("stale-incarnation", record.instance)
     members = table.members.delete(record.instance)
-    return replace(table, members=members), Accepted()
+    times = table.joined_at.delete(record.instance)
+    return replace(table, members=members, joined_at=times), Accepted()
+
+
+# Pool under which the platform lists the entry instances themselves.
+ENTRY_POOL = "entry"
+
+# An entry instance may appear on the list this long after it joined.
+_LIST_LAG_S = 30.0
+
+
+def ended_members(
+    roster: Roster, listed: Collection[str], as_of: float, own: str
+) -> tuple[EntryJoined, ...]:
+    """Members that the platform reports as ended.
+
+    Args:
+        roster: The roster.
+        listed: Ids of the instances on the platform's list.
+        as_of: Time that the list describes, on the platform's clock, seconds.
+        own: Id of the instance that asks. If the list lacks it, the list says
+            nothing about entry instances.
+
+    Returns:
+        Join records of members that joined well before the list was made and
+        are not on it.
+    """
+    if own not in listed:
+        return ()
+    return tuple(
+        member
+        for name, member in sorted(roster.members.items())
+        if name not in listed
+        and as_of > roster.joined_at.get(name, as_of) + _LIST_LAG_S
+    )
--- a/acaciawing/outcomes/__init__.py
+++ b/acaciawing/outcomes/__init__.py
@@ -1,6 +1,7 @@
 """Tagged outcomes that several packages share."""
 
 from acaciawing.outcomes.refusals import (
+    AlreadyRan,
     NotRun,
     OutcomeUnknown,
     RanAndFailed,
@@ -10,6 +11,7 @@
 
 __all__ = [
     "Accepted",
+    "AlreadyRan",
     "Ignored",
     "NotRun",
     "OutcomeUnknown",
--- a/acaciawing/outcomes/refusals.py
+++ b/acaciawing/outcomes/refusals.py
@@ -51,4 +51,24 @@
     status: int = 504
 
 
-Refusal: TypeAlias = NotRun | RanAndFailed | OutcomeUnknown
+@dataclass(frozen=True)
+class AlreadyRan:
+    """A repeat of a request that has run to its end.
+
+    It is no refusal of the first copy: this one is not run, and the answer of
+    the first is no longer held here.
+
+    Attributes:
+        ran_status: HTTP status that the first copy ended with.
+        code: Code in kebab case.
+        detail: Text for the caller.
+        status: HTTP status.
+    """
+
+    ran_status: int
+    code: str = "already-ran"
+    detail: str = "the request with this key has run; its answer is not held"
+    status: int = 409
+
+
+Refusal: TypeAlias = NotRun | RanAndFailed | OutcomeUnknown | AlreadyRan
--- a/demo/load.py
+++ b/demo/load.py
@@ -137,7 +137,8 @@
         sent.status = answer.status
         sent.outcome = _outcome(answer, request_id)
         if "Acaciawing-Outcome" in answer.headers:
-            sent.code = answer.json()["title"]
+            document = answer.json()
+            sent.code = f"{document['title']} {document['detail']}".strip()
         return sent
 
 
