--- a/acaciawing/entry/daemon.py
+++ b/acaciawing/entry/daemon.py
@@ -17,6 +17,7 @@
 from acaciawing.entry.dispatcher import Dispatcher
 from acaciawing.entry.distribution import Distribution, Tasks, tell_live
 from acaciawing.entry.engine import Engine
+from acaciawing.entry.forwarding import Forwarder, serve_forwarded
 from acaciawing.entry.framing import make_server
 from acaciawing.entry.journal import Journal
 from acaciawing.entry.keyed import Claims
@@ -25,6 +26,7 @@
 from acaciawing.entry.peers import PeerClient
 from acaciawing.entry.recorder import Decision, Recorder
 from acaciawing.entry.scheduler import Scheduler
+from acaciawing.exchange import Exchanger
 from acaciawing.fold import FleetState
 from acaciawing.idempotency.task import ClaimTask
 from acaciawing.membership import EntryJoined
@@ -137,8 +139,16 @@
 
     def _make_servers(self) -> tuple[Any, Any]:
         settings = self._settings
+        forwarder = Forwarder(
+            settings.zone,
+            settings.peer_credential,
+            Exchanger(),
+            self._distribution.other_members,
+        )
         dispatcher = Dispatcher(
-            self._scheduler, self._recorder, Claims(self._tasks.claims)
+            self._scheduler,
+            self._recorder,
+            Claims(self._tasks.claims, forwarder.forward),
         )
         callers = Callers(settings.instance, self._directory, dispatcher)
         self._callers = callers
@@ -147,7 +157,12 @@
             self._directory,
             self._scheduler,
             self._recorder,
-            {"claims": self._tasks.claims.answer_peer},
+            {
+                "claims": self._tasks.claims.answer_peer,
+                "serve": lambda payload: serve_forwarded(
+                    payload, self._directory.index, dispatcher.serve
+                ),
+            },
         )
         return (
             make_server(
--- a/acaciawing/entry/distribution.py
+++ b/acaciawing/entry/distribution.py
@@ -11,6 +11,7 @@
     StepsFolded,
 )
 from acaciawing.entry.callers import Directory
+from acaciawing.entry.forwarding import Member
 from acaciawing.entry.journal import Journal
 from acaciawing.entry.messages import ListingSeen, StateChanged
 from acaciawing.entry.observers import ReadResult
@@ -69,6 +70,17 @@
         """Version of the configuration in force here."""
         return self._version
 
+    def other_members(self) -> tuple[Member, ...]:
+        """Members on the roster without this instance; for any thread."""
+        state = self._state
+        if state is None:
+            return ()
+        return tuple(
+            Member(member.address, member.zone)
+            for name, member in sorted(state.roster.members.items())
+            if name != self._member.instance
+        )
+
     def log_read(self, result: ReadResult) -> None:
         """Takes a result of the log observer."""
         self._report_log(result)
--- a/acaciawing/entry/keyed.py
+++ b/acaciawing/entry/keyed.py
@@ -1,6 +1,7 @@
 """Requests that are not idempotent: claim, run, and answer repeats."""
 
 import threading
+import time
 from collections import OrderedDict
 from collections.abc import Callable
 from functools import singledispatch
@@ -24,6 +25,7 @@
 _KEPT_ANSWERS = 2000
 _KEPT_BYTES = 8 * 1024 * 1024
 
+Forward = Callable[[CallerRequest, float], Answer | Refusal | None]
 RunRequest = Callable[[CallerRequest, float], Answer | Refusal]
 
 
@@ -78,11 +80,21 @@
 
     Args:
         decider: Decides which copy of a request runs.
+        forward: Lets a member of the roster serve a request; returns None if
+            none could be reached.
+        clock: Monotonic time in seconds.
     """
 
-    def __init__(self, decider: ClaimDecider) -> None:
-        """Keeps the decider."""
+    def __init__(
+        self,
+        decider: ClaimDecider,
+        forward: Forward,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Keeps the arguments."""
         self._decider = decider
+        self._forward = forward
+        self._clock = clock
         self._answers = KeptAnswers()
 
     def run(
@@ -107,19 +119,31 @@
             request.customer.name, request.key, fingerprint, deadline
         )
         known = (request.customer.name, request.key)
+        if _needs_member(decision) and not request.forwarded:
+            outcome = self._forward(request, deadline - self._clock())
+            if outcome is not None:
+                return outcome
         if not isinstance(decision, Run):
             kept = self._answers.get(known)
             if kept is not None and isinstance(decision, Finished):
                 return kept
             return refusal_of(decision)
-        outcome = run(request, deadline)
-        if isinstance(outcome, NotRun):
+        ended = run(request, deadline)
+        if isinstance(ended, NotRun):
             self._decider.release(decision.claim)
-            return outcome
-        if isinstance(outcome, Answer):
-            self._answers.put(known, outcome)
-        self._decider.finish(decision.claim, outcome.status)
-        return outcome
+            return ended
+        if isinstance(ended, Answer):
+            self._answers.put(known, ended)
+        self._decider.finish(decision.claim, ended.status)
+        return ended
+
+
+# Reasons for which this instance can't decide, but a member of the roster can.
+_FORWARDED = frozenset({"not-on-roster", "memory-incomplete"})
+
+
+def _needs_member(decision: ClaimDecision) -> bool:
+    return isinstance(decision, Unknown) and decision.reason in _FORWARDED
 
 
 @singledispatch
--- a/acaciawing/entry/requests.py
+++ b/acaciawing/entry/requests.py
@@ -37,6 +37,7 @@
         key: Idempotency key, or None.
         idempotent: Whether a repeat does no harm.
         timeout_s: Time left for the request, in seconds.
+        forwarded: Whether a peer passed the request on.
     """
 
     request_id: str
@@ -51,6 +52,7 @@
     key: str | None
     idempotent: bool
     timeout_s: float
+    forwarded: bool = False
 
 
 def is_idempotent(method: str, operation: str, service: Service) -> bool:
--- /dev/null
+++ b/acaciawing/entry/tests/test_keyed.py
@@ -0,0 +1,211 @@
+"""Tests of requests that run at most once, with a fake decider."""
+
+from dataclasses import replace
+
+import pytest
+
+from acaciawing.configuration import (
+    Configuration,
+    Customer,
+    Plan,
+    Service,
+    index,
+)
+from acaciawing.entry.forwarding import Forwarder, Member, serve_forwarded
+from acaciawing.entry.keyed import Claims
+from acaciawing.entry.requests import CallerRequest
+from acaciawing.exchange import (
+    Answer,
+    AnswerTimeout,
+    EndpointRequest,
+    ExchangeOutcome,
+    Interrupted,
+    NotSent,
+)
+from acaciawing.idempotency import (
+    Claim,
+    ClaimDecision,
+    Finished,
+    InProgress,
+    KeyReused,
+    Run,
+    Unknown,
+)
+from acaciawing.outcomes import (
+    AlreadyRan,
+    NotRun,
+    OutcomeUnknown,
+    RanAndFailed,
+    Refusal,
+)
+
+_PLAN = Plan("gold", 0.99, 60.0, 2.0, 10.0, 4, 4, ("visits",))
+_CUSTOMER = Customer("club", "gold", "0" * 64)
+_SERVICE = Service("visits", "visits")
+_INDEX = index(Configuration((_CUSTOMER,), (_PLAN,), (_SERVICE,)))
+_REQUEST = CallerRequest(
+    "r1",
+    _CUSTOMER,
+    _PLAN,
+    _SERVICE,
+    "book",
+    "POST",
+    "/visits/book",
+    (("Content-Type", "application/json"),),
+    b"\xff{}",
+    "key-1",
+    False,
+    2.0,
+)
+_CLAIM = Claim("d", "f", "id", "entry-1/1")
+_ANSWER = Answer(201, (("X-Kept", "1"),), b"whole")
+
+
+class FakeDecider:
+    """Gives scripted decisions and keeps what it is told."""
+
+    def __init__(self, *decisions: ClaimDecision) -> None:
+        """Gives the decisions in order."""
+        self.decisions = list(decisions)
+        self.told: list[tuple[str, int]] = []
+
+    def claim(
+        self, customer: str, key: str, fingerprint: str, deadline: float
+    ) -> ClaimDecision:
+        return self.decisions.pop(0)
+
+    def finish(self, claim: Claim, status: int) -> None:
+        self.told.append(("finish", status))
+
+    def release(self, claim: Claim) -> None:
+        self.told.append(("release", 0))
+
+
+def no_member(request: CallerRequest, left_s: float) -> None:
+    return None
+
+
+class TestAtMostOnce:
+    """Guards against a second run, and against a false "not run"."""
+
+    @pytest.mark.parametrize(
+        ("outcome", "told"),
+        [
+            (_ANSWER, ("finish", 201)),
+            (NotRun("deadline-passed", ""), ("release", 0)),
+            (RanAndFailed("answer-invalid", ""), ("finish", 502)),
+            (OutcomeUnknown("interrupted", ""), ("finish", 504)),
+        ],
+    )
+    def test_only_a_request_that_did_not_run_gives_its_claim_back(
+        self, outcome: Answer | Refusal, told: tuple[str, int]
+    ) -> None:
+        decider = FakeDecider(Run(_CLAIM))
+        claims = Claims(decider, no_member, lambda: 0.0)
+        assert claims.run(_REQUEST, 2.0, lambda r, d: outcome) == outcome
+        assert decider.told == [told]
+
+    @pytest.mark.parametrize(
+        ("decision", "kind"),
+        [
+            (Finished(201), AlreadyRan),
+            (InProgress(), OutcomeUnknown),
+            (KeyReused(), NotRun),
+            (Unknown("peer-unreachable"), OutcomeUnknown),
+        ],
+    )
+    def test_copy_without_a_claim_does_not_run(
+        self, decision: ClaimDecision, kind: type
+    ) -> None:
+        claims = Claims(FakeDecider(decision), no_member, lambda: 0.0)
+
+        def run(request: CallerRequest, deadline: float) -> Answer:
+            raise AssertionError("ran without a claim")
+
+        assert isinstance(claims.run(_REQUEST, 2.0, run), kind)
+
+    def test_repeat_gets_the_whole_first_answer(self) -> None:
+        decider = FakeDecider(Run(_CLAIM), Finished(201))
+        claims = Claims(decider, no_member, lambda: 0.0)
+        first = claims.run(_REQUEST, 2.0, lambda r, d: _ANSWER)
+        assert claims.run(_REQUEST, 2.0, lambda r, d: _ANSWER) == first
+
+
+class FakeExchanger:
+    """Passes messages to a peer in the same process."""
+
+    def __init__(self, *outcomes: ExchangeOutcome | None) -> None:
+        """Gives the outcomes in order; None lets the peer serve."""
+        self.outcomes = list(outcomes)
+        self.reached: list[str] = []
+        self.serves: Answer | Refusal = _ANSWER
+        self.seen: list[CallerRequest] = []
+
+    def send(
+        self, address: str, request: EndpointRequest, timeout_s: float
+    ) -> ExchangeOutcome:
+        self.reached.append(address)
+        outcome = self.outcomes.pop(0)
+        if outcome is not None:
+            return outcome
+        body = serve_forwarded(request.body, _INDEX, self._serve)
+        assert body is not None
+        return Answer(200, (), body)
+
+    def _serve(self, request: CallerRequest) -> Answer | Refusal:
+        self.seen.append(request)
+        return self.serves
+
+
+def forwarder(exchanger: FakeExchanger) -> Forwarder:
+    members = (Member("192.0.2.1:1", "b"), Member("192.0.2.2:1", "a"))
+    return Forwarder("a", "secret", exchanger, lambda: members)  # type: ignore[arg-type]
+
+
+class TestForwarding:
+    """Guards against bookings refused or doubled by an instance that is new."""
+
+    @pytest.mark.parametrize(
+        "outcome",
+        [
+            _ANSWER,
+            NotRun("rate-limit", "x", 429, 2.0),
+            RanAndFailed("answer-invalid", "x"),
+            OutcomeUnknown("interrupted", "x"),
+            AlreadyRan(201),
+        ],
+    )
+    def test_outcome_of_the_member_arrives_unchanged(
+        self, outcome: Answer | Refusal
+    ) -> None:
+        exchanger = FakeExchanger(None)
+        exchanger.serves = outcome
+        assert forwarder(exchanger).forward(_REQUEST, 1.0) == outcome
+        served = exchanger.seen[0]
+        assert served.body == _REQUEST.body
+        assert served.forwarded
+
+    def test_own_zone_first_and_next_member_only_if_not_sent(self) -> None:
+        exchanger = FakeExchanger(NotSent("refused"), None)
+        assert forwarder(exchanger).forward(_REQUEST, 1.0) == _ANSWER
+        assert exchanger.reached == ["192.0.2.2:1", "192.0.2.1:1"]
+
+    @pytest.mark.parametrize(
+        "outcome", [Interrupted("reset"), AnswerTimeout("late")]
+    )
+    def test_member_that_was_reached_is_never_followed_by_another(
+        self, outcome: ExchangeOutcome
+    ) -> None:
+        exchanger = FakeExchanger(outcome)
+        refusal = forwarder(exchanger).forward(_REQUEST, 1.0)
+        assert isinstance(refusal, OutcomeUnknown)
+        assert len(exchanger.reached) == 1
+
+    def test_forwarded_request_is_not_forwarded_again(self) -> None:
+        exchanger = FakeExchanger(None)
+        decider = FakeDecider(Unknown("not-on-roster"))
+        claims = Claims(decider, forwarder(exchanger).forward, lambda: 0.0)
+        passed_on = replace(_REQUEST, forwarded=True)
+        refusal = claims.run(passed_on, 2.0, lambda r, d: _ANSWER)
+        assert isinstance(refusal, OutcomeUnknown)
+        assert exchanger.reached == []
