--- /dev/null
+++ b/acaciawing/retries/tests/test_retries.py
@@ -0,0 +1,232 @@
+"""Tests of retries, hedges and refusals."""
+
+from collections import deque
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from acaciawing.exchange.outcomes import (
+    Answer,
+    AnswerTimeout,
+    BadAnswer,
+    EndpointNotRun,
+    ExchangeOutcome,
+    Interrupted,
+    NotSent,
+)
+from acaciawing.outcomes import NotRun, OutcomeUnknown, RanAndFailed
+from acaciawing.retries import (
+    Attempt,
+    ClaimUse,
+    FailureDomain,
+    HedgeRequest,
+    NoAttempt,
+    RetryBudget,
+    RetryBudgets,
+    RetryRequest,
+    decide_hedge,
+    decide_retry,
+    refusal,
+)
+from acaciawing.retries.tests.naive import (
+    refusal_by_last,
+    retries_without_budget,
+)
+
+_DOMAINS = tuple(FailureDomain(z, r) for z in "xyz" for r in "12")
+_FAILURES: tuple[ExchangeOutcome, ...] = (
+    NotSent(""),
+    EndpointNotRun("", 3.0),
+    Interrupted(""),
+    BadAnswer(""),
+    BadAnswer("", "response-too-large"),
+    AnswerTimeout(""),
+)
+
+_REQUESTS = st.builds(
+    RetryRequest,
+    plan=st.just("gold"),
+    idempotent=st.booleans(),
+    outcome=st.sampled_from((*_FAILURES, Answer(503, (), b""))),
+    deadline_left_s=st.sampled_from((0.0, 0.5, 1.0, 5.0)),
+    expected_s=st.sampled_from((0.5, 1.0)),
+    tried=st.lists(
+        st.sampled_from(_DOMAINS), min_size=1, max_size=3, unique=True
+    ).map(tuple),
+    available=st.frozensets(st.sampled_from(_DOMAINS)),
+)
+
+
+def failed(outcome: ExchangeOutcome, idempotent: bool) -> RetryRequest:
+    return RetryRequest(
+        "gold", idempotent, outcome, 9.0, 0.1, _DOMAINS[:1], frozenset(_DOMAINS)
+    )
+
+
+class TestRetryDecision:
+    """Guards against repeating work that may have run."""
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(_REQUESTS)
+    def test_same_as_naive_with_a_full_budget(
+        self, request: RetryRequest
+    ) -> None:
+        _, decision = decide_retry(RetryBudgets(), request)
+        expected = retries_without_budget(request)
+        assert isinstance(decision, Attempt) == expected
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(_REQUESTS)
+    def test_next_attempt_avoids_tried_domains(
+        self, request: RetryRequest
+    ) -> None:
+        _, decision = decide_retry(RetryBudgets(), request)
+        if isinstance(decision, Attempt):
+            assert decision.domain in request.available - set(request.tried)
+
+    def test_non_idempotent_work_that_may_have_run_is_not_retried(
+        self,
+    ) -> None:
+        for outcome in (Interrupted(""), BadAnswer(""), AnswerTimeout("")):
+            _, decision = decide_retry(RetryBudgets(), failed(outcome, False))
+            assert decision == NoAttempt("may-have-run")
+
+    def test_empty_budget_ends_retries(self) -> None:
+        budgets = RetryBudgets()
+        for _ in range(5):
+            budgets, decision = decide_retry(budgets, failed(NotSent(""), True))
+            assert isinstance(decision, Attempt)
+        _, decision = decide_retry(budgets, failed(NotSent(""), True))
+        assert decision == NoAttempt("budget")
+
+    def test_other_plans_keep_their_budget(self) -> None:
+        budgets = RetryBudgets()
+        for _ in range(5):
+            budgets, _ = decide_retry(budgets, failed(NotSent(""), True))
+        assert budgets.of("silver") == RetryBudget()
+
+
+class TestHedge:
+    """Guards against hedges that run work twice or overload a pool."""
+
+    def test_only_short_idempotent_work(self) -> None:
+        def decide(idempotent: bool, short: bool, waited_s: float) -> object:
+            request = HedgeRequest(
+                "gold",
+                idempotent,
+                short,
+                waited_s,
+                0.2,
+                9.0,
+                0.1,
+                _DOMAINS[:1],
+                frozenset(_DOMAINS),
+            )
+            return decide_hedge(RetryBudgets(), request)[1]
+
+        assert decide(True, True, 0.3) == Attempt(FailureDomain("x", "2"))
+        assert decide(False, True, 0.3) == NoAttempt("not-idempotent")
+        assert decide(True, False, 0.3) == NoAttempt("long-work")
+        assert decide(True, True, 0.1) == NoAttempt("too-early")
+
+
+def sends(script: list[int], budgeted: bool) -> list[bool]:
+    """All attempts in order, True for the first one of a request.
+
+    Each number of the script holds back that many failures before their
+    retries are decided, so that retries gather and come at once.
+    """
+    budgets, sent = RetryBudgets(), []
+    waiting: deque[RetryRequest] = deque()
+    for held in script:
+        budgets = budgets.earned("gold")
+        sent.append(True)
+        waiting.append(failed(NotSent(""), True))
+        while len(waiting) > held:
+            request = waiting.popleft()
+            if budgeted:
+                budgets, decision = decide_retry(budgets, request)
+                retry = isinstance(decision, Attempt)
+            else:
+                retry = retries_without_budget(request)
+            if retry:
+                sent.append(False)
+                domain = _DOMAINS[len(request.tried)]
+                if len(request.tried) < 2:
+                    tried = (*request.tried, domain)
+                    again = RetryRequest(
+                        "gold",
+                        True,
+                        NotSent(""),
+                        9.0,
+                        0.1,
+                        tried,
+                        frozenset(_DOMAINS),
+                    )
+                    waiting.append(again)
+    return sent
+
+
+def worst_amplification(sent: list[bool], window: int) -> float:
+    """Highest ratio of attempts to requests over windows of requests.
+
+    A window takes in all retries up to the requests next to it.
+    """
+    starts = [i for i, first in enumerate(sent) if first]
+    starts = [0, *starts[1:], len(sent)]
+    ends = [*starts[1:], len(sent)]
+    worst = 0.0
+    for first in range(len(starts) - window):
+        begin = starts[first - 1] + 1 if first else 0
+        worst = max(worst, (ends[first + window - 1] - begin) / window)
+    return worst
+
+
+class TestLoadAmplification:
+    """Guards against retries that overload a pool that fails totally."""
+
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(
+        st.lists(st.sampled_from((0, 3, 40)), min_size=1, max_size=8),
+        st.integers(1, 120),
+    )
+    def test_under_1_1_over_any_250_requests(
+        self, held: list[int], repeat: int
+    ) -> None:
+        script = [h for h in held for _ in range(repeat)] * 10
+        sent = sends(script[:1500], True)
+        for window in (250, 251, 400):
+            assert worst_amplification(sent, window) < 1.1
+
+    def test_naive_version_triples_the_load(self) -> None:
+        assert worst_amplification(sends([0] * 600, False), 250) > 2.9
+
+
+class TestRefusal:
+    """Guards against a false "not run"."""
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(
+        st.lists(st.sampled_from(_FAILURES), min_size=1, max_size=3),
+        st.sampled_from(ClaimUse),
+    )
+    def test_truth(
+        self, outcomes: list[ExchangeOutcome], use: ClaimUse
+    ) -> None:
+        told = refusal(tuple(outcomes), use)
+        not_run = all(isinstance(o, NotSent | EndpointNotRun) for o in outcomes)
+        if isinstance(told, NotRun):
+            assert not_run and use is not ClaimUse.HELD
+        if isinstance(told, RanAndFailed):
+            assert any(isinstance(o, BadAnswer) for o in outcomes)
+        if not_run and use is not ClaimUse.HELD:
+            assert isinstance(told, NotRun)
+
+    def test_naive_version_forgets_the_first_attempt(self) -> None:
+        outcomes = (Interrupted("reset"), NotSent("refused"))
+        assert isinstance(refusal_by_last(outcomes), NotRun)
+        assert isinstance(refusal(outcomes, ClaimUse.NONE), OutcomeUnknown)
+
+    def test_wait_of_the_endpoint_is_passed_on(self) -> None:
+        told = refusal((EndpointNotRun("", 3.0),), ClaimUse.RELEASED)
+        assert isinstance(told, NotRun) and told.retry_after_s == 3.0
