--- a/acaciawing/idempotency/rules.py
+++ b/acaciawing/idempotency/rules.py
@@ -204,7 +204,7 @@
     """Appends what waits, if the log is up and the interval has passed."""
     ready = state.outbox or state.unflushed or state.releases
     due = state.finished and now >= state.finish_due_at
-    early = now - state.last_append_at < state.interval_s
+    early = now < state.append_due_at
     if not state.log_up or state.inflight or early or not (ready or due):
         return state, ()
     # Grants go before all claims, in this record or in earlier ones.
--- a/acaciawing/idempotency/state.py
+++ b/acaciawing/idempotency/state.py
@@ -176,6 +176,11 @@
         size = len(self.members - self.ended) + 1
         return self.shards * max(_MIN_INTERVAL_S, size / _APPENDS_PER_S)
 
+    @property
+    def append_due_at(self) -> float:
+        """Earliest time of the next append, in seconds."""
+        return self.last_append_at + self.interval_s
+
     @property
     def flushed(self) -> bool:
         """Whether the log holds all that this instance must remember."""
--- a/acaciawing/idempotency/table.py
+++ b/acaciawing/idempotency/table.py
@@ -138,7 +138,9 @@
 
 def _at(table: ClaimTable, position: LogPosition) -> ClaimTable:
     """Moves the table's time on and drops slots that have expired."""
-    log_time = max(table.log_time, position.appended_at)
+    log_time = position.appended_at
+    if log_time <= table.log_time:
+        return table
     table = replace(table, log_time=log_time)
     # A slot is dropped whole, so only after its last second has expired.
     keep_from = int((log_time - table.retention_s) // _SLOT_S)
--- a/acaciawing/idempotency/task.py
+++ b/acaciawing/idempotency/task.py
@@ -279,7 +279,7 @@
         """Time at which waiting claims may be appended."""
         return min(
             (
-                state.last_append_at + state.interval_s
+                state.append_due_at
                 for state in self._states
                 if state.log_up and state.outbox and state.inflight is None
             ),
--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,254 @@
+"""Figures of at-most-once execution: cost in appends and in processor time."""
+
+import heapq
+import itertools
+import random
+import time
+from dataclasses import dataclass, field
+
+from acaciawing.idempotency import ClaimBatch, ClaimState, key_digest, step
+from acaciawing.idempotency import events as e
+from acaciawing.records import LogPosition
+
+# Append of a healthy log inside a region, one way and back.
+_APPEND_S = 0.003
+_READ_EVERY_S = 0.5
+
+
+@dataclass(frozen=True)
+class GroupCommit:
+    """Group commit at one load, in simulated time.
+
+    Attributes:
+        instances: Entry instances.
+        requests_per_s: Keyed requests a second, over all instances.
+        appends_per_s: Appends a second, over all instances.
+        appends_per_s_each: Appends a second of one instance.
+        claims_per_append: Mean claims in one append.
+        wait_mean_s: Mean time from the request to its decision, in seconds.
+        wait_p50_s: Median of the same.
+        wait_p99_s: 99th percentile of the same.
+    """
+
+    instances: int
+    requests_per_s: float
+    appends_per_s: float
+    appends_per_s_each: float
+    claims_per_append: float
+    wait_mean_s: float
+    wait_p50_s: float
+    wait_p99_s: float
+
+
+@dataclass(frozen=True)
+class DecisionRate:
+    """Processor cost of the rules in one instance, log and network aside.
+
+    Attributes:
+        decisions: Claims decided.
+        decisions_per_s: Claims decided per second of processor time.
+        foreign_claims_per_s: Claims of other instances folded per second.
+    """
+
+    decisions: int
+    decisions_per_s: float
+    foreign_claims_per_s: float
+
+
+@dataclass(frozen=True)
+class AppendCost:
+    """Appends a second, over all instances, of one way to claim keys."""
+
+    way: str
+    instances: int
+    requests_per_s: float
+    appends_per_s: float
+
+
+@dataclass
+class _Instance:
+    state: ClaimState
+    next_offset: int = 0
+    asked_at: dict[int, float] = field(default_factory=dict)
+
+
+class _Simulation:
+    """Entry instances around one log, in simulated time."""
+
+    def __init__(self, instances: int) -> None:
+        self._order = itertools.count()
+        self._events: list[tuple[float, int, str, int, object]] = []
+        self._log: list[ClaimBatch] = []
+        self.waits: list[float] = []
+        self.claims = 0
+        names = [f"entry-{n:02}/1" for n in range(instances)]
+        self._instances = [
+            _Instance(
+                ClaimState(
+                    name,
+                    predecessors=frozenset(),
+                    complete=True,
+                    log_up=True,
+                    members=frozenset(names) - {name},
+                )
+            )
+            for name in names
+        ]
+
+    def run(self, requests_per_s: float, seconds: float) -> None:
+        """Plays requests with exponential gaps, each to a random instance."""
+        source = random.Random(1)
+        now, number = 0.0, 0
+        while (now := now + source.expovariate(requests_per_s)) < seconds:
+            number += 1
+            target = source.randrange(len(self._instances))
+            self._at(now, "request", target, number)
+        for index in range(len(self._instances)):
+            self._at(source.random() * _READ_EVERY_S, "read", index, None)
+        while self._events and self._events[0][0] < seconds:
+            now, _, kind, index, value = heapq.heappop(self._events)
+            getattr(self, f"_{kind}")(now, index, value)
+
+    @property
+    def appends(self) -> int:
+        """Appends so far."""
+        return len(self._log)
+
+    def _at(self, when: float, kind: str, index: int, value: object) -> None:
+        order = next(self._order)
+        heapq.heappush(self._events, (when, order, kind, index, value))
+
+    def _request(self, now: float, index: int, value: int) -> None:
+        digest = key_digest("customer", str(value))
+        self._instances[index].asked_at[value] = now
+        wanted = e.ClaimWanted(value, "customer", digest, "f", now + 60)
+        self._feed(now, index, wanted)
+
+    def _tick(self, now: float, index: int, value: object) -> None:
+        self._feed(now, index, e.Tick())
+
+    def _append(self, now: float, index: int, value: ClaimBatch) -> None:
+        self._log.append(value)
+        self.claims += len(value.claims)
+        self._feed(now, index, e.BatchAppended(len(self._log) - 1))
+        self._read_all(now, index)
+
+    def _read(self, now: float, index: int, value: object) -> None:
+        self._read_all(now, index)
+        self._at(now + _READ_EVERY_S, "read", index, None)
+
+    def _read_all(self, now: float, index: int) -> None:
+        instance = self._instances[index]
+        self._feed(now, index, e.ReadBegan())
+        while instance.next_offset < len(self._log):
+            offset = instance.next_offset
+            instance.next_offset += 1
+            position = LogPosition(offset, now)
+            self._feed(now, index, e.BatchRead(self._log[offset], position))
+        self._feed(now, index, e.CaughtUp())
+
+    def _feed(self, now: float, index: int, event: object) -> None:
+        instance = self._instances[index]
+        instance.state, outputs = step(event, instance.state, now)
+        for output in outputs:
+            if isinstance(output, e.Append):
+                self._at(now + _APPEND_S, "append", index, output.batch)
+                due = instance.state.append_due_at
+                self._at(due, "tick", index, None)
+            elif isinstance(output, e.Decided):
+                self.waits.append(now - instance.asked_at.pop(output.token))
+
+
+def group_commit(
+    instances: int, requests_per_s: float, seconds: float = 10.0
+) -> GroupCommit:
+    """Simulates group commit at one load."""
+    simulation = _Simulation(instances)
+    simulation.run(requests_per_s, seconds)
+    waits = sorted(simulation.waits)
+    appends = simulation.appends
+    return GroupCommit(
+        instances,
+        requests_per_s,
+        appends / seconds,
+        appends / seconds / instances,
+        simulation.claims / appends,
+        sum(waits) / len(waits),
+        waits[len(waits) // 2],
+        waits[int(len(waits) * 0.99)],
+    )
+
+
+def decision_rate(decisions: int = 20_000, batch: int = 50) -> DecisionRate:
+    """Measures the rules of one instance with a log that always answers."""
+    state = ClaimState(
+        "entry-00/1", predecessors=frozenset(), complete=True, log_up=True
+    )
+    foreign = ClaimState(
+        "entry-01/1", predecessors=frozenset(), complete=True, log_up=True
+    )
+    batches: list[ClaimBatch] = []
+    now, begin = 0.0, time.process_time()
+    for first in range(0, decisions, batch):
+        now += 1.0
+        state = _one_batch(state, first, batch, now, batches)
+    own = time.process_time() - begin
+    begin = time.process_time()
+    for offset, read in enumerate(batches):
+        event = e.BatchRead(read, LogPosition(offset, float(offset)))
+        foreign, _ = step(event, foreign, now)
+    other = time.process_time() - begin
+    claims = sum(len(read.claims) for read in batches)
+    return DecisionRate(decisions, decisions / own, claims / other)
+
+
+def _one_batch(
+    state: ClaimState,
+    first: int,
+    size: int,
+    now: float,
+    batches: list[ClaimBatch],
+) -> ClaimState:
+    for number in range(first, first + size):
+        digest = key_digest("customer", str(number))
+        wanted = e.ClaimWanted(number, "customer", digest, "f", now + 60)
+        state, outputs = step(wanted, state, now)
+        state = _log_all(state, outputs, now, batches)
+    state, outputs = step(e.Tick(), state, now + 0.5)
+    return _log_all(state, outputs, now, batches)
+
+
+def _log_all(
+    state: ClaimState,
+    outputs: tuple[e.Output, ...],
+    now: float,
+    batches: list[ClaimBatch],
+) -> ClaimState:
+    for output in outputs:
+        if isinstance(output, e.Append):
+            offset = len(batches)
+            batches.append(output.batch)
+            state, _ = step(e.BatchAppended(offset), state, now)
+            read = e.BatchRead(output.batch, LogPosition(offset, now))
+            state, _ = step(read, state, now)
+    return state
+
+
+def append_costs(
+    instances: int, requests_per_s: float
+) -> tuple[AppendCost, ...]:
+    """Appends a second of each way in the design, computed or simulated.
+
+    A lease for key ranges is renewed every 3 s by each holder, in one record.
+    """
+    grouped = group_commit(instances, requests_per_s)
+    ways = (
+        ("one append per claim", requests_per_s),
+        ("group commit", grouped.appends_per_s),
+        ("key owner in the zone", 0.0),
+        ("leased key ranges", instances / 3.0),
+    )
+    return tuple(
+        AppendCost(way, instances, requests_per_s, appends)
+        for way, appends in ways
+    )
