--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,168 @@
+"""Appends, take-over time and processor time of control rounds.
+
+Entry instances run their loops in one process on one log in memory and on one
+simulated clock; only `round_ms` is measured in real time.
+"""
+
+from dataclasses import dataclass, field
+from random import Random
+from time import perf_counter
+
+from acaciawing.control import (
+    ControlLoop,
+    ListingRead,
+    LiveChanged,
+    StepsFolded,
+)
+from acaciawing.fold import FleetState, Step, step
+from acaciawing.leases import is_held
+from acaciawing.platform import CONTROL_STREAM, ListedInstance, Listing
+from bench.fold import SIZES, MemoryLog
+
+_ROUND_S = 0.5
+_STEADY_S = 60.0
+
+
+@dataclass(frozen=True)
+class ControlFigures:
+    """Figures of one size.
+
+    Attributes:
+        instances: Instances owned.
+        pools: Pools, each a lease subject besides ``snapshots``.
+        entries: Entry instances.
+        settled_s: From an empty log until all subjects are held and all
+            instances adopted, in seconds.
+        start_appends: Appends until then.
+        appends_per_s: Appends of all entry instances once nothing changes.
+        most_leases: Leases of the entry instance that has the most.
+        stalled: Subjects without a holder after one entry instance died.
+        takeover_s: Until the last of them is held again, in seconds.
+        round_ms: Processor time of one round without changes, in milliseconds.
+    """
+
+    instances: int
+    pools: int
+    entries: int
+    settled_s: float
+    start_appends: int
+    appends_per_s: float
+    most_leases: int
+    stalled: int
+    takeover_s: float
+    round_ms: float
+
+
+@dataclass
+class _Fleet:
+    instances: int
+    pools: int
+    entries: int
+    log: MemoryLog = field(default_factory=MemoryLog)
+    time: float = 0.0
+    state: FleetState = FleetState()
+    loops: dict[str, ControlLoop] = field(default_factory=dict)
+    round_s: list[float] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.began = self.log.time
+        names = [f"entry-{n}" for n in range(self.entries)]
+        for number, name in enumerate(names):
+            self.loops[name] = ControlLoop(
+                f"{name}/1",
+                self.log,
+                lambda: self.time,
+                Random(number),
+                lambda timed: None,
+            )
+        self.live = tuple(names)
+
+    def listing(self) -> Listing:
+        found = (
+            ListedInstance(
+                f"worker-{n:04}",
+                1,
+                f"pool-{n % self.pools:03}",
+                f"zone-{n % 7}",
+                f"rack-{n // 4}",
+                f"192.0.2.1:{1024 + n}",
+                "live",
+            )
+            for n in range(self.instances)
+        )
+        return Listing(self.log.time, tuple(found))
+
+    @property
+    def appended(self) -> int:
+        return len(self.log.streams.get(CONTROL_STREAM, []))
+
+    @property
+    def held(self) -> dict[str, str]:
+        table = self.state.leases
+        return {
+            subject: lease.holder
+            for subject, lease in table.leases.items()
+            if is_held(table, subject, self.log.time)
+        }
+
+    @property
+    def settled(self) -> bool:
+        owned = len(self.state.ownership.instances)
+        return owned == self.instances and len(self.held) == self.pools + 1
+
+    def tick(self) -> None:
+        """Lets every instance read the log and run a round."""
+        self.time += _ROUND_S
+        self.log.time = self.began + self.time
+        steps: list[Step] = []
+        entries = self.log.streams.get(CONTROL_STREAM, [])
+        for entry in entries[self.state.offset :]:
+            steps.append(step(self.state, entry.payload, entry.position))
+            self.state = steps[-1].state
+        folded, listed = StepsFolded(self.state, tuple(steps)), self.listing()
+        for loop in self.loops.values():
+            loop.handle(LiveChanged(self.live))
+            loop.handle(ListingRead(listed))
+            began = perf_counter()
+            loop.handle(folded)
+            loop.round()
+            self.round_s.append(perf_counter() - began)
+
+
+def _measured(instances: int, pools: int, entries: int) -> ControlFigures:
+    fleet = _Fleet(instances, pools, entries)
+    while not fleet.settled:
+        fleet.tick()
+    settled_s, start_appends = fleet.time, fleet.appended
+    for _ in range(40):  # Lets repeated claims of the start die out.
+        fleet.tick()
+    before, fleet.round_s = fleet.appended, []
+    for _ in range(int(_STEADY_S / _ROUND_S)):
+        fleet.tick()
+    steady = (fleet.appended - before) / _STEADY_S
+    round_ms = sum(fleet.round_s) / len(fleet.round_s) * 1e3
+    holders = list(fleet.held.values())
+    busiest = max(sorted(set(holders)), key=holders.count)
+    died = fleet.time
+    del fleet.loops[busiest.rpartition("/")[0]]
+    while busiest in fleet.held.values() or not fleet.settled:
+        fleet.tick()
+        if fleet.time - died > 5.0:  # Its peers no longer hear it.
+            fleet.live = tuple(fleet.loops)
+    return ControlFigures(
+        instances,
+        pools,
+        entries,
+        settled_s,
+        start_appends,
+        steady,
+        holders.count(busiest),
+        holders.count(busiest),
+        fleet.time - died,
+        round_ms,
+    )
+
+
+def run_control() -> tuple[ControlFigures, ...]:
+    """Measures each size of `bench.fold.SIZES`."""
+    return tuple(_measured(*size) for size in SIZES)
