Take retries out of a budget and to another failure domain

Cause: the dispatcher tried up to three times with no budget, so a pool that failed totally saw three times the offered load. The retry decision now runs in the scheduler, which owns the budgets; a server error of a worker is tried again elsewhere if the request is idempotent.

--- a/acaciawing/entry/engine.py
+++ b/acaciawing/entry/engine.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from acaciawing import admission, queueing, routing
+from acaciawing import admission, queueing, retries, routing
 from acaciawing.configuration import ConfigurationIndex, Plan, index
 from acaciawing.entry.counts import PlanCounts
 from acaciawing.entry.credits import credits_of
@@ -23,8 +23,16 @@
 )
 from acaciawing.fold import FleetState
 from acaciawing.outcomes import NotRun
-from acaciawing.queueing import Queue, Waiting, WorkKey
-from acaciawing.routing import Result, Route, RouteRequest
+from acaciawing.queueing import Queue, RunClass, Waiting, WorkKey
+from acaciawing.retries import FailureDomain, NoAttempt
+from acaciawing.routing import (
+    Avoid,
+    Endpoint,
+    Result,
+    Route,
+    RouteRequest,
+    Status,
+)
 from acaciawing.telemetry import Event
 
 Record = Callable[[str, Event, Mapping[str, object]], None]
@@ -93,6 +101,7 @@
     _submits: dict[str, Submit] = field(default_factory=dict)
     _started: set[str] = field(default_factory=set)
     _shares: dict[str, float] = field(default_factory=dict)
+    _retries: retries.RetryBudgets = retries.RetryBudgets()
     _members: MembersSeen | None = None
     _spares: tuple[str, ...] = ()
     _tickets: int = 0
@@ -177,14 +186,20 @@
         waiting = Waiting(
             message.request_id, key, plan.name, run, now, message.deadline
         )
+        if message.outcome is not None:
+            final = self._decide_retry(message, service.pool, run, now)
+            if final is not None:
+                message.reply.put(final)
+                return
         route = None
         if not self._others_first(service.pool, run.long):
             route = self._choose(message, run.long, now)
-        if message.attempt == 1:
+        if message.outcome is None:
             refusal = self._admit(plan, service.pool, waiting, route, now)
             if refusal is not None:
                 message.reply.put(refusal)
                 return
+            self._retries = self._retries.earned(plan.name)
         part = self._share(plan.name)
         first = message.request_id not in self._started
         if first and not admission.may_start(self._admission, plan, part):
@@ -197,6 +212,29 @@
             self._queue(service.pool), waiting
         )
 
+    def _decide_retry(
+        self, message: Submit, pool: str, run: RunClass, now: float
+    ) -> NoAttempt | None:
+        assert message.outcome is not None
+        cells = self._routing.pools[pool].cells.values()
+        self._retries, decision = retries.decide_retry(
+            self._retries,
+            retries.RetryRequest(
+                message.plan,
+                message.idempotent,
+                message.outcome,
+                message.deadline - now,
+                run.expected_s,
+                tuple(_domain(endpoint) for endpoint in message.tried),
+                frozenset(
+                    _domain(cell.endpoint)
+                    for cell in cells
+                    if cell.status is Status.OPEN
+                ),
+            ),
+        )
+        return decision if isinstance(decision, NoAttempt) else None
+
     def _others_first(self, pool: str, long: bool) -> bool:
         queue = self._queues.get(pool)
         if queue is None or not len(queue):
@@ -256,7 +294,7 @@
             service.pool,
             self.zone,
             long,
-            message.avoid,
+            _avoid(message.tried),
             self._spares if service.spill and not service.spare else (),
             message.idempotent,
         )
@@ -281,7 +319,7 @@
             {
                 "service": message.service,
                 "plan": message.plan,
-                "attempt": message.attempt,
+                "attempt": len(message.tried) + 1,
                 "endpoint": route.endpoint.instance,
                 "zone": route.endpoint.zone,
                 "long": route.long,
@@ -432,3 +470,19 @@
         if pool is None:
             return 0
         return sum(view.slots for view in pool.zones.values())
+
+
+def _domain(endpoint: Endpoint) -> FailureDomain:
+    return FailureDomain(endpoint.zone, endpoint.rack)
+
+
+def _avoid(tried: tuple[Endpoint, ...]) -> Avoid:
+    """Domains to avoid: the racks tried, and from the second on their zones."""
+    if not tried:
+        return Avoid()
+    zones = frozenset(e.zone for e in tried) if len(tried) > 1 else frozenset()
+    return Avoid(
+        frozenset(e.instance for e in tried),
+        frozenset((e.zone, e.rack) for e in tried),
+        zones,
+    )
--- a/acaciawing/entry/messages.py
+++ b/acaciawing/entry/messages.py
@@ -6,10 +6,12 @@
 from typing import Any, TypeAlias
 
 from acaciawing.admission import EntryView
+from acaciawing.exchange import ExchangeOutcome
 from acaciawing.fold import FleetState
 from acaciawing.outcomes import Refusal
 from acaciawing.platform import Listing
-from acaciawing.routing import Avoid, Endpoint, Result
+from acaciawing.retries import NoAttempt
+from acaciawing.routing import Endpoint, Result
 
 
 @dataclass(frozen=True)
@@ -39,9 +41,10 @@
         operation: Rest of the path.
         idempotent: Whether a repeat does no harm.
         deadline: Time by which it must end, monotonic seconds.
-        attempt: 1 for the first.
-        avoid: Failure domains of earlier attempts.
-        reply: Receives `Granted` or a refusal.
+        tried: Endpoints of earlier attempts, the first one first.
+        outcome: Outcome of the last attempt, or None for the first.
+        reply: Receives `Granted`, a refusal, or `NoAttempt` if the last
+            outcome is final.
     """
 
     request_id: str
@@ -51,9 +54,9 @@
     operation: str
     idempotent: bool
     deadline: float
-    attempt: int
-    avoid: Avoid
-    reply: "SimpleQueue[Granted | Refusal]" = field(compare=False)
+    tried: tuple[Endpoint, ...]
+    outcome: ExchangeOutcome | None
+    reply: "SimpleQueue[Granted | Refusal | NoAttempt]" = field(compare=False)
 
 
 @dataclass(frozen=True)
--- a/acaciawing/entry/scheduler.py
+++ b/acaciawing/entry/scheduler.py
@@ -21,6 +21,7 @@
     Submit,
 )
 from acaciawing.outcomes import Refusal
+from acaciawing.retries import NoAttempt
 
 # Longest time between two looks at the queue's deadlines.
 TICK_S = 0.05
@@ -48,7 +49,7 @@
         """Sends a message; returns at once."""
         self._inbox.put(message)
 
-    def submit(self, message: Submit) -> Granted | Refusal:
+    def submit(self, message: Submit) -> Granted | Refusal | NoAttempt:
         """Asks for an endpoint and waits for the decision."""
         self._inbox.put(message)
         return message.reply.get()
--- a/acaciawing/retries/__init__.py
+++ b/acaciawing/retries/__init__.py
@@ -13,7 +13,7 @@
     decide_retry,
     next_domain,
 )
-from acaciawing.retries.refusals import ClaimUse, refusal
+from acaciawing.retries.refusals import ClaimUse, final, refusal
 
 __all__ = [
     "MAX_ATTEMPTS",
@@ -28,6 +28,7 @@
     "RetryRequest",
     "decide_hedge",
     "decide_retry",
+    "final",
     "next_domain",
     "refusal",
 ]
--- a/acaciawing/retries/decisions.py
+++ b/acaciawing/retries/decisions.py
@@ -14,6 +14,8 @@
 from acaciawing.retries.budget import RetryBudgets
 
 MAX_ATTEMPTS = 3
+# Server errors that say nothing about the request itself.
+RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 
 
 @dataclass(frozen=True, order=True)
@@ -199,6 +201,10 @@
 
 @_why_final.register
 def _(outcome: Answer, idempotent: bool) -> str:
+    # A worker that fails everything it starts answers at once; another worker
+    # may well succeed (RFC 9110 section 9.2.2 allows to repeat the request).
+    if outcome.status in RETRIED_STATUSES:
+        return "" if idempotent else "may-have-run"
     return "answered"
 
 
--- a/acaciawing/retries/refusals.py
+++ b/acaciawing/retries/refusals.py
@@ -3,6 +3,7 @@
 from enum import Enum
 
 from acaciawing.exchange.outcomes import (
+    Answer,
     AnswerTimeout,
     BadAnswer,
     EndpointNotRun,
@@ -29,6 +30,20 @@
     HELD = "held"
 
 
+def final(outcomes: tuple[ExchangeOutcome, ...]) -> Answer | Refusal:
+    """What the caller gets for all attempts of a request.
+
+    Args:
+        outcomes: Outcome of each attempt, at least one.
+
+    Returns:
+        The last whole answer of an endpoint if there is one; otherwise the
+        refusal. A claim is given back by the caller of this function.
+    """
+    answers = [o for o in outcomes if isinstance(o, Answer)]
+    return answers[-1] if answers else refusal(outcomes, ClaimUse.NONE)
+
+
 def refusal(outcomes: tuple[ExchangeOutcome, ...], claim: ClaimUse) -> Refusal:
     """Finds the truthful refusal for all attempts of a request.
 
