--- a/acaciawing/fold/steps.py
+++ b/acaciawing/fold/steps.py
@@ -16,6 +16,7 @@
 from acaciawing.leases import records as lease_records
 from acaciawing.leases import table as leases
 from acaciawing.lending import loans
+from acaciawing.maintenance import records as wave_records
 from acaciawing.maintenance import waves
 from acaciawing.membership import roster
 from acaciawing.outcomes import Ignored, Verdict
@@ -47,11 +48,11 @@
     ledger.PlanCounts: ("budgets", ledger.apply),
     ledger.BudgetReserved: ("budgets", ledger.apply),
     ledger.BudgetReleased: ("budgets", ledger.apply),
-    waves.WavePlanned: ("waves", waves.apply),
-    waves.WaveStep: ("waves", waves.apply),
-    waves.OutageChanged: ("waves", waves.apply),
-    waves.WaveStopped: ("waves", waves.apply),
-    waves.WaveResumed: ("waves", waves.apply),
+    wave_records.WavePlanned: ("waves", waves.apply),
+    wave_records.WaveStep: ("waves", waves.apply),
+    wave_records.OutageChanged: ("waves", waves.apply),
+    wave_records.WaveStopped: ("waves", waves.apply),
+    wave_records.WaveResumed: ("waves", waves.apply),
     loans.LoanBegun: ("loans", loans.apply),
     loans.LoanExtended: ("loans", loans.apply),
     loans.LoanReturnBegun: ("loans", loans.apply),
--- a/acaciawing/lending/__init__.py
+++ b/acaciawing/lending/__init__.py
@@ -1,5 +1,6 @@
 """Loans of instances between pools and their return."""
 
+from acaciawing.lending.buffer import Spill
 from acaciawing.lending.demand import (
     IDLE_SHARE,
     OVERLOAD_SHARE,
@@ -22,14 +23,15 @@
     SMALL_POOL,
     LendingDecision,
     LendingRecord,
-    LendingRequest,
-    LendingSnapshot,
     MoveIntent,
-    Postponed,
-    Spill,
     decide,
     lasting_s,
 )
+from acaciawing.lending.snapshot import (
+    LendingRequest,
+    LendingSnapshot,
+    Postponed,
+)
 
 __all__ = [
     "IDLE_SHARE",
--- a/acaciawing/lending/rounds.py
+++ b/acaciawing/lending/rounds.py
@@ -8,19 +8,16 @@
 
 import math
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TypeAlias
 
-from acaciawing.budgets import (
-    Action,
-    BudgetReleased,
-    BudgetReserved,
-    BudgetSnapshot,
-    DisruptionRequest,
-    Granted,
-    ask,
+from acaciawing.budgets import BudgetReleased, BudgetReserved
+from acaciawing.lending.buffer import (
+    LEAST_HELD,
+    Spill,
+    held_instances,
+    spills,
 )
-from acaciawing.leases import Fence
 from acaciawing.lending.demand import (
     OVERLOAD_SHARE,
     DemandHistory,
@@ -35,7 +32,18 @@
     LoanClosed,
     LoanExtended,
     LoanReturnBegun,
-    LoanTable,
+)
+from acaciawing.lending.reservations import (
+    LOAN_MULTIPLE,
+    closings,
+    reservation_id,
+    reserve,
+)
+from acaciawing.lending.snapshot import (
+    LendingRequest,
+    LendingSnapshot,
+    Postponed,
+    owners_of,
 )
 
 # A move there and back costs two moves.
@@ -46,50 +54,6 @@
 SMALL_POOL = 8
 _SMALL_POOL_MULTIPLE = 4.0
 
-# A loan is due after this many move costs, and extended by as much.
-_LOAN_MULTIPLE = 20.0
-
-# Share of a buffer pool's slots kept from spill-over for its own requests.
-_OWN_SHARE = 0.25
-
-# Instances that each pool holds in any case, in different zones if it can.
-_LEAST_HELD = 2
-
-# Held slots over the remembered demand; covers the spread of random arrivals.
-_HEADROOM = 1.25
-
-
-@dataclass(frozen=True)
-class LendingSnapshot:
-    """What a round looks at.
-
-    Attributes:
-        loans: The fold's loans.
-        pools: All pools, with the instances that they own now.
-        history: Demand seen by earlier rounds of this instance.
-        move_cost_s: Measured time in which a moving instance serves nobody.
-        budgets: Ledger, plans and roster for the gate.
-        impact: Requests that draining an instance may fail, by plan.
-    """
-
-    loans: LoanTable
-    pools: Mapping[str, PoolView]
-    history: DemandHistory
-    move_cost_s: float
-    budgets: BudgetSnapshot
-    impact: Mapping[str, Mapping[str, float]] = field(default_factory=dict)
-
-
-@dataclass(frozen=True)
-class LendingRequest:
-    """Request for a round.
-
-    Attributes:
-        fence: Lease of `LENDING_SUBJECT`, held by this process.
-    """
-
-    fence: Fence
-
 
 @dataclass(frozen=True)
 class MoveIntent:
@@ -108,34 +72,6 @@
     target: str
 
 
-@dataclass(frozen=True)
-class Spill:
-    """Where requests above a pool's capacity go.
-
-    Attributes:
-        pool: The pool.
-        targets: Pools and the slots that they have for others, best first.
-    """
-
-    pool: str
-    targets: tuple[tuple[str, int], ...]
-
-
-@dataclass(frozen=True)
-class Postponed:
-    """A loan or a return that does not begin now.
-
-    Attributes:
-        pool: The borrower.
-        reason: ``spill-over-first``, ``no-lender`` or ``budget``.
-        detail: Text for the operator.
-    """
-
-    pool: str
-    reason: str
-    detail: str
-
-
 LendingRecord: TypeAlias = (
     LoanBegun
     | LoanExtended
@@ -185,16 +121,16 @@
     history = observe(
         snapshot.history, snapshot.pools, snapshot.move_cost_s, now
     )
-    closing = tuple(_closings(snapshot, request))
+    closing = tuple(closings(snapshot, request))
     returns = tuple(_returns(snapshot, history, request, now))
     lent = tuple(_lend(snapshot, history, request, now))
     proposed = (*returns, *lent)
-    held = _held(snapshot, history)
+    held = held_instances(snapshot.pools, history)
     return LendingDecision(
         history,
         (*closing, *_one_reservation(proposed)),
         tuple(_moves(snapshot)),
-        tuple(_spills(snapshot, held)),
+        tuple(spills(snapshot.pools, held)),
         held,
         tuple(p for p in proposed if isinstance(p, Postponed)),
     )
@@ -222,61 +158,13 @@
     return multiple * move_cost_s
 
 
-def _owners(
-    snapshot: LendingSnapshot,
-) -> dict[str, tuple[str, PoolInstance]]:
-    return {
-        instance.instance: (view.pool, instance)
-        for view in snapshot.pools.values()
-        for instance in view.instances
-    }
-
-
-def _reservation_id(instance: str, epoch: int, back: bool = False) -> str:
-    return f"loan/{instance}/{epoch}/{'return' if back else 'begin'}"
-
-
-def _closings(
-    snapshot: LendingSnapshot, request: LendingRequest
-) -> Iterator[LoanClosed | BudgetReleased]:
-    owners = _owners(snapshot)
-    for name, loan in sorted(snapshot.loans.active.items()):
-        owner = owners.get(name)
-        home = owner is not None and owner[0] == loan.home
-        # A lent instance that is at home without a return begun has not moved
-        # yet. One that is owned by nobody was replaced under another id.
-        if owner is None or (loan.returning and home):
-            yield LoanClosed(name, loan.epoch, request.fence)
-    needed = _needed_reservations(snapshot, owners)
-    for name, made in sorted(snapshot.budgets.ledger.reservations.items()):
-        ours = name.startswith("loan/") and not made.released
-        if ours and name not in needed:
-            yield BudgetReleased(name, request.fence)
-
-
-def _needed_reservations(
-    snapshot: LendingSnapshot, owners: Mapping[str, tuple[str, PoolInstance]]
-) -> set[str]:
-    """Reservations of moves that may still begin or have not ended."""
-    needed = set()
-    for name, (pool, instance) in owners.items():
-        loan = snapshot.loans.active.get(name)
-        if loan is None:
-            needed.add(_reservation_id(name, instance.epoch))
-        elif loan.returning or pool == loan.borrower:
-            needed.add(_reservation_id(name, loan.epoch, back=True))
-        else:
-            needed.add(_reservation_id(name, loan.epoch))
-    return needed
-
-
 def _returns(
     snapshot: LendingSnapshot,
     history: DemandHistory,
     request: LendingRequest,
     now: float,
 ) -> Iterator[LoanReturnBegun | LoanExtended | BudgetReserved | Postponed]:
-    owners = _owners(snapshot)
+    owners = owners_of(snapshot)
     returned: set[str] = set()
     for name, loan in sorted(
         snapshot.loans.active.items(), key=lambda item: item[1].due_at
@@ -288,13 +176,13 @@
         if reason is None:
             continue
         if reason == "extend":
-            due = now + _LOAN_MULTIPLE * snapshot.move_cost_s
+            due = now + LOAN_MULTIPLE * snapshot.move_cost_s
             yield LoanExtended(name, loan.epoch, due, request.fence)
         elif loan.borrower not in returned:
             # One at a time, since idleness is judged for one instance less.
             returned.add(loan.borrower)
-            back = _reservation_id(name, loan.epoch, back=True)
-            obstacle = _reserve(
+            back = reservation_id(name, loan.epoch, back=True)
+            obstacle = reserve(
                 snapshot, request, name, back, loan.borrower, now
             )
             yield obstacle or LoanReturnBegun(
@@ -373,13 +261,13 @@
         instance = _choose(snapshot, lender, view)
         if instance is None:
             continue
-        name = _reservation_id(instance.instance, instance.epoch)
-        obstacle = _reserve(
+        name = reservation_id(instance.instance, instance.epoch)
+        obstacle = reserve(
             snapshot, request, instance.instance, name, view.pool, now
         )
         if obstacle is not None:
             return obstacle
-        due = now + _LOAN_MULTIPLE * snapshot.move_cost_s
+        due = now + LOAN_MULTIPLE * snapshot.move_cost_s
         return LoanBegun(
             instance.instance,
             instance.epoch,
@@ -391,29 +279,6 @@
     return Postponed(view.pool, "no-lender", "no pool has an instance to spare")
 
 
-def _reserve(
-    snapshot: LendingSnapshot,
-    request: LendingRequest,
-    instance: str,
-    reservation: str,
-    borrower: str,
-    now: float,
-) -> BudgetReserved | Postponed | None:
-    """What must come before a move; None once its budget is reserved."""
-    made = snapshot.budgets.ledger.reservations.get(reservation)
-    if made is not None and made.expires_at > now + snapshot.move_cost_s:
-        return None
-    asked = DisruptionRequest(Action.MOVE, snapshot.impact.get(instance, {}))
-    decision = ask(snapshot.budgets, asked, now)
-    if not isinstance(decision, Granted):
-        codes = ", ".join(f"{r.code}:{r.plan}" for r in decision.reasons)
-        return Postponed(borrower, "budget", codes)
-    duration = _LOAN_MULTIPLE * snapshot.move_cost_s
-    return BudgetReserved(
-        reservation, decision.amounts, duration, request.fence
-    )
-
-
 def _lenders(
     snapshot: LendingSnapshot, history: DemandHistory, borrower: PoolView
 ) -> list[PoolView]:
@@ -422,7 +287,7 @@
     for view in snapshot.pools.values():
         past = history.pools[view.pool]
         rest = len(view.available) - 1
-        if view.pool == borrower.pool or rest < _LEAST_HELD:
+        if view.pool == borrower.pool or rest < LEAST_HELD:
             continue
         if max(past.mean, past.recent) > OVERLOAD_SHARE * rest * view.slots:
             continue
@@ -454,7 +319,7 @@
 
 
 def _moves(snapshot: LendingSnapshot) -> Iterator[MoveIntent]:
-    owners = _owners(snapshot)
+    owners = owners_of(snapshot)
     for name, loan in sorted(snapshot.loans.active.items()):
         owner = owners.get(name)
         if owner is None:
@@ -463,50 +328,3 @@
         target = loan.home if loan.returning else loan.borrower
         if pool != target:
             yield MoveIntent(name, instance.epoch, pool, target)
-
-
-def _held(
-    snapshot: LendingSnapshot, history: DemandHistory
-) -> Mapping[str, int]:
-    """Instances that each pool holds for requests.
-
-    Each pool holds what its recent demand needs. Over all pools together,
-    the remembered peak of the summed demand is held, in spare pools first:
-    bursts by turns need the peak of the sum, not the sum of the peaks.
-    """
-    held = {}
-    for name, view in snapshot.pools.items():
-        wanted = _HEADROOM * history.pools[name].recent / view.slots
-        size = len(view.available)
-        held[name] = min(size, max(_LEAST_HELD, math.ceil(wanted)))
-    short = _HEADROOM * history.total_peak - sum(
-        held[name] * view.slots for name, view in snapshot.pools.items()
-    )
-    order = sorted(snapshot.pools.values(), key=lambda v: (not v.spare, v.pool))
-    for view in order:
-        rest = len(view.available) - held[view.pool]
-        more = min(rest, math.ceil(short / view.slots)) if short > 0 else 0
-        held[view.pool] += more
-        short -= more * view.slots
-    return held
-
-
-def _spills(
-    snapshot: LendingSnapshot, held: Mapping[str, int]
-) -> Iterator[Spill]:
-    """Standing orders, so that a burst need not wait for a round."""
-    room = {}
-    for name, view in snapshot.pools.items():
-        slots = held[name] * view.slots
-        kept = max(float(view.running), view.demand) + _OWN_SHARE * slots
-        room[name] = max(0, math.floor(slots - kept))
-    order = sorted(
-        snapshot.pools.values(), key=lambda v: (not v.spare, -room[v.pool])
-    )
-    for name in sorted(snapshot.pools):
-        targets = tuple(
-            (view.pool, room[view.pool])
-            for view in order
-            if view.pool != name and room[view.pool] > 0
-        )
-        yield Spill(name, targets)
--- a/acaciawing/maintenance/__init__.py
+++ b/acaciawing/maintenance/__init__.py
@@ -1,15 +1,28 @@
 """Maintenance waves: drain, reboot, verify, return."""
 
+from acaciawing.maintenance.progress import (
+    MaintenanceSnapshot,
+    ObservedInstance,
+    StepLimits,
+)
+from acaciawing.maintenance.records import (
+    ALL_POOLS,
+    Bounds,
+    OutageChanged,
+    Place,
+    Stage,
+    WavePlanned,
+    WaveResumed,
+    WaveStep,
+    WaveStopped,
+)
 from acaciawing.maintenance.rounds import (
     PERIOD_S,
     Held,
     MaintenanceRecord,
-    MaintenanceSnapshot,
-    ObservedInstance,
     PlatformCall,
     RoundDecision,
     RoundRequest,
-    StepLimits,
     decide,
     reservation_id,
 )
@@ -21,18 +34,9 @@
     calculate,
 )
 from acaciawing.maintenance.waves import (
-    ALL_POOLS,
-    Bounds,
     Down,
     Member,
-    OutageChanged,
-    Place,
-    Stage,
     Wave,
-    WavePlanned,
-    WaveResumed,
-    WaveStep,
-    WaveStopped,
     WaveTable,
     exceeded,
     occupancy,
--- a/acaciawing/maintenance/rounds.py
+++ b/acaciawing/maintenance/rounds.py
@@ -4,32 +4,28 @@
 earlier round decided, so any instance can continue a wave at any record.
 """
 
-from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterator
+from dataclasses import dataclass
 from typing import TypeAlias
 
 from acaciawing.budgets import (
     Action,
     BudgetReleased,
     BudgetReserved,
-    BudgetSnapshot,
     Denied,
     DisruptionRequest,
     ask,
 )
 from acaciawing.leases import Fence
-from acaciawing.maintenance.waves import (
+from acaciawing.maintenance.progress import MaintenanceSnapshot, reached
+from acaciawing.maintenance.records import (
     Bounds,
-    Member,
     OutageChanged,
-    Place,
     Stage,
-    Wave,
     WavePlanned,
     WaveStep,
-    WaveTable,
-    exceeded,
 )
+from acaciawing.maintenance.waves import Member, Wave, exceeded
 
 PERIOD_S = 21 * 86_400.0
 
@@ -44,72 +40,6 @@
 # is tried once a day and not without end.
 _RETRY_S = 86_400.0
 
-# A leaving endpoint may get new work for 3 s (design 1.1); two seconds more
-# cover the status that lags behind.
-_LEAVE_S = 5.0
-
-
-@dataclass(frozen=True)
-class StepLimits:
-    """How long each stage may take, in seconds.
-
-    Attributes:
-        drain_s: Until a drain is given up and the instance serves again.
-        reboot_s: Until a reboot counts as failed.
-        verify_s: Until a verification counts as failed.
-        wait_s: Until a member that can't be drained is left for the next wave.
-        drains: Drains that are tried in one wave.
-    """
-
-    drain_s: float = 600.0
-    reboot_s: float = 600.0
-    verify_s: float = 300.0
-    wait_s: float = 4 * 86_400.0
-    drains: int = 2
-
-
-@dataclass(frozen=True)
-class ObservedInstance:
-    """An instance as listed, with its status.
-
-    Attributes:
-        place: Where it is, with its present incarnation.
-        pool: Pool that owns it.
-        serving: Whether it is up, draining or not.
-        draining: Whether it refuses new work.
-        moving: Whether it is leaving the pool for a loan or its return.
-        in_flight: Requests that it runs, or None when unknown.
-        verified: Whether it passed its checks since its start.
-    """
-
-    place: Place
-    pool: str
-    serving: bool
-    draining: bool = False
-    moving: bool = False
-    in_flight: int | None = None
-    verified: bool = False
-
-
-@dataclass(frozen=True)
-class MaintenanceSnapshot:
-    """What a round looks at.
-
-    Attributes:
-        waves: The fold's waves.
-        budgets: Ledger, plans and roster for the gate.
-        observed: Every listed instance by id; one that failed is missing or
-            not serving.
-        impact: Requests that draining an instance may fail, by plan.
-        limits: Limits of the stages.
-    """
-
-    waves: WaveTable
-    budgets: BudgetSnapshot
-    observed: Mapping[str, ObservedInstance]
-    impact: Mapping[str, Mapping[str, float]] = field(default_factory=dict)
-    limits: StepLimits = StepLimits()
-
 
 @dataclass(frozen=True)
 class RoundRequest:
@@ -266,7 +196,7 @@
     for instance, member in sorted(wave.members.items()):
         if member.stage.final:
             continue
-        passed = _passed(snapshot, wave, member, now)
+        passed = reached(snapshot, wave, member, now)
         if passed is not None:
             stage, reason = passed
             yield WaveStep(
@@ -280,95 +210,6 @@
             )
 
 
-def _passed(
-    snapshot: MaintenanceSnapshot, wave: Wave, member: Member, now: float
-) -> tuple[Stage, str] | None:
-    """The stage that a member has reached, with the reason."""
-    seen = snapshot.observed.get(member.place.instance)
-    if member.stage in _BEFORE_REBOOT:
-        if seen is None or _restarted(member, seen):
-            return Stage.REPLACED, "replaced"
-        if member.stage is Stage.WAITING:
-            return _passed_waiting(snapshot, wave, member, seen, now)
-        if not seen.serving:
-            return Stage.FAILED, "failed-while-draining"
-        if member.stage is Stage.DRAINING:
-            return _passed_draining(snapshot, wave, member, seen, now)
-        return _passed_restoring(snapshot, member, seen)
-    return _passed_reboot(snapshot, member, seen, now)
-
-
-_BEFORE_REBOOT = (Stage.WAITING, Stage.DRAINING, Stage.RESTORING)
-
-
-def _passed_waiting(
-    snapshot: MaintenanceSnapshot,
-    wave: Wave,
-    member: Member,
-    seen: ObservedInstance,
-    now: float,
-) -> tuple[Stage, str] | None:
-    if seen.pool != wave.pool:
-        return Stage.SKIPPED, "moved"
-    if now - member.since > snapshot.limits.wait_s:
-        return Stage.SKIPPED, "wait-timeout"
-    return None
-
-
-def _passed_draining(
-    snapshot: MaintenanceSnapshot,
-    wave: Wave,
-    member: Member,
-    seen: ObservedInstance,
-    now: float,
-) -> tuple[Stage, str] | None:
-    if snapshot.waves.is_stopped(wave.pool):
-        return Stage.RESTORING, "stopped"
-    passed = exceeded(snapshot.waves, wave.pool, member.place, wave.bounds)
-    if passed:
-        # An unplanned failure took the capacity that this drain counted on.
-        return Stage.RESTORING, passed[0]
-    age = now - member.since
-    if seen.draining and seen.in_flight == 0 and age >= _LEAVE_S:
-        return Stage.REBOOTING, ""
-    if age > snapshot.limits.drain_s:
-        return Stage.RESTORING, "drain-timeout"
-    return None
-
-
-def _passed_restoring(
-    snapshot: MaintenanceSnapshot, member: Member, seen: ObservedInstance
-) -> tuple[Stage, str] | None:
-    if seen.draining:
-        return None
-    if member.drains < snapshot.limits.drains:
-        return Stage.WAITING, ""
-    return Stage.SKIPPED, "drains-used-up"
-
-
-def _passed_reboot(
-    snapshot: MaintenanceSnapshot,
-    member: Member,
-    seen: ObservedInstance | None,
-    now: float,
-) -> tuple[Stage, str] | None:
-    serving = seen is not None and seen.serving and _restarted(member, seen)
-    limit = snapshot.limits.verify_s
-    if member.stage is Stage.REBOOTING:
-        limit = snapshot.limits.reboot_s
-        if serving:
-            return Stage.VERIFYING, ""
-    elif serving and seen is not None and seen.verified:
-        return Stage.RETURNED, ""
-    if now - member.since > limit:
-        return Stage.FAILED, f"{member.stage.value}-timeout"
-    return None
-
-
-def _restarted(member: Member, seen: ObservedInstance) -> bool:
-    return seen.place.incarnation > member.place.incarnation
-
-
 def _start(
     snapshot: MaintenanceSnapshot,
     request: RoundRequest,
--- a/acaciawing/maintenance/waves.py
+++ b/acaciawing/maintenance/waves.py
@@ -8,194 +8,30 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
-from enum import Enum
 from functools import singledispatch
 
 from immutables import Map
 
 from acaciawing.leases import Fence, pool_subject
+from acaciawing.maintenance.records import (
+    ALL_POOLS,
+    NEXT_STAGES,
+    Bounds,
+    OutageChanged,
+    Place,
+    Stage,
+    WavePlanned,
+    WaveResumed,
+    WaveStep,
+    WaveStopped,
+)
 from acaciawing.outcomes import Accepted, Ignored, Verdict
-from acaciawing.records import LogPosition, record_type
-
-ALL_POOLS = ""
+from acaciawing.records import LogPosition
 
 # Instances not seen in a wave for this long were replaced under another id.
 _MAINTAINED_RETENTION_S = 90 * 86_400.0
 
 
-class Stage(Enum):
-    """Where an instance is in a wave."""
-
-    WAITING = "waiting"
-    DRAINING = "draining"
-    RESTORING = "restoring"
-    REBOOTING = "rebooting"
-    VERIFYING = "verifying"
-    RETURNED = "returned"
-    REPLACED = "replaced"
-    SKIPPED = "skipped"
-    FAILED = "failed"
-
-    @property
-    def in_progress(self) -> bool:
-        """Whether the wave keeps the instance out of service."""
-        return self in _IN_PROGRESS
-
-    @property
-    def final(self) -> bool:
-        """Whether the wave is done with the instance."""
-        return not _NEXT[self]
-
-
-_IN_PROGRESS = frozenset(
-    {Stage.DRAINING, Stage.RESTORING, Stage.REBOOTING, Stage.VERIFYING}
-)
-
-_NEXT: dict[Stage, frozenset[Stage]] = {
-    Stage.WAITING: frozenset({Stage.DRAINING, Stage.REPLACED, Stage.SKIPPED}),
-    Stage.DRAINING: frozenset(
-        {Stage.RESTORING, Stage.REBOOTING, Stage.REPLACED, Stage.FAILED}
-    ),
-    # A drain was given up; the instance is put back into service.
-    Stage.RESTORING: frozenset(
-        {Stage.WAITING, Stage.SKIPPED, Stage.REPLACED, Stage.FAILED}
-    ),
-    Stage.REBOOTING: frozenset({Stage.VERIFYING, Stage.FAILED}),
-    Stage.VERIFYING: frozenset({Stage.RETURNED, Stage.FAILED}),
-    Stage.RETURNED: frozenset(),
-    Stage.REPLACED: frozenset(),
-    Stage.SKIPPED: frozenset(),
-    Stage.FAILED: frozenset(),
-}
-
-
-@dataclass(frozen=True)
-class Bounds:
-    """Instances that may be out of service at a time, whatever the cause.
-
-    Attributes:
-        pool: In the wave's pool; its size less its reserve.
-        rack: In one rack, over all pools.
-        zone: In one availability zone, over all pools.
-    """
-
-    pool: int
-    rack: int
-    zone: int
-
-
-@dataclass(frozen=True)
-class Place:
-    """Where an instance is.
-
-    Attributes:
-        instance: Its id.
-        incarnation: Its incarnation when it was observed.
-        zone: Availability zone.
-        rack: Rack within the zone.
-    """
-
-    instance: str
-    incarnation: int
-    zone: str
-    rack: str
-
-
-@record_type("wave-planned", version=1)
-@dataclass(frozen=True)
-class WavePlanned:
-    """A new wave over a pool.
-
-    Attributes:
-        pool: Name of the pool.
-        epoch: Number of the pool's waves that have ended.
-        members: Instances to maintain.
-        bounds: Bounds that hold for each drain of the wave.
-        fence: Lease of the pool.
-    """
-
-    pool: str
-    epoch: int
-    members: tuple[Place, ...]
-    bounds: Bounds
-    fence: Fence
-
-
-@record_type("wave-step", version=1)
-@dataclass(frozen=True)
-class WaveStep:
-    """One instance passes to the next stage.
-
-    Attributes:
-        pool: Name of the pool.
-        wave: Epoch of the wave.
-        instance: Id of the instance.
-        epoch: Epoch of the member that the writer saw.
-        stage: The new stage.
-        fence: Lease of the pool.
-        reason: Code that explains the step, or an empty string.
-    """
-
-    pool: str
-    wave: int
-    instance: str
-    epoch: int
-    stage: Stage
-    fence: Fence
-    reason: str = ""
-
-
-@record_type("instance-outage", version=1)
-@dataclass(frozen=True)
-class OutageChanged:
-    """An unplanned failure of an instance was observed, or its end.
-
-    Attributes:
-        pool: Pool of the instance.
-        place: Where it is.
-        down: Whether it is out of service.
-        fence: Lease of the pool.
-    """
-
-    pool: str
-    place: Place
-    down: bool
-    fence: Fence
-
-
-@record_type("wave-stopped", version=1)
-@dataclass(frozen=True)
-class WaveStopped:
-    """An operator stops maintenance.
-
-    Attributes:
-        pool: Name of the pool, or `ALL_POOLS`.
-        operator: Name of the operator.
-        reason: Text for other operators.
-    """
-
-    pool: str
-    operator: str
-    reason: str
-
-
-@record_type("wave-resumed", version=1)
-@dataclass(frozen=True)
-class WaveResumed:
-    """An operator lifts a stop.
-
-    Attributes:
-        pool: Name of the pool, or `ALL_POOLS`.
-        operator: Name of the operator.
-        stopped_at: Log offset of the stop that is lifted; a late repeat must
-            not lift a newer stop.
-    """
-
-    pool: str
-    operator: str
-    stopped_at: int
-
-
 @dataclass(frozen=True)
 class Member:
     """One instance in a wave.
@@ -407,7 +243,7 @@
     member = wave.members.get(record.instance)
     if member is None or member.epoch != record.epoch:
         return Ignored("stale-epoch", record.instance)
-    if record.stage not in _NEXT[member.stage]:
+    if record.stage not in NEXT_STAGES[member.stage]:
         detail = f"{member.stage.value} to {record.stage.value}"
         return Ignored("invalid-step", detail)
     if record.stage is not Stage.DRAINING:
--- a/acaciawing/placement/__init__.py
+++ b/acaciawing/placement/__init__.py
@@ -59,8 +59,8 @@
     learn,
     running_sizes,
 )
-from acaciawing.placement.table import (
-    MAX_FAILURES,
+from acaciawing.placement.table import MAX_FAILURES
+from acaciawing.placement.tasks import (
     Health,
     Load,
     Task,
--- a/acaciawing/placement/capacity.py
+++ b/acaciawing/placement/capacity.py
@@ -13,7 +13,7 @@
 from immutables import Map
 
 from acaciawing.placement.records import Resources
-from acaciawing.placement.table import Load, TaskTable
+from acaciawing.placement.tasks import Load, TaskTable
 
 
 @dataclass(frozen=True)
--- a/acaciawing/placement/choice.py
+++ b/acaciawing/placement/choice.py
@@ -18,7 +18,7 @@
 )
 from acaciawing.placement.records import Resources
 from acaciawing.placement.sizes import Corrections, corrected
-from acaciawing.placement.table import (
+from acaciawing.placement.tasks import (
     Load,
     Task,
     TaskTable,
--- a/acaciawing/placement/preemption.py
+++ b/acaciawing/placement/preemption.py
@@ -24,7 +24,7 @@
 )
 from acaciawing.placement.quotas import over_quota
 from acaciawing.placement.records import Method, Resources
-from acaciawing.placement.table import (
+from acaciawing.placement.tasks import (
     THROTTLED_SHARE,
     Load,
     Task,
--- a/acaciawing/placement/quotas.py
+++ b/acaciawing/placement/quotas.py
@@ -12,7 +12,7 @@
 from immutables import Map
 
 from acaciawing.placement.records import Resources
-from acaciawing.placement.table import Task, TaskTable
+from acaciawing.placement.tasks import Task, TaskTable
 
 
 @dataclass(frozen=True)
--- a/acaciawing/placement/sizes.py
+++ b/acaciawing/placement/sizes.py
@@ -10,7 +10,7 @@
 from immutables import Map
 
 from acaciawing.placement.records import Resources
-from acaciawing.placement.table import Task, TaskState
+from acaciawing.placement.tasks import Task, TaskState
 
 # Fewer measured tasks of a kind say too little; then declared sizes stand.
 _LEAST_TASKS = 5
--- a/acaciawing/placement/tests/test_sharing.py
+++ b/acaciawing/placement/tests/test_sharing.py
@@ -30,7 +30,7 @@
     stragglers,
     waiting_order,
 )
-from acaciawing.placement.table import TaskState
+from acaciawing.placement.tasks import TaskState
 from acaciawing.placement.tests.fake_workers import (
     FENCE,
     FakeWorkers,
--- a/acaciawing/placement/upkeep.py
+++ b/acaciawing/placement/upkeep.py
@@ -12,7 +12,7 @@
     TaskLeasesRenewed,
     TasksCancelled,
 )
-from acaciawing.placement.table import TaskState, TaskTable
+from acaciawing.placement.tasks import TaskState, TaskTable
 
 # Leases outlive log outages of ten minutes, in which none can be renewed. A
 # worker that the platform reports as ended is not waited for.
--- a/bench/lending.py
+++ b/bench/lending.py
@@ -33,6 +33,7 @@
     moves,
 )
 from acaciawing.records import LogPosition
+from bench.bursts import DURATION_S, POOLS, SLOTS, arrivals
 
 SEEDS = (1, 2, 3, 4, 5)
 # ``naive`` keeps all instances of a pool for its requests; ``naive-offering``
@@ -41,22 +42,12 @@
 POLICIES = ("lending", "naive", "naive-offering", "none")
 SCENARIOS = ("alternating", "lasting")
 
-_SLOTS = 8
-_POOLS = 5
-_DURATION_S = 600.0
 _TICK_S = 0.1
 _ROUND_S = 1.0
-_SERVICE_S = 0.5
 _DEADLINE_S = 2.0
 _MOVE_S = (6.0, 14.0)
 # Tasks on an offered worker are stopped or throttled within this time.
 _RECALL_S = 2.0
-# Five times the mean in a burst, a twentieth between: bursts take up 0.192 of
-# a cycle, so one of five services is nearly always in its burst.
-_CYCLE_S = 62.5
-_BURST_S = 12.0
-# A burst is a quarter more than a pool holds (design 1.3: "more than").
-_PEAK_SHARE = 1.25
 
 
 @dataclass(frozen=True)
@@ -120,38 +111,6 @@
     spill: tuple[tuple[str, int], ...] = ()
 
 
-def arrivals(
-    workers: int, scenario: str, seed: int
-) -> list[tuple[float, int, float]]:
-    """Draws the requests of a run.
-
-    Returns:
-        Arrival time, service and run time, in order of arrival.
-    """
-    generator = random.Random(f"{seed}/{workers}/{scenario}")
-    peak = _PEAK_SHARE * workers * _SLOTS
-    drawn = []
-    for service in range(_POOLS):
-        at = 0.0
-        while at < _DURATION_S:
-            # Thinning (Lewis and Shedler 1979) of a Poisson process.
-            at += generator.expovariate(peak / _SERVICE_S)
-            share = _demand_share(scenario, service, at)
-            if generator.random() < share:
-                run = generator.expovariate(1.0 / _SERVICE_S)
-                drawn.append((at, service, run))
-    drawn.sort()
-    return drawn
-
-
-def _demand_share(scenario: str, service: int, at: float) -> float:
-    """Demand of a service as a share of its peak."""
-    if scenario == "lasting":
-        return 1.0 if service == 0 and 60.0 <= at < 420.0 else 0.2
-    phase = (at - service * _CYCLE_S / _POOLS) % _CYCLE_S
-    return 1.0 if phase < _BURST_S else 0.01
-
-
 class _Replay:
     """One run of one policy."""
 
@@ -162,7 +121,7 @@
         self._random = random.Random(f"moves/{seed}")
         self._requests = deque(arrivals(workers, scenario, seed))
         self._total = len(self._requests)
-        names = [f"p{number}" for number in range(_POOLS)]
+        names = [f"p{number}" for number in range(POOLS)]
         self._names = names
         self._spare = names[-1]
         self._pools = {n: _Pool(n, held=workers) for n in names}
@@ -189,7 +148,7 @@
         Returns:
             Times of the moves, capacity samples, success rate, requests.
         """
-        ticks = round(_DURATION_S / _TICK_S)
+        ticks = round(DURATION_S / _TICK_S)
         for tick in range(ticks):
             now = tick * _TICK_S
             if tick % round(_ROUND_S / _TICK_S) == 0:
@@ -228,11 +187,11 @@
 
     def _dispatch(self, now: float) -> None:
         for pool in self._pools.values():
-            self._start(pool, pool, pool.held * _SLOTS - pool.running, now)
+            self._start(pool, pool, pool.held * SLOTS - pool.running, now)
         for pool in self._pools.values():
             for name, slots in pool.spill:
                 host = self._pools[name]
-                free = host.held * _SLOTS - host.running
+                free = host.held * SLOTS - host.running
                 self._start(pool, host, min(free, slots), now)
 
     def _start(self, pool: _Pool, host: _Pool, free: int, now: float) -> None:
@@ -244,13 +203,13 @@
             free -= 1
 
     def _sample(self) -> None:
-        held = len(self._home) * _SLOTS
+        held = len(self._home) * SLOTS
         busy = sum(p.running for p in self._pools.values())
         offered = 0
         for pool in self._pools.values():
             kept = pool.held + sum(count for _, count in pool.recalled)
-            overhang = max(0, pool.running - kept * _SLOTS)
-            offered += (self._size(pool.name) - kept) * _SLOTS - overhang
+            overhang = max(0, pool.running - kept * SLOTS)
+            offered += (self._size(pool.name) - kept) * SLOTS - overhang
         self._samples.append(
             CapacitySample(_TICK_S, held, busy, max(0, offered))
         )
@@ -276,7 +235,7 @@
             pool.name: PoolView(
                 pool.name,
                 tuple(owned[pool.name]),
-                _SLOTS,
+                SLOTS,
                 pool.own_running + len(pool.queue),
                 pool.running,
                 pool.name == self._spare,
@@ -300,7 +259,7 @@
                 {
                     name: min(
                         len(v.available),
-                        max(1, -int(-v.demand // (BORROW_ABOVE * _SLOTS))),
+                        max(1, -int(-v.demand // (BORROW_ABOVE * SLOTS))),
                     )
                     for name, v in views.items()
                 },
@@ -380,7 +339,7 @@
         scenario,
         policy,
         seed,
-        moves(begun, 0.0, _DURATION_S),
+        moves(begun, 0.0, DURATION_S),
         len(begun),
         buffer_cost(samples),
         rate,
--- a/bench/tests/test_lending.py
+++ b/bench/tests/test_lending.py
@@ -1,6 +1,7 @@
 """Tests of the lending replay."""
 
-from bench.lending import POLICIES, arrivals, compare, replay
+from bench.bursts import arrivals
+from bench.lending import POLICIES, compare, replay
 
 
 class TestReplay:
