Make decisions independent of the order of maps

Cause: the order of an `immutables.Map` depends on the process's hash seed. In placement the sample depended on it as well.

Loans, outages, buckets and workers are ordered before they are used. Ruled out: fixing the hash seed, which only hides it.

--- a/acaciawing/lending/buffer.py
+++ b/acaciawing/lending/buffer.py
@@ -64,7 +64,9 @@
         slots = held[name] * view.slots
         kept = max(float(view.running), view.demand) + _OWN_SHARE * slots
         room[name] = max(0, math.floor(slots - kept))
-    order = sorted(pools.values(), key=lambda v: (not v.spare, -room[v.pool]))
+    order = sorted(
+        pools.values(), key=lambda v: (not v.spare, -room[v.pool], v.pool)
+    )
     for name in sorted(pools):
         targets = tuple(
             (view.pool, room[view.pool])
--- a/acaciawing/lending/rounds.py
+++ b/acaciawing/lending/rounds.py
@@ -167,7 +167,8 @@
     owners = owners_of(snapshot)
     returned: set[str] = set()
     for name, loan in sorted(
-        snapshot.loans.active.items(), key=lambda item: item[1].due_at
+        snapshot.loans.active.items(),
+        key=lambda item: (item[1].due_at, item[0]),
     ):
         owner = owners.get(name)
         if loan.returning or owner is None or owner[0] != loan.borrower:
--- a/acaciawing/lending/tests/test_lending.py
+++ b/acaciawing/lending/tests/test_lending.py
@@ -6,6 +6,7 @@
 
 import hypothesis.strategies as st
 from hypothesis import given, settings
+from immutables import Map
 
 from acaciawing.budgets import BudgetSnapshot, PlanCount, PlanCounts
 from acaciawing.configuration import Plan
@@ -23,6 +24,7 @@
     LendingDecision,
     LendingRequest,
     LendingSnapshot,
+    Loan,
     LoanBegun,
     LoanClosed,
     LoanReturnBegun,
@@ -200,6 +202,21 @@
         left = fake.state.budgets.reservations.values()
         assert all(r.released for r in left)
 
+    def test_equal_loans_return_in_order_of_their_ids(self) -> None:
+        """The order of a `Map` differs between processes."""
+        fake = FakePools(8, lambda n, _: 2.0)
+        fake.run(30)
+        names = [f"p1-w{n}" for n in range(6)]
+        for name in names:
+            fake.owner[name] = "p0"
+        loans_of = {n: Loan(n, 0, "p1", "p0", 0.0, 99.0) for n in names}
+        table = LoanTable(Map(loans_of))
+        fake.state = replace(fake.state, loans=table)
+        fake.run(50)
+        back = [i for _, i, _, target in fake.begun if target == "p1"]
+        assert back == names[: len(back)]
+        assert len(back) > 2
+
     def test_loans_survive_a_snapshot(self) -> None:
         fake = FakePools(8, _lasting)
         fake.run(60)
--- a/acaciawing/maintenance/rounds.py
+++ b/acaciawing/maintenance/rounds.py
@@ -157,7 +157,7 @@
             yield OutageChanged(request.pool, seen.place, True, request.fence)
         elif seen.serving and down:
             yield OutageChanged(request.pool, seen.place, False, request.fence)
-    for instance, lost in waves.outages.items():
+    for instance, lost in sorted(waves.outages.items()):
         # The platform no longer lists it: it was replaced by another id.
         if lost.pool == request.pool and instance not in snapshot.observed:
             yield OutageChanged(request.pool, lost.place, False, request.fence)
--- a/acaciawing/placement/capacity.py
+++ b/acaciawing/placement/capacity.py
@@ -65,12 +65,14 @@
 
     Attributes:
         workers: Workers by id.
+        names: Their ids, ordered.
         free: Free resources by worker.
         buckets: Ids of the workers in each bucket.
         shapes: Number of workers of each shape.
     """
 
     workers: Map[str, Worker]
+    names: tuple[str, ...]
     free: Map[str, Resources]
     buckets: Map[BucketKey, tuple[str, ...]]
     shapes: Map[Shape, int]
@@ -103,6 +105,7 @@
         shapes[shape] = shapes.get(shape, 0) + 1
     return CapacityIndex(
         Map(known),
+        tuple(sorted(known)),
         Map(free),
         Map({key: tuple(names) for key, names in buckets.items()}),
         Map(shapes),
@@ -152,6 +155,7 @@
     buckets, shapes = index.buckets, index.shapes
     return CapacityIndex(
         index.workers.delete(name),
+        tuple(n for n in index.names if n != name),
         index.free.delete(name),
         buckets.set(key, left) if left else buckets.delete(key),
         shapes.set(shape, count) if count else shapes.delete(shape),
--- a/acaciawing/placement/choice.py
+++ b/acaciawing/placement/choice.py
@@ -232,6 +232,8 @@
         and key.memory >= memory
         and (not zones or key.zone in zones)
     ]
+    # The order of a `Map` differs between processes; the choice must not.
+    keys.sort()
     # Zones of equally free buckets in random order, to spread the tasks.
     ranks = {key: generator.random() for key in keys}
     keys.sort(key=lambda k: (k[:3], ranks[k]))
--- a/acaciawing/placement/preemption.py
+++ b/acaciawing/placement/preemption.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Mapping, Set
+from collections.abc import Mapping, Sequence, Set
 from dataclasses import dataclass, field
 from typing import NamedTuple, TypeAlias
 
@@ -140,7 +140,7 @@
     """
     size = effective_size(snapshot, request.task)
     over = over_quota(snapshot.table, request.quotas)
-    names = list(snapshot.index.workers)
+    names = snapshot.index.names
     drawn = generator.sample(names, min(len(names), _DRAWN))
     best = _cheapest(snapshot, request, size, drawn, over, now)
     if best is None:
@@ -154,7 +154,7 @@
     snapshot: PlacementSnapshot,
     request: PreemptionRequest,
     size: Resources,
-    names: list[str],
+    names: Sequence[str],
     over: Mapping[str, float],
     now: float,
 ) -> Preemption | None:
