Keep a share of the budget for unplanned failures

Moves and reboots now leave 40% of the budget.

Ruled out: a cap on the reserved amounts of a window; reservations are mostly not used up, so it would stop maintenance for failures that never happened.

It is not a proof: unplanned failures above 60% of the budget can still break it together with actions that came before them.

--- a/acaciawing/budgets/__init__.py
+++ b/acaciawing/budgets/__init__.py
@@ -3,6 +3,7 @@
 from acaciawing.budgets.gate import (
     COUNTS_LAG_S,
     COUNTS_STALE_S,
+    KEPT_SHARE,
     Action,
     Budget,
     BudgetSnapshot,
@@ -33,6 +34,7 @@
     "COUNTS_LAG_S",
     "COUNTS_STALE_S",
     "INTERVAL_S",
+    "KEPT_SHARE",
     "Action",
     "Budget",
     "BudgetReleased",
--- a/acaciawing/budgets/gate.py
+++ b/acaciawing/budgets/gate.py
@@ -27,6 +27,11 @@
 # failures. The gate uses the higher of both rates.
 _BURN_SPANS_S = (2 * INTERVAL_S, 60.0)
 
+# Share of the budget that actions which can wait leave for unplanned failures.
+# What they cause stays in the window and adds to every failure that follows. In
+# `bench.budgets` a share of 0.25 still broke the budget, 0.4 did not.
+KEPT_SHARE = 0.4
+
 _ROUNDING = 1e-9
 
 
@@ -127,6 +132,7 @@
         promised: Promised success rate.
         achieved: Achieved success rate over the window.
         requests: Requests counted in the window.
+        allowed: Failures that the promised rate allows for them.
         failed: Failures counted in the window.
         reserved: Failures held by reservations.
         burn_rate: Failures a second at present.
@@ -138,6 +144,7 @@
     promised: float
     achieved: float
     requests: int
+    allowed: float
     failed: int
     reserved: float
     burn_rate: float
@@ -182,15 +189,22 @@
     Returns:
         The budget and its parts.
     """
+    return _budget(snapshot, plan, counts_age(snapshot, now), now)
+
+
+def _budget(
+    snapshot: BudgetSnapshot, plan: Plan, age: float | None, now: float
+) -> Budget:
     ledger = snapshot.ledger
     series = ledger.series.get(plan.name, Series())
     requests, failed = sums(series, now, plan.window_s)
     held = reserved(ledger, plan.name, now)
-    age = counts_age(snapshot, now)
     # The rate is taken at the time of the newest counts: while the log is
     # away no failure is counted, which must not look like a rate of zero.
     as_of = now if age is None else now - age
-    rate = max(burn_rate(series, now), burn_rate(series, as_of))
+    rate = burn_rate(series, as_of)
+    if as_of < now:
+        rate = max(rate, burn_rate(series, now))
     lag = COUNTS_LAG_S if age is None else max(COUNTS_LAG_S, age)
     held_back = rate * lag + snapshot.unreported.get(plan.name, 0)
     allowed = (1.0 - plan.success_rate) * requests
@@ -199,6 +213,7 @@
         plan.success_rate,
         achieved_rate(requests, failed),
         requests,
+        allowed,
         failed,
         held,
         rate,
@@ -236,20 +251,22 @@
     Returns:
         `Granted` with the amounts to reserve, or `Denied` with all reasons.
     """
-    reasons = list(_staleness(snapshot, request, now))
+    age = counts_age(snapshot, now)
+    reasons = list(_staleness(request, age))
     amounts = []
     for name in sorted(request.failures):
         plan = snapshot.plans.get(name)
         if plan is None:
             reasons.append(DenialReason("unknown-plan", name, "not in force"))
             continue
-        state = budget(snapshot, plan, now)
+        state = _budget(snapshot, plan, age, now)
         failures = request.failures[name]
-        if failures > state.remaining + _ROUNDING:
+        kept = KEPT_SHARE * state.allowed if request.action.reserves else 0.0
+        if failures > state.remaining - kept + _ROUNDING:
             detail = (
                 f"asks {failures:.1f}, remaining {state.remaining:.1f} "
                 f"(failed {state.failed}, reserved {state.reserved:.1f}, "
-                f"held back {state.held_back:.1f})"
+                f"held back {state.held_back:.1f}), kept {kept:.1f}"
             )
             reasons.append(DenialReason("budget-spent", name, detail))
         amounts.append(_amount(snapshot.ledger, state, failures))
@@ -259,11 +276,10 @@
 
 
 def _staleness(
-    snapshot: BudgetSnapshot, request: DisruptionRequest, now: float
+    request: DisruptionRequest, age: float | None
 ) -> tuple[DenialReason, ...]:
     if not request.action.reserves:
         return ()
-    age = counts_age(snapshot, now)
     if age is None:
         detail = "an entry instance on the roster has not reported"
         return (DenialReason("counts-missing", "", detail),)
--- a/acaciawing/budgets/tests/test_budgets.py
+++ b/acaciawing/budgets/tests/test_budgets.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 
 from acaciawing.budgets import (
+    KEPT_SHARE,
     Action,
     BudgetReleased,
     BudgetReserved,
@@ -19,6 +20,7 @@
     Series,
     ask,
     budget,
+    counts_age,
     ledger,
 )
 from acaciawing.budgets.series import add, sums
@@ -93,6 +95,14 @@
         counted = table.series.get("gold", Series()).failed_total
         assert counted == expected
 
+    def test_repeat_does_not_make_old_counts_look_fresh(self) -> None:
+        record = _counts("entry-1", 1, 1, 1000, 0)
+        table = _fold([record])
+        late = LogPosition(1, 100.0)
+        same, verdict = ledger.apply(record, table, late)
+        assert isinstance(verdict, Ignored)
+        assert counts_age(_snapshot(same), 100.0) == 100.0
+
     def test_forgotten_incarnation_is_not_counted_again(self) -> None:
         table = _fold([_counts("a", 1, 1, 10, 1), _counts("a", 2, 1, 10, 1)])
         late = LogPosition(9, 100_000.0)
@@ -170,13 +180,23 @@
         assert verdict.reason == "counts-moved"
 
     def test_lagging_counts_are_held_back(self) -> None:
-        # 10 failures allowed, 3 counted in 20 s: 7 seem to remain, but 1.5
-        # more may have failed in the 10 s that the counts lag.
-        table = _fold([_counts("entry-1", 1, 1, 1000, 3)])
+        # 10 failures allowed, 4 of them kept, 1 counted in 20 s: 5 seem to
+        # remain, but 0.5 more may have failed in the 10 s that counts lag.
+        table = _fold([_counts("entry-1", 1, 1, 1000, 1)])
         state = budget(_snapshot(table), _PLAN, 5.0)
-        assert 0.01 * state.requests - state.failed >= 6
-        assert state.held_back == 1.5
-        assert isinstance(ask(_snapshot(table), _REBOOT, 5.0), Denied)
+        kept = KEPT_SHARE * state.allowed
+        assert state.allowed - state.failed - kept >= 4.9
+        assert state.held_back == 0.5
+        request = DisruptionRequest(Action.REBOOT, {"gold": 4.9})
+        assert isinstance(ask(_snapshot(table), request, 5.0), Denied)
+
+    def test_share_is_kept_from_actions_that_can_wait(self) -> None:
+        table = _fold([_counts("entry-1", 1, 1, 1000, 0)])
+        failures = {"gold": 7.0}
+        reboot = DisruptionRequest(Action.REBOOT, failures)
+        assert isinstance(ask(_snapshot(table), reboot, 1.0), Denied)
+        throttle = DisruptionRequest(Action.THROTTLE, failures)
+        assert ask(_snapshot(table), throttle, 1.0) == Granted()
 
     def test_silent_roster_member_blocks_reservations_only(self) -> None:
         table = _fold([_counts("entry-1", 1, 1, 1000, 0)])
--- /dev/null
+++ b/bench/tests/test_budgets.py
@@ -0,0 +1,13 @@
+"""Tests of the budget replay."""
+
+from bench.budgets import gate_cost, replay
+
+
+class TestReplay:
+    """Guards against figures that change from run to run."""
+
+    def test_same_seed_same_figures(self) -> None:
+        assert replay("gate", 1) == replay("gate", 1)
+
+    def test_gate_cost_is_measured(self) -> None:
+        assert gate_cost(2, 2, rounds=3).time_us.count == 3
