--- a/Makefile
+++ b/Makefile
@@ -39,4 +39,4 @@
 	$(PYTHON) -m demo
 
 bench: setup
-	$(PYTHON) -m bench
+	$(PYTHON) -m bench $(if $(WRITE),--write) $(SECTIONS)
--- a/acaciawing/entry/daemon.py
+++ b/acaciawing/entry/daemon.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Iterator, Mapping
+from random import Random
 from typing import Any
 
 from acaciawing.configuration import (
@@ -11,14 +12,15 @@
     EntrySettings,
     split_address,
 )
-from acaciawing.control import ControlTask
+from acaciawing.control import ControlTask, LiveChanged
 from acaciawing.entry.administration import Administration
 from acaciawing.entry.callers import Callers, Directory
 from acaciawing.entry.dispatcher import Dispatcher
-from acaciawing.entry.distribution import Distribution, Tasks, tell_live
+from acaciawing.entry.distribution import Distribution, Tasks
 from acaciawing.entry.engine import Engine
 from acaciawing.entry.forwarding import Forwarder, serve_forwarded
 from acaciawing.entry.framing import make_server
+from acaciawing.entry.gossip import GossipTask, Listeners
 from acaciawing.entry.journal import Journal
 from acaciawing.entry.keyed import Claims
 from acaciawing.entry.messages import Stop
@@ -88,29 +90,41 @@
     def _make_tasks(self) -> Tasks:
         settings = self._settings
         writer = f"{self._member.instance}/{self._member.incarnation}"
-        return Tasks(
-            self._scheduler,
-            ClaimTask(
-                LogClient(settings.log),
-                self._ask_claim,
-                member=writer,
-                address=settings.administration,
-                clock=time.monotonic,
-            ),
-            Journal(
-                self._member,
-                LogClient(settings.log),
-                lambda: self._scheduler.view().plans,
-                self._poke,
-                time.monotonic,
-            ),
-            ControlTask(
-                writer,
-                LogClient(settings.log),
-                WorkerClient(settings.list),
-                self._poke,
+        claims = ClaimTask(
+            LogClient(settings.log),
+            self._ask_claim,
+            member=writer,
+            address=settings.administration,
+            clock=time.monotonic,
+        )
+        journal = Journal(
+            self._member,
+            LogClient(settings.log),
+            lambda: self._scheduler.view().plans,
+            self._poke,
+            time.monotonic,
+        )
+        control = ControlTask(
+            writer,
+            LogClient(settings.log),
+            WorkerClient(settings.list),
+            self._poke,
+        )
+        gossip = GossipTask(
+            self._member,
+            {p.instance: (p.zone, p.address) for p in settings.peers},
+            self._peers.send,
+            lambda: self._scheduler.view(close_step=True),
+            Listeners(
+                self._scheduler.post,
+                self._scheduler.post,
+                lambda live: control.post(LiveChanged(live)),
+                self._fall_behind,
             ),
+            time.monotonic,
+            Random(),
         )
+        return Tasks(self._scheduler, claims, journal, control, gossip)
 
     def run(self) -> None:
         """Serves until SIGTERM or SIGINT, then drains."""
@@ -127,7 +141,7 @@
         self._tasks.control.start()
         self._log_observer.start()
         self._list_observer.start()
-        tell_live(self._tasks.control, (self._settings.instance,))
+        self._tasks.gossip.start()
         self._terminate.wait()
         self._drain()
         callers.shutdown_timeout = _DRAIN_LIMIT_S
@@ -159,6 +173,7 @@
             self._recorder,
             {
                 "claims": self._tasks.claims.answer_peer,
+                "gossip": self._tasks.gossip.answer_peer,
                 "serve": lambda payload: serve_forwarded(
                     payload, self._directory.index, dispatcher.serve
                 ),
@@ -192,6 +207,7 @@
     def _leave(self) -> None:
         """Releases leases, flushes claims and leaves the roster."""
         self._tasks.control.stop()
+        self._tasks.gossip.stop()
         pause = threading.Event()
         until = time.monotonic() + _FAREWELL_S
         while not self._tasks.claims.flushed and time.monotonic() < until:
@@ -215,6 +231,9 @@
     def _poke(self) -> None:
         self._log_observer.poke()
 
+    def _fall_behind(self) -> None:
+        self._log_observer.fall_behind()
+
     def _ask_states(self) -> Iterator[FleetState]:
         """States of the peers that answer."""
         for peer in self._settings.peers:
--- a/acaciawing/entry/distribution.py
+++ b/acaciawing/entry/distribution.py
@@ -7,11 +7,11 @@
 from acaciawing.control import (
     ControlTask,
     ListingRead,
-    LiveChanged,
     StepsFolded,
 )
 from acaciawing.entry.callers import Directory
 from acaciawing.entry.forwarding import Member
+from acaciawing.entry.gossip import GossipTask
 from acaciawing.entry.journal import Journal
 from acaciawing.entry.messages import ListingSeen, StateChanged
 from acaciawing.entry.observers import ReadResult
@@ -37,6 +37,7 @@
     claims: ClaimTask
     journal: Journal
     control: ControlTask
+    gossip: GossipTask
 
 
 class Distribution:
@@ -177,6 +178,9 @@
         }
         if self._joined:
             self._tasks.claims.set_roster(members, [_name(m) for m in ended])
+        self._tasks.gossip.set_roster(
+            tuple(m for m in state.roster.members.values() if m not in ended)
+        )
         if ended:
             self._tasks.journal.ended(ended)
 
@@ -198,11 +202,6 @@
         self._log_up = up
 
 
-def tell_live(control: ControlTask, live: tuple[str, ...]) -> None:
-    """Tells the control task which entry instances are heard of."""
-    control.post(LiveChanged(live))
-
-
 def _name(member: EntryJoined) -> str:
     return f"{member.instance}/{member.incarnation}"
 
--- a/acaciawing/entry/engine.py
+++ b/acaciawing/entry/engine.py
@@ -11,7 +11,7 @@
 from acaciawing import admission, queueing, retries, routing
 from acaciawing.configuration import ConfigurationIndex, Plan, index
 from acaciawing.entry.counts import PlanCounts
-from acaciawing.entry.credits import credits_of
+from acaciawing.entry.credits import CreditTable
 from acaciawing.entry.messages import (
     Completed,
     Finished,
@@ -60,6 +60,7 @@
         in_flight: Attempts in flight.
         endpoints: Number of endpoints by status.
         members: Entry instances heard of, this one included.
+        leaves: Leave signals of endpoints since the last demand sample.
     """
 
     state: FleetState
@@ -70,6 +71,7 @@
     in_flight: int
     endpoints: dict[str, int]
     members: int
+    leaves: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass
@@ -104,8 +106,14 @@
     _retries: retries.RetryBudgets = retries.RetryBudgets()
     _members: MembersSeen | None = None
     _spares: tuple[str, ...] = ()
+    _leaves: tuple[tuple[str, int], ...] = ()
+    _credits: CreditTable = field(init=False)
     _tickets: int = 0
 
+    def __post_init__(self) -> None:
+        """Starts the credits of this instance."""
+        self._credits = CreditTable(self.instance)
+
     # Messages that change what is known.
 
     def state_changed(self, message: StateChanged, now: float) -> None:
@@ -162,12 +170,8 @@
         loads: Mapping[str, Mapping[str, float]] = {}
         if self._members is not None:
             zones, loads = self._members.zones, self._members.loads
-        given = credits_of(
-            self._routing,
-            self.index.services.values(),
-            self.instance,
-            zones,
-            loads,
+        given = self._credits.changed(
+            self._routing, self.index.services.values(), zones, loads
         )
         self._routing = routing.set_credits(self._routing, given)
 
@@ -340,9 +344,9 @@
         )
         self._routing = routing.release(self._routing, route, now)
         if message.leaving:
-            self.leaving_seen(
-                route.endpoint.instance, route.endpoint.incarnation, now
-            )
+            leave = (route.endpoint.instance, route.endpoint.incarnation)
+            self._leaves = (*self._leaves, leave)
+            self.leaving_seen(*leave, now)
         if message.result is not Result.NOT_RUN:
             self._run_times = queueing.observe_run(
                 self._run_times,
@@ -424,6 +428,11 @@
         self._admission = admission.close_step(self._admission, now)
         self._share_again(now)
 
+    def take_leaves(self) -> tuple[tuple[str, int], ...]:
+        """Leave signals that endpoints gave since the last call."""
+        leaves, self._leaves = self._leaves, ()
+        return tuple(dict.fromkeys(leaves))
+
     def _see_long_runs(self, now: float) -> None:
         for attempt in self._attempts.values():
             limit = queueing.long_after_s(
--- a/acaciawing/entry/scheduler.py
+++ b/acaciawing/entry/scheduler.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from functools import singledispatch
 from queue import Empty, SimpleQueue
 
@@ -139,6 +140,9 @@
 
 @handle.register
 def _(message: Query, engine: Engine, now: float) -> None:
-    if message.close_step:
-        engine.close_step(now)
-    message.reply.put(engine.view())
+    if not message.close_step:
+        message.reply.put(engine.view())
+        return
+    engine.close_step(now)
+    leaves = engine.take_leaves()
+    message.reply.put(replace(engine.view(), leaves=leaves))
