--- a/acaciawing/commandline/publisher.py
+++ b/acaciawing/commandline/publisher.py
@@ -16,15 +16,16 @@
     decide,
 )
 from acaciawing.configuration import ConfigurationPublished
-from acaciawing.fold import FleetState, Step, step
+from acaciawing.fold import FleetState, step
 from acaciawing.platform import (
     CONTROL_STREAM,
-    Batch,
     Expired,
     Log,
+    LogEntry,
     LogUnavailable,
 )
-from acaciawing.records import encode
+from acaciawing.records import Envelope, decode, encode
+from acaciawing.snapshots import NotRecovered, Recovered, recover
 
 _BATCH = 500
 _WRITER = "operator/0"
@@ -35,45 +36,93 @@
 class ControlReader:
     """Follows the control stream for one publication.
 
+    The version in force comes from the fold, which starts from a snapshot if
+    the log has dropped its first records. Whether an older publication was
+    accepted follows from the records themselves: each accepted one names the
+    version that it replaced, so the accepted ones form a chain that ends at
+    the version in force.
+
     Args:
         log: The log.
         publication: The publication whose records are looked for.
     """
 
     def __init__(self, log: Log, publication: Publication) -> None:
-        """Starts at the beginning of the stream."""
+        """Reads nothing yet."""
         self._log = log
         self._publication = publication
-        self._state = FleetState()
-        self._own: tuple[OwnRecord, ...] = ()
+        self._state: FleetState | None = None
+        self._next = 0
+        # Base of each publication that the log still has, by offset.
+        self._bases: dict[int, int] = {}
+        # Offsets of own records, and whether they hold the same document.
+        self._own: dict[int, bool] = {}
 
     def read(self) -> Reading:
         """Reads to the head of the stream."""
         while True:
-            batch = self._log.read(CONTROL_STREAM, self._state.offset, _BATCH)
+            state = self._recover() if self._state is None else self._state
+            if not isinstance(state, FleetState):
+                return state
+            self._state = state
+            batch = self._log.read(CONTROL_STREAM, self._next, _BATCH)
             if isinstance(batch, LogUnavailable):
                 return batch
             if isinstance(batch, Expired):
-                return StateExpired(batch.first_offset)
-            self._fold(batch)
+                self._skip(batch.first_offset, state)
+                continue
+            for entry in batch.entries:
+                state = self._apply(entry, state)
+            self._state, self._next = state, batch.next_offset
             if not batch.entries or batch.next_offset >= batch.head_offset:
-                version = self._state.configuration.version
-                return Seen(self._state.offset, version, self._own)
+                return self._seen(state)
+
+    def _recover(self) -> FleetState | LogUnavailable | StateExpired:
+        recovery = recover(self._log, (), 0.0)
+        if isinstance(recovery, Recovered):
+            return recovery.state
+        if isinstance(recovery, NotRecovered) and (
+            recovery.reason == "history-lost"
+        ):
+            return StateExpired(recovery.detail)
+        return LogUnavailable(recovery.detail)
+
+    def _skip(self, first_offset: int, state: FleetState) -> None:
+        """Goes on after records that the log has dropped."""
+        self._next = first_offset
+        if state.offset < first_offset:
+            self._state = None
 
-    def _fold(self, batch: Batch) -> None:
-        for entry in batch.entries:
-            result = step(self._state, entry.payload, entry.position)
-            self._state = result.state
-            self._note(result, entry.position.offset)
+    def _apply(self, entry: LogEntry, state: FleetState) -> FleetState:
+        offset = entry.position.offset
+        envelope = decode(entry.payload)
+        if isinstance(envelope, Envelope):
+            record, ours = envelope.record, self._publication
+            if isinstance(record, ConfigurationPublished):
+                self._bases[offset] = record.based_on
+                if record.publication_id == ours.publication_id:
+                    same = record.configuration == ours.configuration
+                    self._own[offset] = same
+        return step(state, entry.payload, entry.position).state
 
-    def _note(self, result: Step, offset: int) -> None:
-        record, publication = result.record, self._publication
+    def _seen(self, state: FleetState) -> Seen:
+        version = state.configuration.version
         if (
-            isinstance(record, ConfigurationPublished)
-            and record.publication_id == publication.publication_id
+            state.configuration.publication_id
+            == self._publication.publication_id
         ):
-            same = record.configuration == publication.configuration
-            self._own += (OwnRecord(offset, result.verdict, same),)
+            # The record itself may have been dropped by the log.
+            document = state.configuration.configuration
+            self._own[version] = document == self._publication.configuration
+        accepted = {version}
+        while version in self._bases:
+            accepted.add(version)
+            version = self._bases[version]
+        own = tuple(
+            OwnRecord(offset, offset in accepted, same)
+            for offset, same in self._own.items()
+        )
+        return Seen(state.offset, state.configuration.version, own)
 
 
 def run_publish(
--- a/acaciawing/commandline/publishing.py
+++ b/acaciawing/commandline/publishing.py
@@ -10,7 +10,6 @@
 from typing import TypeAlias
 
 from acaciawing.configuration import Configuration
-from acaciawing.outcomes import Accepted, Verdict
 from acaciawing.platform import (
     AppendOutcome,
     LogUnavailable,
@@ -48,12 +47,12 @@
 
     Attributes:
         offset: Its place.
-        verdict: What the fold said of it.
+        accepted: Whether it took effect.
         same_document: Whether it holds this publication's configuration.
     """
 
     offset: int
-    verdict: Verdict
+    accepted: bool
     same_document: bool
 
 
@@ -74,13 +73,9 @@
 
 @dataclass(frozen=True)
 class StateExpired:
-    """The log no longer holds the records that the state follows from.
+    """Neither the log nor a snapshot holds what the state follows from."""
 
-    Attributes:
-        first_offset: Oldest offset that the log still keeps.
-    """
-
-    first_offset: int
+    detail: str
 
 
 @dataclass(frozen=True)
@@ -187,6 +182,8 @@
         The next step, or the outcome.
     """
     if isinstance(seen, StateExpired):
+        if progress.in_doubt:
+            return LogAway(seen.detail, in_doubt=True)
         return seen
     late = now - progress.started_at >= PUBLISH_LIMIT_S
     if isinstance(seen, LogUnavailable):
@@ -234,7 +231,7 @@
 
 def _judge(seen: Seen, base: int) -> Outcome:
     for own in seen.own:
-        if isinstance(own.verdict, Accepted):
+        if own.accepted:
             if not own.same_document:
                 return IdInUse(own.offset)
             return Published(own.offset, seen.version)
--- a/acaciawing/commandline/report.py
+++ b/acaciawing/commandline/report.py
@@ -88,9 +88,8 @@
 @report.register
 def _(outcome: StateExpired) -> tuple[int, str]:
     return REFUSED, (
-        "state-expired: the log holds nothing before offset "
-        f"{outcome.first_offset}, so the version in force is not known; "
-        "nothing was changed"
+        f"state-expired: the version in force is not known "
+        f"({outcome.detail}); nothing was changed"
     )
 
 
