--- a/acaciawing/commandline/tests/test_operators_page.py
+++ b/acaciawing/commandline/tests/test_operators_page.py
@@ -1,5 +1,6 @@
 """Tests that hold the operators' page and the code together."""
 
+import ast
 import re
 from pathlib import Path
 
@@ -19,6 +20,7 @@
 from acaciawing.configuration.fields import Key
 
 DOCS = Path(acaciawing.__file__).parents[1] / "docs"
+REFUSALS = ("NotRun", "RanAndFailed", "OutcomeUnknown")
 PAGE = (DOCS / "operators.md").read_text("utf-8")
 
 
@@ -34,6 +36,23 @@
     return re.findall(r"^\| `([a-z0-9_-]+)` \|", text, re.MULTILINE)
 
 
+def request_refusals() -> set[str]:
+    """Returns the codes that the product's source gives to refusals."""
+    codes = set()
+    for path in Path(acaciawing.__file__).parent.rglob("*.py"):
+        if "tests" in path.parts:
+            continue
+        for node in ast.walk(ast.parse(path.read_text("utf-8"))):
+            if (
+                isinstance(node, ast.Call)
+                and getattr(node.func, "id", "") in REFUSALS
+                and node.args
+                and isinstance(node.args[0], ast.Constant)
+            ):
+                codes.add(str(node.args[0].value))
+    return codes
+
+
 class TestOperatorsPage:
     """Guards against a code or key that the page does not explain."""
 
@@ -60,6 +79,10 @@
         rows = re.findall(r"^\| `([a-z-]+)` \| (\d) \|", PAGE, re.MULTILINE)
         assert dict(rows) == told
 
+    def test_refusals_of_requests(self) -> None:
+        documented = set(re.findall(r"`([a-z-]+)`", section("8.")))
+        assert request_refusals() <= documented
+
     @pytest.mark.parametrize(
         ("number", "keys"),
         [
