--- a/acaciawing/lending/__init__.py
+++ b/acaciawing/lending/__init__.py
@@ -1,5 +1,6 @@
 """Loans of instances between pools and their return."""
 
+from acaciawing.lending.buffer import Spill
 from acaciawing.lending.demand import (
     IDLE_SHARE,
     OVERLOAD_SHARE,
@@ -10,6 +11,7 @@
     observe,
 )
 from acaciawing.lending.loans import (
+    LENDING_SUBJECT,
     Loan,
     LoanBegun,
     LoanClosed,
@@ -21,17 +23,19 @@
     SMALL_POOL,
     LendingDecision,
     LendingRecord,
-    LendingRequest,
-    LendingSnapshot,
     MoveIntent,
-    Postponed,
-    Spill,
     decide,
     lasting_s,
 )
+from acaciawing.lending.snapshot import (
+    LendingRequest,
+    LendingSnapshot,
+    Postponed,
+)
 
 __all__ = [
     "IDLE_SHARE",
+    "LENDING_SUBJECT",
     "OVERLOAD_SHARE",
     "SMALL_POOL",
     "DemandHistory",
--- a/acaciawing/maintenance/rounds.py
+++ b/acaciawing/maintenance/rounds.py
@@ -4,31 +4,28 @@
 earlier round decided, so any instance can continue a wave at any record.
 """
 
-from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterator
+from dataclasses import dataclass
 from typing import TypeAlias
 
 from acaciawing.budgets import (
     Action,
     BudgetReleased,
     BudgetReserved,
-    BudgetSnapshot,
     Denied,
     DisruptionRequest,
     ask,
 )
-from acaciawing.maintenance.waves import (
+from acaciawing.leases import Fence
+from acaciawing.maintenance.progress import MaintenanceSnapshot, reached
+from acaciawing.maintenance.records import (
     Bounds,
-    Member,
     OutageChanged,
-    Place,
     Stage,
-    Wave,
     WavePlanned,
     WaveStep,
-    WaveTable,
-    exceeded,
 )
+from acaciawing.maintenance.waves import Member, Wave, exceeded
 
 PERIOD_S = 21 * 86_400.0
 
@@ -43,72 +40,6 @@
 # is tried once a day and not without end.
 _RETRY_S = 86_400.0
 
-# A leaving endpoint may get new work for 3 s (design 1.1); two seconds more
-# cover the status that lags behind.
-_LEAVE_S = 5.0
-
-
-@dataclass(frozen=True)
-class StepLimits:
-    """How long each stage may take, in seconds.
-
-    Attributes:
-        drain_s: Until a drain is given up and the instance serves again.
-        reboot_s: Until a reboot counts as failed.
-        verify_s: Until a verification counts as failed.
-        wait_s: Until a member that can't be drained is left for the next wave.
-        drains: Drains that are tried in one wave.
-    """
-
-    drain_s: float = 600.0
-    reboot_s: float = 600.0
-    verify_s: float = 300.0
-    wait_s: float = 4 * 86_400.0
-    drains: int = 2
-
-
-@dataclass(frozen=True)
-class ObservedInstance:
-    """An instance as listed, with its status.
-
-    Attributes:
-        place: Where it is, with its present incarnation.
-        pool: Pool that owns it.
-        serving: Whether it is up, draining or not.
-        draining: Whether it refuses new work.
-        moving: Whether it is leaving the pool for a loan or its return.
-        in_flight: Requests that it runs, or None when unknown.
-        verified: Whether it passed its checks since its start.
-    """
-
-    place: Place
-    pool: str
-    serving: bool
-    draining: bool = False
-    moving: bool = False
-    in_flight: int | None = None
-    verified: bool = False
-
-
-@dataclass(frozen=True)
-class MaintenanceSnapshot:
-    """What a round looks at.
-
-    Attributes:
-        waves: The fold's waves.
-        budgets: Ledger, plans and roster for the gate.
-        observed: Every listed instance by id; one that failed is missing or
-            not serving.
-        impact: Requests that draining an instance may fail, by plan.
-        limits: Limits of the stages.
-    """
-
-    waves: WaveTable
-    budgets: BudgetSnapshot
-    observed: Mapping[str, ObservedInstance]
-    impact: Mapping[str, Mapping[str, float]] = field(default_factory=dict)
-    limits: StepLimits = StepLimits()
-
 
 @dataclass(frozen=True)
 class RoundRequest:
@@ -117,12 +48,12 @@
     Attributes:
         pool: Name of the pool.
         bounds: Bounds for a wave that this round may plan.
-        token: Fencing token of the pool's maintenance lease.
+        fence: Lease of the pool, held by this process.
     """
 
     pool: str
     bounds: Bounds
-    token: int
+    fence: Fence
 
 
 @dataclass(frozen=True)
@@ -192,7 +123,7 @@
 
     Args:
         snapshot: Waves, budgets and observed instances.
-        request: The pool, the bounds and the fencing token.
+        request: The pool, the bounds and the fence.
         now: Time on the log's clock, in seconds.
 
     Returns:
@@ -201,7 +132,7 @@
     """
     outages = tuple(_outages(snapshot, request))
     wave = snapshot.waves.active.get(request.pool)
-    releases = tuple(_releases(snapshot, request.pool, wave))
+    releases = tuple(_releases(snapshot, request, wave))
     if wave is None:
         planned = _planned(snapshot, request, now)
         return RoundDecision((*outages, *releases, *planned))
@@ -223,13 +154,13 @@
             continue
         down = instance in waves.outages
         if not seen.serving and not down:
-            yield OutageChanged(request.pool, seen.place, True, request.token)
+            yield OutageChanged(request.pool, seen.place, True, request.fence)
         elif seen.serving and down:
-            yield OutageChanged(request.pool, seen.place, False, request.token)
+            yield OutageChanged(request.pool, seen.place, False, request.fence)
     for instance, lost in waves.outages.items():
         # The platform no longer lists it: it was replaced by another id.
         if lost.pool == request.pool and instance not in snapshot.observed:
-            yield OutageChanged(request.pool, lost.place, False, request.token)
+            yield OutageChanged(request.pool, lost.place, False, request.fence)
 
 
 def _planned(
@@ -251,7 +182,7 @@
     due.sort(key=lambda place: place.instance)
     epoch = snapshot.waves.epochs.get(request.pool, 0)
     wave = WavePlanned(
-        request.pool, epoch, tuple(due), request.bounds, request.token
+        request.pool, epoch, tuple(due), request.bounds, request.fence
     )
     return (wave,)
 
@@ -265,7 +196,7 @@
     for instance, member in sorted(wave.members.items()):
         if member.stage.final:
             continue
-        passed = _passed(snapshot, wave, member, now)
+        passed = reached(snapshot, wave, member, now)
         if passed is not None:
             stage, reason = passed
             yield WaveStep(
@@ -274,100 +205,11 @@
                 instance,
                 member.epoch,
                 stage,
-                request.token,
+                request.fence,
                 reason,
             )
 
 
-def _passed(
-    snapshot: MaintenanceSnapshot, wave: Wave, member: Member, now: float
-) -> tuple[Stage, str] | None:
-    """The stage that a member has reached, with the reason."""
-    seen = snapshot.observed.get(member.place.instance)
-    if member.stage in _BEFORE_REBOOT:
-        if seen is None or _restarted(member, seen):
-            return Stage.REPLACED, "replaced"
-        if member.stage is Stage.WAITING:
-            return _passed_waiting(snapshot, wave, member, seen, now)
-        if not seen.serving:
-            return Stage.FAILED, "failed-while-draining"
-        if member.stage is Stage.DRAINING:
-            return _passed_draining(snapshot, wave, member, seen, now)
-        return _passed_restoring(snapshot, member, seen)
-    return _passed_reboot(snapshot, member, seen, now)
-
-
-_BEFORE_REBOOT = (Stage.WAITING, Stage.DRAINING, Stage.RESTORING)
-
-
-def _passed_waiting(
-    snapshot: MaintenanceSnapshot,
-    wave: Wave,
-    member: Member,
-    seen: ObservedInstance,
-    now: float,
-) -> tuple[Stage, str] | None:
-    if seen.pool != wave.pool:
-        return Stage.SKIPPED, "moved"
-    if now - member.since > snapshot.limits.wait_s:
-        return Stage.SKIPPED, "wait-timeout"
-    return None
-
-
-def _passed_draining(
-    snapshot: MaintenanceSnapshot,
-    wave: Wave,
-    member: Member,
-    seen: ObservedInstance,
-    now: float,
-) -> tuple[Stage, str] | None:
-    if snapshot.waves.is_stopped(wave.pool):
-        return Stage.RESTORING, "stopped"
-    passed = exceeded(snapshot.waves, wave.pool, member.place, wave.bounds)
-    if passed:
-        # An unplanned failure took the capacity that this drain counted on.
-        return Stage.RESTORING, passed[0]
-    age = now - member.since
-    if seen.draining and seen.in_flight == 0 and age >= _LEAVE_S:
-        return Stage.REBOOTING, ""
-    if age > snapshot.limits.drain_s:
-        return Stage.RESTORING, "drain-timeout"
-    return None
-
-
-def _passed_restoring(
-    snapshot: MaintenanceSnapshot, member: Member, seen: ObservedInstance
-) -> tuple[Stage, str] | None:
-    if seen.draining:
-        return None
-    if member.drains < snapshot.limits.drains:
-        return Stage.WAITING, ""
-    return Stage.SKIPPED, "drains-used-up"
-
-
-def _passed_reboot(
-    snapshot: MaintenanceSnapshot,
-    member: Member,
-    seen: ObservedInstance | None,
-    now: float,
-) -> tuple[Stage, str] | None:
-    serving = seen is not None and seen.serving and _restarted(member, seen)
-    limit = snapshot.limits.verify_s
-    if member.stage is Stage.REBOOTING:
-        limit = snapshot.limits.reboot_s
-        if serving:
-            return Stage.VERIFYING, ""
-    elif serving and seen is not None and seen.verified:
-        return Stage.RETURNED, ""
-    if now - member.since > limit:
-        return Stage.FAILED, f"{member.stage.value}-timeout"
-    return None
-
-
-def _restarted(member: Member, seen: ObservedInstance) -> bool:
-    return seen.place.incarnation > member.place.incarnation
-
-
 def _start(
     snapshot: MaintenanceSnapshot,
     request: RoundRequest,
@@ -438,7 +280,7 @@
             instance,
             member.epoch,
             Stage.DRAINING,
-            request.token,
+            request.fence,
         )
     failures = snapshot.impact.get(instance, {})
     decision = ask(
@@ -446,11 +288,11 @@
     )
     if isinstance(decision, Denied):
         return decision
-    return BudgetReserved(name, decision.amounts, 2 * duration)
+    return BudgetReserved(name, decision.amounts, 2 * duration, request.fence)
 
 
 def _releases(
-    snapshot: MaintenanceSnapshot, pool: str, wave: Wave | None
+    snapshot: MaintenanceSnapshot, request: RoundRequest, wave: Wave | None
 ) -> Iterator[BudgetReleased]:
     """Releases every reservation of the pool that no member needs."""
     members = wave.members.values() if wave else ()
@@ -460,9 +302,9 @@
         if wave and not member.stage.final
     }
     for name, made in sorted(snapshot.budgets.ledger.reservations.items()):
-        mine = name.startswith(_reservation_prefix(pool))
+        mine = name.startswith(_reservation_prefix(request.pool))
         if mine and not made.released and name not in needed:
-            yield BudgetReleased(name)
+            yield BudgetReleased(name, request.fence)
 
 
 def _calls(snapshot: MaintenanceSnapshot, wave: Wave) -> Iterator[PlatformCall]:
