--- /dev/null
+++ b/acaciawing/idempotency/commit.py
@@ -0,0 +1,191 @@
+"""Group commit of claims and what is read back.
+
+One append carries all that waits: remembered grants first, then claims, with
+releases and ends beside them. A claim is decided only when it is read back as
+the first one of its key.
+"""
+
+from dataclasses import replace
+
+from acaciawing.idempotency.events import (
+    Append,
+    BatchRead,
+    Denied,
+    Output,
+    Reply,
+    Unknown,
+    Won,
+)
+from acaciawing.idempotency.records import (
+    Claim,
+    ClaimBatch,
+    ClaimFinished,
+    ClaimReleased,
+)
+from acaciawing.idempotency.state import (
+    ClaimState,
+    Stepped,
+    run,
+    settle,
+    without,
+)
+from acaciawing.idempotency.table import Holder, apply
+
+# Bounds a record to about 64 KiB.
+_MAX_BATCH = 400
+# Ends only serve repeats with their status, so they wait for claims to travel
+# with and cost at most one append a second without any.
+FINISH_DELAY_S = 1.0
+
+
+def release(state: ClaimState, claim: Claim) -> ClaimState:
+    """Puts the release of an own claim into the next batch."""
+    released = ClaimReleased(claim.digest, claim.claim_id)
+    releases = state.releases.set(claim.claim_id, released)
+    return replace(state, releases=releases)
+
+
+def commit(state: ClaimState, now: float) -> Stepped:
+    """Appends what waits, if the log is up and the interval has passed."""
+    ready = state.outbox or state.unflushed or state.releases
+    due = state.finished and now >= state.finish_due_at
+    early = now < state.append_due_at
+    if not state.log_up or state.inflight or early or not (ready or due):
+        return state, ()
+    # Grants go before all claims, in this record or in earlier ones.
+    claims = tuple(state.unflushed.values())[:_MAX_BATCH]
+    chosen: tuple[Claim, ...] = ()
+    if len(claims) < _MAX_BATCH:
+        chosen = tuple(state.outbox.values())[: _MAX_BATCH - len(claims)]
+    batch = ClaimBatch(
+        claims + chosen,
+        tuple(state.releases.values())[:_MAX_BATCH],
+        tuple(state.finished.values())[:_MAX_BATCH],
+    )
+    outbox = state.outbox.mutate()
+    for claim in chosen:
+        del outbox[claim.claim_id]
+    state = replace(
+        state,
+        outbox=outbox.finish(),
+        inflight=batch,
+        inflight_offset=None,
+        last_append_at=now,
+        finish_due_at=float("inf"),
+    )
+    return state, (Append(batch),)
+
+
+def put_back(state: ClaimState, now: float) -> ClaimState:
+    """Puts the claims of a batch that may have failed into the next one.
+
+    The same claim ids are appended again. If the first append took effect
+    after all, the fold ignores the second.
+    """
+    outbox = state.outbox.mutate()
+    for claim in state.inflight.claims if state.inflight else ():
+        pending = state.pending.get(claim.claim_id)
+        wanted = pending is not None and not pending.agreeing
+        if wanted or claim.claim_id in state.proxied:
+            outbox[claim.claim_id] = claim
+    due = now + FINISH_DELAY_S if state.finished else float("inf")
+    return replace(
+        state, outbox=outbox.finish(), inflight=None, finish_due_at=due
+    )
+
+
+def read_back(event: BatchRead, state: ClaimState, now: float) -> Stepped:
+    """Folds a batch of any instance and decides the claims that it settles."""
+    table, _verdict = apply(event.batch, state.table, event.position)
+    state = replace(state, table=table)
+    for release in event.batch.releases:
+        state = _release_read(state, release)
+    for ended in event.batch.finished:
+        state = _finish_read(state, ended)
+    outputs: list[Output] = []
+    for claim in event.batch.claims:
+        state, more = _claim_read(state, claim, now)
+        outputs.extend(more)
+    offset = state.inflight_offset
+    if offset is not None and event.position.offset >= offset:
+        state = replace(state, inflight=None, inflight_offset=None)
+    return state, tuple(outputs)
+
+
+def _release_read(state: ClaimState, release: ClaimReleased) -> ClaimState:
+    grant = state.grants.get(release.digest)
+    unflushed = state.unflushed
+    if grant is not None and state.table.holder(release.digest) is None:
+        # The key is free again in the log, but the grant still counts.
+        unflushed = unflushed.set(release.digest, grant.claim)
+    return replace(
+        state,
+        unflushed=unflushed,
+        releases=without(state.releases, release.claim_id),
+    )
+
+
+def _finish_read(state: ClaimState, ended: ClaimFinished) -> ClaimState:
+    state = replace(state, finished=without(state.finished, ended.claim_id))
+    own, holder = state.runs.get(ended.digest), state.table.holder(ended.digest)
+    if own is None or holder is None or holder.claim != own.claim:
+        return state
+    return replace(state, runs=state.runs.delete(ended.digest))
+
+
+def _claim_read(state: ClaimState, claim: Claim, now: float) -> Stepped:
+    holder = state.table.holder(claim.digest)
+    if holder is None:
+        return state, ()
+    first = holder.claim
+    state = _grant_read(state, first)
+    outputs: tuple[Output, ...] = ()
+    proxied = state.proxied.get(claim.claim_id)
+    if proxied is not None:
+        answer = (
+            Won() if first.claim_id == claim.claim_id else Denied("claimed")
+        )
+        outputs = tuple(Reply(token, answer) for token in proxied.tokens)
+        state = replace(
+            state,
+            proxied=state.proxied.delete(claim.claim_id),
+            outbox=without(state.outbox, claim.claim_id),
+        )
+    claim_id = state.keys.get(claim.digest)
+    if claim_id is not None:
+        pending = state.pending[claim_id]
+        if first.claim_id == claim_id:
+            state, more = run(state, pending, now)
+        else:
+            state, more = settle(state, pending, Unknown("claimed"))
+        outputs += more
+    if first.claim_id == claim.claim_id and _is_dead(state, holder):
+        state = release(state, claim)
+    return state, outputs
+
+
+def _grant_read(state: ClaimState, first: Claim) -> ClaimState:
+    grant = state.grants.get(first.digest)
+    if grant is None:
+        return state
+    state = replace(state, unflushed=without(state.unflushed, first.digest))
+    if grant.claim.claim_id == first.claim_id:
+        state = replace(state, grants=state.grants.delete(first.digest))
+    return state
+
+
+def _is_dead(state: ClaimState, holder: Holder) -> bool:
+    """Whether an own claim can be released, since nobody ran the key.
+
+    A holder with a status ran, although `ClaimState.runs` has forgotten it. A
+    grant of the key to another member means that this one gave up its own
+    claim for it; the other may have run under the protection of the held key.
+    """
+    claim = holder.claim
+    own = state.runs.get(claim.digest)
+    return (
+        claim.owner == state.me
+        and holder.status is None
+        and claim.digest not in state.grants
+        and (own is None or own.claim.claim_id != claim.claim_id)
+    )
--- a/acaciawing/idempotency/rules.py
+++ b/acaciawing/idempotency/rules.py
@@ -12,8 +12,14 @@
 from immutables import Map
 
 from acaciawing.idempotency import agreement
+from acaciawing.idempotency.commit import (
+    FINISH_DELAY_S,
+    commit,
+    put_back,
+    read_back,
+    release,
+)
 from acaciawing.idempotency.events import (
-    Append,
     BatchAppended,
     BatchNotAppended,
     BatchRead,
@@ -35,31 +41,26 @@
     Tick,
     Unknown,
     WantedNoMore,
-    Won,
 )
 from acaciawing.idempotency.records import (
     Claim,
-    ClaimBatch,
     ClaimFinished,
-    ClaimReleased,
 )
 from acaciawing.idempotency.state import (
     ClaimState,
     Pending,
     Stepped,
     known_decision,
-    run,
     settle,
     superseded,
     without,
 )
-from acaciawing.idempotency.table import Holder, apply
 
-# Bounds a record to about 64 KiB.
-_MAX_BATCH = 400
-# Ends only serve repeats with their status, so they wait for claims to travel
-# with and cost at most one append a second without any.
-_FINISH_DELAY_S = 1.0
+# While appends fail although reads succeed, one append at a time probes the
+# log; claims of that time wait for at most one timeout of the log client.
+_PROBE_EVERY_S = 2.0
+# One lost response is cheaper to append again than to ask all peers.
+_LOST_APPENDS = 2
 _PRUNE_EVERY_S = 60.0
 
 
@@ -162,7 +163,7 @@
         state,
         runs=state.runs.set(digest, replace(own, status=event.status)),
         finished=state.finished.set(claim_id, ended),
-        finish_due_at=min(state.finish_due_at, now + _FINISH_DELAY_S),
+        finish_due_at=min(state.finish_due_at, now + FINISH_DELAY_S),
     )
     return state, ()
 
@@ -180,7 +181,7 @@
             grants=state.grants.delete(event.claim.digest),
             unflushed=without(state.unflushed, event.claim.digest),
         )
-    return commit(_release(state, event.claim), now)
+    return commit(release(state, event.claim), now)
 
 
 @step.register
@@ -191,166 +192,30 @@
     return state, ()
 
 
-def _release(state: ClaimState, claim: Claim) -> ClaimState:
-    released = ClaimReleased(claim.digest, claim.claim_id)
-    releases = state.releases.set(claim.claim_id, released)
-    return replace(state, releases=releases)
-
-
-# Appends.
+@step.register
+def _(event: BatchAppended, state: ClaimState, now: float) -> Stepped:
+    return replace(state, inflight_offset=event.offset, failed_appends=0), ()
 
 
-def commit(state: ClaimState, now: float) -> Stepped:
-    """Appends what waits, if the log is up and the interval has passed."""
-    ready = state.outbox or state.unflushed or state.releases
-    due = state.finished and now >= state.finish_due_at
-    early = now < state.append_due_at
-    if not state.log_up or state.inflight or early or not (ready or due):
+@step.register
+def _(event: BatchUnknown, state: ClaimState, now: float) -> Stepped:
+    failed = state.failed_appends + 1
+    state = replace(put_back(state, now), failed_appends=failed)
+    if failed < _LOST_APPENDS:
         return state, ()
-    # Grants go before all claims, in this record or in earlier ones.
-    claims = tuple(state.unflushed.values())[:_MAX_BATCH]
-    chosen: tuple[Claim, ...] = ()
-    if len(claims) < _MAX_BATCH:
-        chosen = tuple(state.outbox.values())[: _MAX_BATCH - len(claims)]
-    batch = ClaimBatch(
-        claims + chosen,
-        tuple(state.releases.values())[:_MAX_BATCH],
-        tuple(state.finished.values())[:_MAX_BATCH],
-    )
-    outbox = state.outbox.mutate()
-    for claim in chosen:
-        del outbox[claim.claim_id]
-    state = replace(
-        state,
-        outbox=outbox.finish(),
-        inflight=batch,
-        inflight_offset=None,
-        last_append_at=now,
-        finish_due_at=float("inf"),
-    )
-    return state, (Append(batch),)
+    return step(LogAway(), state, now)
 
 
 @step.register
-def _(event: BatchAppended, state: ClaimState, now: float) -> Stepped:
-    return replace(state, inflight_offset=event.offset), ()
-
-
-@step.register(BatchUnknown)
-@step.register(BatchNotAppended)
-def _(
-    event: BatchUnknown | BatchNotAppended, state: ClaimState, now: float
-) -> Stepped:
-    # The same claim ids are appended again. If the first append took effect
-    # after all, the fold ignores the second.
-    outbox = state.outbox.mutate()
-    for claim in state.inflight.claims if state.inflight else ():
-        pending = state.pending.get(claim.claim_id)
-        wanted = pending is not None and not pending.agreeing
-        if wanted or claim.claim_id in state.proxied:
-            outbox[claim.claim_id] = claim
-    due = now + _FINISH_DELAY_S if state.finished else float("inf")
-    state = replace(
-        state, outbox=outbox.finish(), inflight=None, finish_due_at=due
-    )
-    return state, ()
+def _(event: BatchNotAppended, state: ClaimState, now: float) -> Stepped:
+    failed = state.failed_appends + 1
+    state = replace(put_back(state, now), failed_appends=failed)
+    return step(LogAway(), state, now)
 
 
 @step.register
 def _(event: BatchRead, state: ClaimState, now: float) -> Stepped:
-    table, _verdict = apply(event.batch, state.table, event.position)
-    state = replace(state, table=table)
-    for release in event.batch.releases:
-        state = _release_read(state, release)
-    for ended in event.batch.finished:
-        state = _finish_read(state, ended)
-    outputs: list[Output] = []
-    for claim in event.batch.claims:
-        state, more = _claim_read(state, claim, now)
-        outputs.extend(more)
-    offset = state.inflight_offset
-    if offset is not None and event.position.offset >= offset:
-        state = replace(state, inflight=None, inflight_offset=None)
-    return state, tuple(outputs)
-
-
-def _release_read(state: ClaimState, release: ClaimReleased) -> ClaimState:
-    grant = state.grants.get(release.digest)
-    unflushed = state.unflushed
-    if grant is not None and state.table.holder(release.digest) is None:
-        # The key is free again in the log, but the grant still counts.
-        unflushed = unflushed.set(release.digest, grant.claim)
-    return replace(
-        state,
-        unflushed=unflushed,
-        releases=without(state.releases, release.claim_id),
-    )
-
-
-def _finish_read(state: ClaimState, ended: ClaimFinished) -> ClaimState:
-    state = replace(state, finished=without(state.finished, ended.claim_id))
-    own, holder = state.runs.get(ended.digest), state.table.holder(ended.digest)
-    if own is None or holder is None or holder.claim != own.claim:
-        return state
-    return replace(state, runs=state.runs.delete(ended.digest))
-
-
-def _claim_read(state: ClaimState, claim: Claim, now: float) -> Stepped:
-    holder = state.table.holder(claim.digest)
-    if holder is None:
-        return state, ()
-    first = holder.claim
-    state = _grant_read(state, first)
-    outputs: tuple[Output, ...] = ()
-    proxied = state.proxied.get(claim.claim_id)
-    if proxied is not None:
-        answer = (
-            Won() if first.claim_id == claim.claim_id else Denied("claimed")
-        )
-        outputs = tuple(Reply(token, answer) for token in proxied.tokens)
-        state = replace(
-            state,
-            proxied=state.proxied.delete(claim.claim_id),
-            outbox=without(state.outbox, claim.claim_id),
-        )
-    claim_id = state.keys.get(claim.digest)
-    if claim_id is not None:
-        pending = state.pending[claim_id]
-        if first.claim_id == claim_id:
-            state, more = run(state, pending, now)
-        else:
-            state, more = settle(state, pending, Unknown("claimed"))
-        outputs += more
-    if first.claim_id == claim.claim_id and _is_dead(state, holder):
-        state = _release(state, claim)
-    return state, outputs
-
-
-def _grant_read(state: ClaimState, first: Claim) -> ClaimState:
-    grant = state.grants.get(first.digest)
-    if grant is None:
-        return state
-    state = replace(state, unflushed=without(state.unflushed, first.digest))
-    if grant.claim.claim_id == first.claim_id:
-        state = replace(state, grants=state.grants.delete(first.digest))
-    return state
-
-
-def _is_dead(state: ClaimState, holder: Holder) -> bool:
-    """Whether an own claim can be released, since nobody ran the key.
-
-    A holder with a status ran, although `ClaimState.runs` has forgotten it. A
-    grant of the key to another member means that this one gave up its own
-    claim for it; the other may have run under the protection of the held key.
-    """
-    claim = holder.claim
-    own = state.runs.get(claim.digest)
-    return (
-        claim.owner == state.me
-        and holder.status is None
-        and claim.digest not in state.grants
-        and (own is None or own.claim.claim_id != claim.claim_id)
-    )
+    return read_back(event, state, now)
 
 
 @step.register
@@ -366,9 +231,10 @@
 
 @step.register
 def _(event: CaughtUp, state: ClaimState, now: float) -> Stepped:
+    probing = now >= state.last_append_at + _PROBE_EVERY_S
     state = replace(
         state,
-        log_up=True,
+        log_up=state.failed_appends == 0 or probing or state.log_up,
         covered=state.covered | state.read_ended,
         complete=state.complete or state.read_completes,
     )
--- a/acaciawing/idempotency/state.py
+++ b/acaciawing/idempotency/state.py
@@ -126,6 +126,7 @@
         read_offset: `inflight_offset` when that read began.
         inflight: Batch that was given to the log, until it is read back.
         inflight_offset: Its offset, once known.
+        failed_appends: Appends in a row that did not succeed.
         last_append_at: Time of the last append, in seconds.
         finish_due_at: Time by which ends are appended without claims.
         pruned_at: Time of the last removal of expired memory, in seconds.
@@ -161,6 +162,7 @@
     read_offset: int | None = None
     inflight: ClaimBatch | None = None
     inflight_offset: int | None = None
+    failed_appends: int = 0
     last_append_at: float = float("-inf")
     finish_due_at: float = float("inf")
     pruned_at: float = 0.0
--- a/acaciawing/idempotency/tests/model.py
+++ b/acaciawing/idempotency/tests/model.py
@@ -55,6 +55,8 @@
         self.released: set[str] = set()
         self.decisions: dict[int, e.ClaimDecision] = {}
         self._token = 0
+        # Whether the log takes appends; reads succeed all the same.
+        self.writable = True
         # Fate of the next append: see `_append`.
         self.fate = 0
         for name in "abcd"[:size]:
@@ -222,7 +224,7 @@
 
     def _append(self, member: str, node: Node, batch: ClaimBatch) -> None:
         fate, self.fate = self.fate, 0
-        reached = node.log_reachable
+        reached = node.log_reachable and self.writable
         if reached and fate == 0:
             self.log.append(batch)
             self.feed(member, e.BatchAppended(len(self.log) - 1))
--- a/acaciawing/idempotency/tests/test_interleavings.py
+++ b/acaciawing/idempotency/tests/test_interleavings.py
@@ -107,6 +107,7 @@
     "late": _late,
     "flip": _on_node(_flip),
     "all-flip": _all_flip,
+    "say-away": _on_node(lambda m, n, b: m.feed(n, e.LogAway())),
     "end": _on_node(_end),
     "crash": _on_node(_crash),
     "list": _on_node(lambda m, n, b: m.list_ended(n)),
@@ -313,6 +314,16 @@
         _away(model, "a/1", "c/1")
         assert isinstance(_decision(model, "a/1"), e.Run)
 
+    def test_log_that_only_reads_is_away(self) -> None:
+        model = Model(3)
+        model.writable = False
+        for member in model.nodes:
+            _decision(model, member, f"probe-{member}")
+        token = model.request("a/1", "k")
+        while model.network:
+            model.deliver(0)
+        assert isinstance(model.decisions[token], e.Run)
+
     def test_silent_peer_blocks_agreement(self) -> None:
         model = Model(3)
         _away(model, *model.nodes)
