--- /dev/null
+++ b/acaciawing/entry/tests/test_dispatcher.py
@@ -0,0 +1,66 @@
+"""Tests of the truth of final answers over all attempts."""
+
+import pytest
+
+from acaciawing.entry.dispatcher import result_of
+from acaciawing.exchange import (
+    Answer,
+    AnswerTimeout,
+    BadAnswer,
+    EndpointNotRun,
+    ExchangeOutcome,
+    Interrupted,
+    NotSent,
+)
+from acaciawing.outcomes import NotRun, OutcomeUnknown, RanAndFailed
+from acaciawing.retries import final
+from acaciawing.routing import Result
+
+_SENT: tuple[ExchangeOutcome, ...] = (
+    Answer(500, (), b""),
+    Interrupted("reset"),
+    BadAnswer("short"),
+    AnswerTimeout("late"),
+)
+_UNSENT: tuple[ExchangeOutcome, ...] = (
+    NotSent("refused"),
+    EndpointNotRun("no slot"),
+)
+
+
+class TestNotRun:
+    """Guards against "not run" for a request that may have run."""
+
+    @pytest.mark.parametrize("outcome", _SENT)
+    def test_sent_request_is_never_reported_as_not_run(
+        self, outcome: ExchangeOutcome
+    ) -> None:
+        assert not isinstance(final((outcome,)), NotRun)
+
+    @pytest.mark.parametrize("first", _SENT)
+    @pytest.mark.parametrize("second", _UNSENT)
+    def test_earlier_attempt_counts(
+        self, first: ExchangeOutcome, second: ExchangeOutcome
+    ) -> None:
+        joined = final((first, second))
+        assert joined == final((first,))
+
+    def test_three_outcomes_are_told_apart(self) -> None:
+        kinds = [type(final((o,))) for o in (*_UNSENT, *_SENT[1:])]
+        assert kinds == [
+            NotRun,
+            NotRun,
+            OutcomeUnknown,
+            RanAndFailed,
+            OutcomeUnknown,
+        ]
+
+
+class TestResults:
+    """Guards against push-back of an endpoint that counts as its failure."""
+
+    def test_push_back_is_load_and_not_failure(self) -> None:
+        assert result_of(EndpointNotRun("no slot")) is Result.NOT_RUN
+        assert result_of(Answer(404, (), b"")) is Result.SUCCESS
+        assert result_of(Answer(503, (), b"")) is Result.FAILURE
+        assert result_of(NotSent("refused")) is Result.FAILURE
