--- /dev/null
+++ b/acaciawing/entry/engine.py
@@ -0,0 +1,497 @@
+"""Decisions of the scheduler task, one message at a time.
+
+The decisions themselves are pure functions of `acaciawing.admission`,
+`acaciawing.queueing` and `acaciawing.routing`; the engine keeps their states.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from random import Random
+
+from acaciawing import admission, queueing, retries, routing
+from acaciawing.configuration import ConfigurationIndex, Plan, index
+from acaciawing.entry.counts import PlanCounts
+from acaciawing.entry.credits import CreditTable
+from acaciawing.entry.messages import (
+    Completed,
+    Finished,
+    Granted,
+    ListingSeen,
+    MembersSeen,
+    StateChanged,
+    Submit,
+)
+from acaciawing.fold import FleetState
+from acaciawing.outcomes import NotRun
+from acaciawing.queueing import Queue, RunClass, Waiting, WorkKey
+from acaciawing.retries import FailureDomain, NoAttempt
+from acaciawing.routing import (
+    Avoid,
+    Endpoint,
+    Result,
+    Route,
+    RouteRequest,
+    Status,
+)
+from acaciawing.telemetry import Event
+
+Record = Callable[[str, Event, Mapping[str, object]], None]
+
+
+@dataclass
+class _Attempt:
+    submit: Submit
+    route: Route
+    key: WorkKey
+    begun: float
+    seen_long: bool = False
+
+
+@dataclass(frozen=True)
+class EngineView:
+    """State shown to other tasks.
+
+    Attributes:
+        state: State of the fold.
+        plans: Counts by plan.
+        demand: Published demand by plan, in requests a second.
+        loads: Requests running or waiting here, by pool.
+        waiting: Requests in the queues.
+        in_flight: Attempts in flight.
+        endpoints: Number of endpoints by status.
+        members: Entry instances heard of, this one included.
+        leaves: Leave signals of endpoints since the last demand sample.
+    """
+
+    state: FleetState
+    plans: dict[str, PlanCounts]
+    demand: dict[str, float]
+    loads: dict[str, float]
+    waiting: int
+    in_flight: int
+    endpoints: dict[str, int]
+    members: int
+    leaves: tuple[tuple[str, int], ...] = ()
+
+
+@dataclass
+class Engine:
+    """State of the scheduler task; used by that task only.
+
+    Attributes:
+        instance: Id of the entry instance.
+        zone: Its availability zone.
+        queue_limit: Waiting requests that a pool's queue may hold; each one
+            holds a request thread.
+        record: Receives each decision about a request.
+        source: Random source of the decisions.
+    """
+
+    instance: str
+    zone: str
+    queue_limit: int = 48
+    record: Record = lambda request, event, reasons: None
+    source: Random = field(default_factory=lambda: Random(1))
+    state: FleetState = FleetState()
+    index: ConfigurationIndex = field(default_factory=ConfigurationIndex)
+    counts: dict[str, PlanCounts] = field(default_factory=dict)
+    _routing: routing.RoutingState = field(default_factory=routing.RoutingState)
+    _admission: admission.AdmissionState = admission.AdmissionState()
+    _run_times: queueing.RunTimes = queueing.RunTimes()
+    _queues: dict[str, Queue] = field(default_factory=dict)
+    _attempts: dict[int, _Attempt] = field(default_factory=dict)
+    _submits: dict[str, Submit] = field(default_factory=dict)
+    _started: set[str] = field(default_factory=set)
+    _shares: dict[str, float] = field(default_factory=dict)
+    _retries: retries.RetryBudgets = retries.RetryBudgets()
+    _members: MembersSeen | None = None
+    _spares: tuple[str, ...] = ()
+    _leaves: tuple[tuple[str, int], ...] = ()
+    _credits: CreditTable = field(init=False)
+    _tickets: int = 0
+
+    def __post_init__(self) -> None:
+        """Starts the credits of this instance."""
+        self._credits = CreditTable(self.instance)
+
+    # Messages that change what is known.
+
+    def state_changed(self, message: StateChanged, now: float) -> None:
+        """Takes a newer state of the fold."""
+        old = self.state.configuration
+        self.state = message.state
+        if message.state.configuration is not old:
+            self.index = index(message.state.configuration.configuration)
+            self._spares = tuple(
+                service.pool
+                for service in self.index.services.values()
+                if service.spare
+            )
+            self._share_again(now)
+            self._credit_again()
+
+    def listing_seen(self, message: ListingSeen, now: float) -> None:
+        """Takes an answer of the platform's list."""
+        self._routing = routing.observe_listing(
+            self._routing, message.listing, self._pool_of(), now
+        )
+        self._credit_again()
+
+    def members_seen(self, message: MembersSeen, now: float) -> None:
+        """Takes a newer view of the entry instances."""
+        self._members = message
+        self._share_again(now)
+        self._credit_again()
+
+    def leaving_seen(self, instance: str, incarnation: int, now: float) -> None:
+        """Takes a peer's word that an instance is leaving."""
+        self._routing = routing.observe_leaving(
+            self._routing, instance, incarnation, now
+        )
+
+    def _pool_of(self) -> Mapping[str, str]:
+        return {}
+
+    def _share_again(self, now: float) -> None:
+        view = admission.EntryView(self.instance)
+        if self._members is not None:
+            view = self._members.view
+        self._shares = {
+            name: admission.share(
+                view, name, admission.lowest_demand(self._admission, name, now)
+            )
+            for name in self.index.plans
+        }
+
+    def _credit_again(self) -> None:
+        # Until a peer is heard of, the instance takes itself for the only one;
+        # the endpoints' own "not run" corrects that.
+        zones: Mapping[str, str] = {self.instance: self.zone}
+        loads: Mapping[str, Mapping[str, float]] = {}
+        if self._members is not None:
+            zones, loads = self._members.zones, self._members.loads
+        given = self._credits.changed(
+            self._routing, self.index.services.values(), zones, loads
+        )
+        self._routing = routing.set_credits(self._routing, given)
+
+    # Requests.
+
+    def submit(self, message: Submit, now: float) -> None:
+        """Grants, queues or refuses a request."""
+        plan = self.index.plans.get(message.plan)
+        service = self.index.services.get(message.service)
+        if plan is None or service is None:
+            detail = "the plan or the service has just been withdrawn"
+            message.reply.put(NotRun("configuration-changed", detail))
+            return
+        key = WorkKey(message.service, message.operation, message.customer)
+        run = queueing.classify(self._run_times, key)
+        waiting = Waiting(
+            message.request_id, key, plan.name, run, now, message.deadline
+        )
+        if message.outcome is not None:
+            final = self._decide_retry(message, service.pool, run, now)
+            if final is not None:
+                message.reply.put(final)
+                return
+        route = None
+        if not self._others_first(service.pool, run.long):
+            route = self._choose(message, run.long, now)
+        if message.outcome is None:
+            refusal = self._admit(plan, service.pool, waiting, route, now)
+            if refusal is not None:
+                message.reply.put(refusal)
+                return
+            self._retries = self._retries.earned(plan.name)
+        part = self._share(plan.name)
+        first = message.request_id not in self._started
+        if first and not admission.may_start(self._admission, plan, part):
+            route = None
+        if route is not None:
+            self._grant(message, route, key, now)
+            return
+        self._submits[message.request_id] = message
+        self._queues[service.pool] = queueing.enqueue(
+            self._queue(service.pool), waiting
+        )
+
+    def _decide_retry(
+        self, message: Submit, pool: str, run: RunClass, now: float
+    ) -> NoAttempt | None:
+        assert message.outcome is not None
+        cells = self._routing.pools[pool].cells.values()
+        self._retries, decision = retries.decide_retry(
+            self._retries,
+            retries.RetryRequest(
+                message.plan,
+                message.idempotent,
+                message.outcome,
+                message.deadline - now,
+                run.expected_s,
+                tuple(_domain(endpoint) for endpoint in message.tried),
+                frozenset(
+                    _domain(cell.endpoint)
+                    for cell in cells
+                    if cell.status is Status.OPEN
+                ),
+            ),
+        )
+        return decision if isinstance(decision, NoAttempt) else None
+
+    def _others_first(self, pool: str, long: bool) -> bool:
+        queue = self._queues.get(pool)
+        if queue is None or not len(queue):
+            return False
+        return bool(queue.short) or long
+
+    def _admit(
+        self,
+        plan: Plan,
+        pool: str,
+        waiting: Waiting,
+        route: Route | None,
+        now: float,
+    ) -> NotRun | None:
+        queue = self._queue(pool)
+        arrival = admission.Arrival(
+            plan,
+            self._share(plan.name),
+            route is not None,
+            queueing.expected_wait_s(queue, waiting.run, self._slots(pool)),
+            waiting.run.least_s,
+            waiting.deadline - now,
+            len(queue) >= self.queue_limit,
+        )
+        shares = {
+            name: (self.index.plans[name], part)
+            for name, part in self._shares.items()
+        }
+        self._admission, decision = admission.admit(
+            self._admission, arrival, now, shares
+        )
+        if isinstance(decision, NotRun):
+            return decision
+        if decision.shed is not None:
+            self._shed(decision.shed, pool)
+        return None
+
+    def _shed(self, plan: str, pool: str) -> None:
+        newest = queueing.newest_of(self._queue(pool), plan)
+        if newest is None:
+            return
+        refusal = NotRun(
+            "shed", f"plan {plan} is above its allowance", 503, 1.0
+        )
+        self._drop(pool, newest.request, refusal)
+
+    def _drop(self, pool: str, request_id: str, refusal: NotRun) -> None:
+        self._queues[pool] = queueing.remove(self._queue(pool), request_id)
+        message = self._submits.pop(request_id)
+        if request_id not in self._started:
+            self._admission = admission.leave(self._admission, message.plan)
+        message.reply.put(refusal)
+
+    def _choose(self, message: Submit, long: bool, now: float) -> Route | None:
+        service = self.index.services[message.service]
+        request = RouteRequest(
+            service.pool,
+            self.zone,
+            long,
+            _avoid(message.tried),
+            self._spares if service.spill and not service.spare else (),
+            message.idempotent,
+        )
+        choice = routing.choose(self._routing, request, now, self.source)
+        return choice if isinstance(choice, Route) else None
+
+    def _grant(
+        self, message: Submit, route: Route, key: WorkKey, now: float
+    ) -> None:
+        self._routing = routing.reserve(self._routing, route, now)
+        if message.request_id not in self._started:
+            self._started.add(message.request_id)
+            self._admission = admission.start(self._admission, message.plan)
+        self._tickets += 1
+        self._attempts[self._tickets] = _Attempt(message, route, key, now)
+        message.reply.put(
+            Granted(self._tickets, route.endpoint, message.deadline)
+        )
+        self.record(
+            message.request_id,
+            Event.REQUEST_ROUTED,
+            {
+                "service": message.service,
+                "plan": message.plan,
+                "attempt": len(message.tried) + 1,
+                "endpoint": route.endpoint.instance,
+                "zone": route.endpoint.zone,
+                "long": route.long,
+                "reasons": route.reasons,
+            },
+        )
+
+    def completed(self, message: Completed, now: float) -> None:
+        """Frees the slot of an attempt and serves the queue."""
+        attempt = self._attempts.pop(message.ticket)
+        route = attempt.route
+        self._routing = routing.observe_result(
+            self._routing,
+            route.endpoint,
+            message.result,
+            message.run_time_s,
+            now,
+        )
+        self._routing = routing.release(self._routing, route, now)
+        if message.leaving:
+            leave = (route.endpoint.instance, route.endpoint.incarnation)
+            self._leaves = (*self._leaves, leave)
+            self.leaving_seen(*leave, now)
+        if message.result is not Result.NOT_RUN:
+            self._run_times = queueing.observe_run(
+                self._run_times,
+                attempt.key,
+                message.run_time_s,
+                message.result is Result.SUCCESS,
+            )
+        self.serve_queues(now)
+
+    def finished(self, message: Finished) -> None:
+        """Counts the final answer of a request."""
+        if message.request_id in self._started:
+            self._started.discard(message.request_id)
+            self._admission = admission.end(self._admission, message.plan)
+        counts = self.counts.setdefault(message.plan, PlanCounts())
+        if message.verdict == "succeeded":
+            counts.succeeded += 1
+        elif message.verdict == "failed":
+            counts.failed += 1
+        else:
+            counts.refused += 1
+        if message.code:
+            counts.codes[message.code] = counts.codes.get(message.code, 0) + 1
+
+    # The queues.
+
+    def serve_queues(self, now: float) -> None:
+        """Grants waiting requests and drops those that are too late."""
+        for pool, queue in self._queues.items():
+            if len(queue):
+                self._expire(pool, now)
+                self._serve(pool, now)
+
+    def _expire(self, pool: str, now: float) -> None:
+        due = queueing.next_expiry(self._queues[pool])
+        if due is None or due >= now:
+            return
+        _, dropped = queueing.expire(self._queues[pool], now)
+        for entry in dropped:
+            self._drop(pool, entry.waiting.request, entry.refusal)
+
+    def _serve(self, pool: str, now: float) -> None:
+        long_free = True
+        blocked = self._blocked_plans()
+        while True:
+            waiting = queueing.next_work(
+                self._queues[pool], now, long_free, blocked
+            )
+            if waiting is None:
+                return
+            message = self._submits[waiting.request]
+            route = self._choose(message, waiting.run.long, now)
+            if route is None:
+                if not waiting.run.long:
+                    return
+                long_free = False
+                continue
+            self._queues[pool] = queueing.remove(
+                self._queues[pool], waiting.request
+            )
+            del self._submits[waiting.request]
+            self._grant(message, route, waiting.key, now)
+            blocked = self._blocked_plans()
+
+    def _blocked_plans(self) -> frozenset[str]:
+        return frozenset(
+            name
+            for name, plan in self.index.plans.items()
+            if not admission.may_start(self._admission, plan, self._share(name))
+        )
+
+    def tick(self, now: float) -> None:
+        """Regular work: deadlines, demand samples, long-running attempts."""
+        self._see_long_runs(now)
+        self.serve_queues(now)
+
+    def close_step(self, now: float) -> None:
+        """Takes a demand sample; called before each gossip round."""
+        self._admission = admission.close_step(self._admission, now)
+        self._share_again(now)
+
+    def take_leaves(self) -> tuple[tuple[str, int], ...]:
+        """Leave signals that endpoints gave since the last call."""
+        leaves, self._leaves = self._leaves, ()
+        return tuple(dict.fromkeys(leaves))
+
+    def _see_long_runs(self, now: float) -> None:
+        for attempt in self._attempts.values():
+            limit = queueing.long_after_s(
+                self._run_times, attempt.submit.service
+            )
+            ran = now - attempt.begun
+            if limit is not None and ran >= limit and not attempt.seen_long:
+                attempt.seen_long = True
+                self._run_times = queueing.observe_run(
+                    self._run_times, attempt.key, ran, finished=False
+                )
+
+    # Views.
+
+    def view(self) -> EngineView:
+        """A frozen view for other tasks."""
+        endpoints: dict[str, int] = {}
+        loads: dict[str, float] = {}
+        for name, pool in self._routing.pools.items():
+            loads[name] = float(len(self._queue(name)))
+            for cell in pool.cells.values():
+                status = cell.status.value
+                endpoints[status] = endpoints.get(status, 0) + 1
+                loads[name] += cell.in_flight
+        return EngineView(
+            self.state,
+            {name: counts.copy() for name, counts in self.counts.items()},
+            admission.published_demand(self._admission),
+            loads,
+            sum(len(queue) for queue in self._queues.values()),
+            len(self._attempts),
+            endpoints,
+            self._members.view.size if self._members else 1,
+        )
+
+    def _queue(self, pool: str) -> Queue:
+        return self._queues.get(pool) or Queue()
+
+    def _share(self, plan: str) -> float:
+        return self._shares.get(plan, 1.0)
+
+    def _slots(self, name: str) -> int:
+        pool = self._routing.pools.get(name)
+        if pool is None:
+            return 0
+        return sum(view.slots for view in pool.zones.values())
+
+
+def _domain(endpoint: Endpoint) -> FailureDomain:
+    return FailureDomain(endpoint.zone, endpoint.rack)
+
+
+def _avoid(tried: tuple[Endpoint, ...]) -> Avoid:
+    """Domains to avoid: the racks tried, and from the second on their zones."""
+    if not tried:
+        return Avoid()
+    zones = frozenset(e.zone for e in tried) if len(tried) > 1 else frozenset()
+    return Avoid(
+        frozenset(e.instance for e in tried),
+        frozenset((e.zone, e.rack) for e in tried),
+        zones,
+    )
--- /dev/null
+++ b/acaciawing/idempotency/rules.py
@@ -0,0 +1,321 @@
+"""Rules of at-most-once execution with the log: group commit and read-back.
+
+A claim runs only when its own record was read back as the first one of its
+key. Append outcomes decide nothing, so a response that was lost after taking
+effect, or an append that takes effect late, does no harm. While the log is
+away the rules of `acaciawing.idempotency.agreement` apply.
+"""
+
+from dataclasses import replace
+from functools import singledispatch
+
+from immutables import Map
+
+from acaciawing.idempotency import agreement
+from acaciawing.idempotency.commit import (
+    FINISH_DELAY_S,
+    commit,
+    put_back,
+    read_back,
+    release,
+)
+from acaciawing.idempotency.events import (
+    BatchAppended,
+    BatchNotAppended,
+    BatchRead,
+    BatchUnknown,
+    CaughtUp,
+    ClaimWanted,
+    Decided,
+    Denied,
+    FinishWanted,
+    Joined,
+    LogAway,
+    Output,
+    PeerAnswered,
+    PeerAsked,
+    ReadBegan,
+    ReleaseWanted,
+    Reply,
+    RosterRead,
+    Tick,
+    Unknown,
+    WantedNoMore,
+)
+from acaciawing.idempotency.records import (
+    Claim,
+    ClaimFinished,
+)
+from acaciawing.idempotency.state import (
+    ClaimState,
+    Pending,
+    Stepped,
+    known_decision,
+    settle,
+    superseded,
+    without,
+)
+
+# While appends fail although reads succeed, one append at a time probes the
+# log; claims of that time wait for at most one timeout of the log client.
+_PROBE_EVERY_S = 2.0
+# One lost response is cheaper to append again than to ask all peers.
+_LOST_APPENDS = 2
+_PRUNE_EVERY_S = 60.0
+
+
+@singledispatch
+def step(event: object, state: ClaimState, now: float) -> Stepped:
+    """Applies one input.
+
+    Args:
+        event: One of the inputs of `acaciawing.idempotency.events`.
+        state: State before it.
+        now: Monotonic time, in seconds.
+
+    Returns:
+        The state after it and what to do.
+
+    Raises:
+        TypeError: If the input is of another type.
+    """
+    raise TypeError(type(event).__name__)
+
+
+@step.register
+def _(event: Joined, state: ClaimState, now: float) -> Stepped:
+    others = event.predecessors - {state.me}
+    state = replace(
+        state,
+        predecessors=others,
+        joined_at=now,
+        collect_at=now,
+        members=state.members | others,
+        roster=state.roster | others,
+    )
+    return _note_ended(state, frozenset()), ()
+
+
+@step.register
+def _(event: RosterRead, state: ClaimState, now: float) -> Stepped:
+    # A member that left the roster counts until the claim stream was read
+    # past its end: it may have claimed there what is not read yet.
+    roster = event.members - {state.me}
+    left = state.roster - roster
+    state = replace(state, members=state.members | roster, roster=roster)
+    state = _note_ended(state, event.ended | left)
+    if state.predecessors is not None and state.me not in event.members:
+        return _expelled(state)
+    return agreement.advance_all(state, now)
+
+
+def _expelled(state: ClaimState) -> Stepped:
+    """Stops all keyed work, since the others no longer ask this instance."""
+    outputs: list[Output] = []
+    for pending in tuple(state.pending.values()):
+        state, more = settle(state, pending, Unknown("not-on-roster"))
+        outputs.extend(more)
+    state = replace(
+        state, predecessors=None, complete=False, read_completes=False
+    )
+    return state, tuple(outputs)
+
+
+def _note_ended(state: ClaimState, ended: frozenset[str]) -> ClaimState:
+    replaced = superseded(state.members | {state.me})
+    ended = (state.ended | ended | replaced) - {state.me}
+    return replace(state, ended=ended)
+
+
+@step.register
+def _(event: ClaimWanted, state: ClaimState, now: float) -> Stepped:
+    if state.predecessors is None:
+        return state, (Decided(event.token, Unknown("not-on-roster")),)
+    if not state.complete:
+        return state, (Decided(event.token, Unknown("memory-incomplete")),)
+    known = known_decision(state, event.digest, event.fingerprint)
+    if known is not None:
+        return state, (Decided(event.token, known),)
+    number = state.claims_made + 1
+    claim_id = f"{state.me}/{number}"
+    claim = Claim(event.customer, event.digest, event.fingerprint, claim_id)
+    pending = Pending(claim, event.token, event.deadline)
+    state = replace(
+        state,
+        claims_made=number,
+        pending=state.pending.set(claim_id, pending),
+        keys=state.keys.set(event.digest, claim_id),
+    )
+    if not state.log_up:
+        return agreement.begin(state, pending, now)
+    state = replace(state, outbox=state.outbox.set(claim_id, claim))
+    return commit(state, now)
+
+
+@step.register
+def _(event: FinishWanted, state: ClaimState, now: float) -> Stepped:
+    own = state.runs.get(event.claim.digest)
+    if own is None or own.claim != event.claim:
+        return state, ()
+    digest, claim_id = own.claim.digest, own.claim.claim_id
+    ended = ClaimFinished(digest, claim_id, event.status)
+    state = replace(
+        state,
+        runs=state.runs.set(digest, replace(own, status=event.status)),
+        finished=state.finished.set(claim_id, ended),
+        finish_due_at=min(state.finish_due_at, now + FINISH_DELAY_S),
+    )
+    return state, ()
+
+
+@step.register
+def _(event: ReleaseWanted, state: ClaimState, now: float) -> Stepped:
+    own = state.runs.get(event.claim.digest)
+    if own is None or own.claim != event.claim or own.status is not None:
+        return state, ()
+    state = replace(state, runs=state.runs.delete(event.claim.digest))
+    grant = state.grants.get(event.claim.digest)
+    if grant is not None and grant.claim == event.claim:
+        state = replace(
+            state,
+            grants=state.grants.delete(event.claim.digest),
+            unflushed=without(state.unflushed, event.claim.digest),
+        )
+    return commit(release(state, event.claim), now)
+
+
+@step.register
+def _(event: WantedNoMore, state: ClaimState, now: float) -> Stepped:
+    for pending in state.pending.values():
+        if pending.token == event.token:
+            return settle(state, pending, Unknown("claim-timeout"))
+    return state, ()
+
+
+@step.register
+def _(event: BatchAppended, state: ClaimState, now: float) -> Stepped:
+    return replace(state, inflight_offset=event.offset, failed_appends=0), ()
+
+
+@step.register
+def _(event: BatchUnknown, state: ClaimState, now: float) -> Stepped:
+    failed = state.failed_appends + 1
+    state = replace(put_back(state, now), failed_appends=failed)
+    if failed < _LOST_APPENDS:
+        return state, ()
+    return step(LogAway(), state, now)
+
+
+@step.register
+def _(event: BatchNotAppended, state: ClaimState, now: float) -> Stepped:
+    failed = state.failed_appends + 1
+    state = replace(put_back(state, now), failed_appends=failed)
+    return step(LogAway(), state, now)
+
+
+@step.register
+def _(event: BatchRead, state: ClaimState, now: float) -> Stepped:
+    return read_back(event, state, now)
+
+
+@step.register
+def _(event: ReadBegan, state: ClaimState, now: float) -> Stepped:
+    state = replace(
+        state,
+        read_ended=state.ended,
+        read_completes=agreement.knows_all(state, now),
+        read_offset=state.inflight_offset,
+    )
+    return state, ()
+
+
+@step.register
+def _(event: CaughtUp, state: ClaimState, now: float) -> Stepped:
+    probing = now >= state.last_append_at + _PROBE_EVERY_S
+    state = replace(
+        state,
+        log_up=state.failed_appends == 0 or probing or state.log_up,
+        covered=state.covered | state.read_ended,
+        complete=state.complete or state.read_completes,
+    )
+    offset = state.inflight_offset
+    if offset is not None and offset == state.read_offset:
+        state = replace(state, inflight=None, inflight_offset=None)
+    state, outputs = agreement.advance_all(state, now)
+    state, more = commit(state, now)
+    return state, outputs + more
+
+
+@step.register
+def _(event: LogAway, state: ClaimState, now: float) -> Stepped:
+    state = replace(state, log_up=False)
+    outputs: list[Output] = []
+    for proxied in state.proxied.values():
+        denied = Denied("log-away")
+        outputs.extend(Reply(token, denied) for token in proxied.tokens)
+    state = replace(state, proxied=Map())
+    for pending in tuple(state.pending.values()):
+        if not pending.agreeing:
+            state, more = agreement.begin(state, pending, now)
+            outputs.extend(more)
+    return state, tuple(outputs)
+
+
+# Peers and time.
+
+
+@step.register
+def _(event: PeerAsked, state: ClaimState, now: float) -> Stepped:
+    state, outputs = agreement.answer(event, state, now)
+    state, more = commit(state, now)
+    return state, outputs + more
+
+
+@step.register
+def _(event: PeerAnswered, state: ClaimState, now: float) -> Stepped:
+    return agreement.answered(event, state, now)
+
+
+@step.register
+def _(event: Tick, state: ClaimState, now: float) -> Stepped:
+    outputs: list[Output] = []
+    for pending in tuple(state.pending.values()):
+        if now >= pending.deadline:
+            state, more = settle(state, pending, Unknown("claim-timeout"))
+            outputs.extend(more)
+    for proxied in tuple(state.proxied.values()):
+        if now >= proxied.deadline:
+            denied = Denied("claim-timeout")
+            outputs.extend(Reply(token, denied) for token in proxied.tokens)
+            claim_id = proxied.claim.claim_id
+            state = replace(
+                state,
+                proxied=state.proxied.delete(claim_id),
+                outbox=without(state.outbox, claim_id),
+            )
+    state = _prune(state, now)
+    state, asks = agreement.collect(state, now)
+    state, more = commit(state, now)
+    return state, (*outputs, *asks, *more)
+
+
+def _prune(state: ClaimState, now: float) -> ClaimState:
+    if now - state.pruned_at < _PRUNE_EVERY_S:
+        return state
+    limit = now - state.table.retention_s
+    runs, grants = state.runs.mutate(), state.grants.mutate()
+    unflushed = state.unflushed
+    for digest, own in state.runs.items():
+        if own.since < limit:
+            del runs[digest]
+    for digest, grant in state.grants.items():
+        if grant.since < limit:
+            del grants[digest]
+            unflushed = without(unflushed, digest)
+    return replace(
+        state,
+        runs=runs.finish(),
+        grants=grants.finish(),
+        unflushed=unflushed,
+        pruned_at=now,
+    )
--- a/acaciawing/membership/__init__.py
+++ b/acaciawing/membership/__init__.py
@@ -8,8 +8,15 @@
     request,
     respond,
 )
-from acaciawing.membership.roster import EntryJoined, EntryLeft, Roster
+from acaciawing.membership.roster import (
+    ENTRY_POOL,
+    EntryJoined,
+    EntryLeft,
+    Roster,
+    ended_members,
+)
 from acaciawing.membership.view import (
+    POOLS,
     ROUND_S,
     Membership,
     Publication,
@@ -27,6 +34,8 @@
 )
 
 __all__ = [
+    "ENTRY_POOL",
+    "POOLS",
     "ROUND_S",
     "EntryJoined",
     "EntryLeft",
@@ -36,6 +45,7 @@
     "Publication",
     "Roster",
     "choose_peers",
+    "ended_members",
     "heard_demand",
     "left",
     "live",
