--- a/acaciawing/membership/__init__.py
+++ b/acaciawing/membership/__init__.py
@@ -35,13 +35,13 @@
 
 __all__ = [
     "ENTRY_POOL",
-    "POOLS",
     "ROUND_S",
     "EntryJoined",
     "EntryLeft",
     "Gossip",
     "Membership",
     "News",
+    "POOLS",
     "Publication",
     "Roster",
     "choose_peers",
