--- a/acaciawing/entry/engine.py
+++ b/acaciawing/entry/engine.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from acaciawing import admission, queueing, routing
+from acaciawing import admission, queueing, retries, routing
 from acaciawing.configuration import ConfigurationIndex, Plan, index
 from acaciawing.entry.counts import PlanCounts
-from acaciawing.entry.credits import credits_of
+from acaciawing.entry.credits import CreditTable
 from acaciawing.entry.messages import (
     Completed,
     Finished,
@@ -23,8 +23,16 @@
 )
 from acaciawing.fold import FleetState
 from acaciawing.outcomes import NotRun
-from acaciawing.queueing import Queue, Waiting, WorkKey
-from acaciawing.routing import Result, Route, RouteRequest
+from acaciawing.queueing import Queue, RunClass, Waiting, WorkKey
+from acaciawing.retries import FailureDomain, NoAttempt
+from acaciawing.routing import (
+    Avoid,
+    Endpoint,
+    Result,
+    Route,
+    RouteRequest,
+    Status,
+)
 from acaciawing.telemetry import Event
 
 Record = Callable[[str, Event, Mapping[str, object]], None]
@@ -52,6 +60,7 @@
         in_flight: Attempts in flight.
         endpoints: Number of endpoints by status.
         members: Entry instances heard of, this one included.
+        leaves: Leave signals of endpoints since the last demand sample.
     """
 
     state: FleetState
@@ -62,6 +71,7 @@
     in_flight: int
     endpoints: dict[str, int]
     members: int
+    leaves: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass
@@ -93,10 +103,17 @@
     _submits: dict[str, Submit] = field(default_factory=dict)
     _started: set[str] = field(default_factory=set)
     _shares: dict[str, float] = field(default_factory=dict)
+    _retries: retries.RetryBudgets = retries.RetryBudgets()
     _members: MembersSeen | None = None
     _spares: tuple[str, ...] = ()
+    _leaves: tuple[tuple[str, int], ...] = ()
+    _credits: CreditTable = field(init=False)
     _tickets: int = 0
 
+    def __post_init__(self) -> None:
+        """Starts the credits of this instance."""
+        self._credits = CreditTable(self.instance)
+
     # Messages that change what is known.
 
     def state_changed(self, message: StateChanged, now: float) -> None:
@@ -153,12 +170,8 @@
         loads: Mapping[str, Mapping[str, float]] = {}
         if self._members is not None:
             zones, loads = self._members.zones, self._members.loads
-        given = credits_of(
-            self._routing,
-            self.index.services.values(),
-            self.instance,
-            zones,
-            loads,
+        given = self._credits.changed(
+            self._routing, self.index.services.values(), zones, loads
         )
         self._routing = routing.set_credits(self._routing, given)
 
@@ -177,17 +190,23 @@
         waiting = Waiting(
             message.request_id, key, plan.name, run, now, message.deadline
         )
+        if message.outcome is not None:
+            final = self._decide_retry(message, service.pool, run, now)
+            if final is not None:
+                message.reply.put(final)
+                return
         route = None
         if not self._others_first(service.pool, run.long):
             route = self._choose(message, run.long, now)
-        if message.attempt == 1:
+        if message.outcome is None:
             refusal = self._admit(plan, service.pool, waiting, route, now)
             if refusal is not None:
                 message.reply.put(refusal)
                 return
+            self._retries = self._retries.earned(plan.name)
         part = self._share(plan.name)
         first = message.request_id not in self._started
-        if first and not admission.may_start(self._admission, plan, part):
+        if first and not admission.may_start(self._admission, plan, part, now):
             route = None
         if route is not None:
             self._grant(message, route, key, now)
@@ -197,6 +216,29 @@
             self._queue(service.pool), waiting
         )
 
+    def _decide_retry(
+        self, message: Submit, pool: str, run: RunClass, now: float
+    ) -> NoAttempt | None:
+        assert message.outcome is not None
+        cells = self._routing.pools[pool].cells.values()
+        self._retries, decision = retries.decide_retry(
+            self._retries,
+            retries.RetryRequest(
+                message.plan,
+                message.idempotent,
+                message.outcome,
+                message.deadline - now,
+                run.expected_s,
+                tuple(_domain(endpoint) for endpoint in message.tried),
+                frozenset(
+                    _domain(cell.endpoint)
+                    for cell in cells
+                    if cell.status is Status.OPEN
+                ),
+            ),
+        )
+        return decision if isinstance(decision, NoAttempt) else None
+
     def _others_first(self, pool: str, long: bool) -> bool:
         queue = self._queues.get(pool)
         if queue is None or not len(queue):
@@ -256,7 +298,7 @@
             service.pool,
             self.zone,
             long,
-            message.avoid,
+            _avoid(message.tried),
             self._spares if service.spill and not service.spare else (),
             message.idempotent,
         )
@@ -269,7 +311,10 @@
         self._routing = routing.reserve(self._routing, route, now)
         if message.request_id not in self._started:
             self._started.add(message.request_id)
-            self._admission = admission.start(self._admission, message.plan)
+            plan = self.index.plans[message.plan]
+            self._admission = admission.start(
+                self._admission, plan, self._share(plan.name), now
+            )
         self._tickets += 1
         self._attempts[self._tickets] = _Attempt(message, route, key, now)
         message.reply.put(
@@ -281,7 +326,7 @@
             {
                 "service": message.service,
                 "plan": message.plan,
-                "attempt": message.attempt,
+                "attempt": len(message.tried) + 1,
                 "endpoint": route.endpoint.instance,
                 "zone": route.endpoint.zone,
                 "long": route.long,
@@ -302,9 +347,9 @@
         )
         self._routing = routing.release(self._routing, route, now)
         if message.leaving:
-            self.leaving_seen(
-                route.endpoint.instance, route.endpoint.incarnation, now
-            )
+            leave = (route.endpoint.instance, route.endpoint.incarnation)
+            self._leaves = (*self._leaves, leave)
+            self.leaving_seen(*leave, now)
         if message.result is not Result.NOT_RUN:
             self._run_times = queueing.observe_run(
                 self._run_times,
@@ -348,7 +393,7 @@
 
     def _serve(self, pool: str, now: float) -> None:
         long_free = True
-        blocked = self._blocked_plans()
+        blocked = self._blocked_plans(now)
         while True:
             waiting = queueing.next_work(
                 self._queues[pool], now, long_free, blocked
@@ -367,13 +412,15 @@
             )
             del self._submits[waiting.request]
             self._grant(message, route, waiting.key, now)
-            blocked = self._blocked_plans()
+            blocked = self._blocked_plans(now)
 
-    def _blocked_plans(self) -> frozenset[str]:
+    def _blocked_plans(self, now: float) -> frozenset[str]:
         return frozenset(
             name
             for name, plan in self.index.plans.items()
-            if not admission.may_start(self._admission, plan, self._share(name))
+            if not admission.may_start(
+                self._admission, plan, self._share(name), now
+            )
         )
 
     def tick(self, now: float) -> None:
@@ -386,6 +433,11 @@
         self._admission = admission.close_step(self._admission, now)
         self._share_again(now)
 
+    def take_leaves(self) -> tuple[tuple[str, int], ...]:
+        """Leave signals that endpoints gave since the last call."""
+        leaves, self._leaves = self._leaves, ()
+        return tuple(dict.fromkeys(leaves))
+
     def _see_long_runs(self, now: float) -> None:
         for attempt in self._attempts.values():
             limit = queueing.long_after_s(
@@ -432,3 +484,19 @@
         if pool is None:
             return 0
         return sum(view.slots for view in pool.zones.values())
+
+
+def _domain(endpoint: Endpoint) -> FailureDomain:
+    return FailureDomain(endpoint.zone, endpoint.rack)
+
+
+def _avoid(tried: tuple[Endpoint, ...]) -> Avoid:
+    """Domains to avoid: the racks tried, and from the second on their zones."""
+    if not tried:
+        return Avoid()
+    zones = frozenset(e.zone for e in tried) if len(tried) > 1 else frozenset()
+    return Avoid(
+        frozenset(e.instance for e in tried),
+        frozenset((e.zone, e.rack) for e in tried),
+        zones,
+    )
--- a/acaciawing/entry/scheduler.py
+++ b/acaciawing/entry/scheduler.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from functools import singledispatch
 from queue import Empty, SimpleQueue
 
@@ -21,6 +22,7 @@
     Submit,
 )
 from acaciawing.outcomes import Refusal
+from acaciawing.retries import NoAttempt
 
 # Longest time between two looks at the queue's deadlines.
 TICK_S = 0.05
@@ -48,7 +50,7 @@
         """Sends a message; returns at once."""
         self._inbox.put(message)
 
-    def submit(self, message: Submit) -> Granted | Refusal:
+    def submit(self, message: Submit) -> Granted | Refusal | NoAttempt:
         """Asks for an endpoint and waits for the decision."""
         self._inbox.put(message)
         return message.reply.get()
@@ -138,6 +140,9 @@
 
 @handle.register
 def _(message: Query, engine: Engine, now: float) -> None:
-    if message.close_step:
-        engine.close_step(now)
-    message.reply.put(engine.view())
+    if not message.close_step:
+        message.reply.put(engine.view())
+        return
+    engine.close_step(now)
+    leaves = engine.take_leaves()
+    message.reply.put(replace(engine.view(), leaves=leaves))
