--- a/acaciawing/idempotency/records.py
+++ b/acaciawing/idempotency/records.py
@@ -8,7 +8,7 @@
 from acaciawing.records import record_type
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Claim:
     """A wish to run the request with one idempotency key.
 
@@ -83,11 +83,13 @@
 def request_fingerprint(method: str, target: str, body: bytes) -> str:
     """Digests what must be equal in a repeat of a request.
 
+    It only tells a key that is reused by mistake, so 8 bytes suffice.
+
     >>> len(request_fingerprint("POST", "/visits/book", b"{}"))
-    32
+    16
     """
     head = f"{method} {target}\n".encode()
-    return hashlib.blake2b(head + body, digest_size=16).hexdigest()
+    return hashlib.blake2b(head + body, digest_size=8).hexdigest()
 
 
 def shard_of(digest: str, shards: int) -> int:
--- a/acaciawing/idempotency/table.py
+++ b/acaciawing/idempotency/table.py
@@ -1,7 +1,10 @@
 """Fold of one claim stream: who holds which key."""
 
-from dataclasses import dataclass, replace
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
 from functools import singledispatch
+from sys import intern
+from typing import TypeAlias
 
 from immutables import Map
 
@@ -20,7 +23,12 @@
 _SLOT_S = 60.0
 
 
-@dataclass(frozen=True)
+# Keys of one minute, the newest batch first; a linked list, so that a batch is
+# added without a copy and costs one pointer for each key.
+_Slot: TypeAlias = "tuple[tuple[str, ...], _Slot] | None"
+
+
+@dataclass(frozen=True, slots=True)
 class Holder:
     """The accepted claim of a key.
 
@@ -50,17 +58,19 @@
     retention_s: float = RETENTION_S
     log_time: float = 0.0
     holders: Map[str, Holder] = Map()
-    slots: Map[int, Map[str, None]] = Map()
+    # Not shown or compared: Python walks a linked list by recursion.
+    slots: Map[int, _Slot] = field(default=Map(), repr=False, compare=False)
     oldest_slot: int = 0
 
     def holder(self, digest: str) -> Holder | None:
         """The holder of a key at `log_time`, or None."""
         holder = self.holders.get(digest)
-        if holder is None or self._expired(holder):
+        if holder is None or self.expired(holder):
             return None
         return holder
 
-    def _expired(self, holder: Holder) -> bool:
+    def expired(self, holder: Holder) -> bool:
+        """Whether a holder's claim no longer holds at `log_time`."""
         return self.log_time - holder.claimed_at >= self.retention_s
 
 
@@ -89,8 +99,11 @@
     record: ClaimBatch, table: ClaimTable, position: LogPosition
 ) -> tuple[ClaimTable, Verdict]:
     table = _at(table, position)
-    for part in (*record.releases, *record.claims, *record.finished):
-        table, _verdict = apply(part, table, position)
+    for release in record.releases:
+        table, _verdict = apply(release, table, position)
+    table = _take_all(record.claims, table, position)
+    for ended in record.finished:
+        table, _verdict = apply(ended, table, position)
     return table, Accepted()
 
 
@@ -102,15 +115,30 @@
     holder = table.holder(record.digest)
     if holder is not None:
         return table, Ignored("claimed", holder.claim.claim_id)
+    return _take_all((record,), table, position), Accepted()
+
+
+def _take_all(
+    claims: tuple[Claim, ...], table: ClaimTable, position: LogPosition
+) -> ClaimTable:
+    """Gives each key to its first claim."""
+    holders = table.holders.mutate()
+    taken: list[str] = []
+    for claim in claims:
+        held = holders.get(claim.digest)
+        if held is not None and not table.expired(held):
+            continue
+        # Decoding makes a new string for each record, and customers are few.
+        customer = intern(claim.customer)
+        kept = Claim(customer, claim.digest, claim.fingerprint, claim.claim_id)
+        holders[kept.digest] = Holder(kept, position.appended_at)
+        taken.append(kept.digest)
+    if not taken:
+        return table
     slot = int(position.appended_at // _SLOT_S)
-    digests = table.slots.get(slot, Map()).set(record.digest, None)
-    taken = Holder(record, position.appended_at)
-    table = replace(
-        table,
-        holders=table.holders.set(record.digest, taken),
-        slots=table.slots.set(slot, digests),
-    )
-    return table, Accepted()
+    older = table.slots.get(slot)
+    slots = table.slots.set(slot, (tuple(taken), older))
+    return replace(table, holders=holders.finish(), slots=slots)
 
 
 @apply.register
@@ -148,7 +176,7 @@
         return table
     holders, slots = table.holders.mutate(), table.slots
     for slot in sorted(s for s in slots if s < keep_from):
-        for digest in slots[slot]:
+        for digest in _digests(slots[slot]):
             holder = holders.get(digest)
             # A released key may have been claimed again in a later slot.
             if holder is not None and holder.claimed_at < keep_from * _SLOT_S:
@@ -157,3 +185,9 @@
     return replace(
         table, holders=holders.finish(), slots=slots, oldest_slot=keep_from
     )
+
+
+def _digests(slot: _Slot) -> Iterator[str]:
+    while slot is not None:
+        digests, slot = slot
+        yield from digests
--- a/acaciawing/idempotency/tests/test_interleavings.py
+++ b/acaciawing/idempotency/tests/test_interleavings.py
@@ -61,6 +61,29 @@
             model.deliver(a + b * number)
 
 
+def _attempt(model: Model, member: str, b: int) -> None:
+    _request(model, member, 0)
+    _converse(model, b, b)
+
+
+def _outage(model: Model, a: int, b: int) -> None:
+    """Takes the log from all but perhaps one member."""
+    for number, member in enumerate(model.running()):
+        node = model.nodes[member]
+        node.log_reachable = number == a
+        model.read(member)
+
+
+def _lost(model: Model, member: str, b: int) -> None:
+    """Ends a member and tells the others by the platform's list."""
+    model.crash(member)
+    for other in model.running():
+        model.list_ended(other)
+    if b % 2:
+        model.replace(member)
+        _converse(model, b, b)
+
+
 def _time(model: Model, a: int, b: int) -> None:
     model.now += (0.01, 0.1, 0.6, 3.0)[a % 4]
     for member in model.running():
@@ -97,6 +120,9 @@
     "request": _on_node(lambda m, n, b: _request(m, n, b)),
     "deliver": _deliver,
     "converse": _converse,
+    "attempt": _on_node(_attempt),
+    "outage": _outage,
+    "lost": _on_node(_lost),
     "drop": _drop,
     "time": _time,
     "read": _on_node(lambda m, n, b: m.read(n)),
@@ -112,8 +138,8 @@
     "crash": _on_node(_crash),
     "list": _on_node(lambda m, n, b: m.list_ended(n)),
 }
-# Requests and deliveries are frequent, so that agreements get to their end.
-_NAMES = (*_ACTS, "request", "request", "deliver", "deliver", "deliver", "read")
+# Attempts and deliveries are frequent, so that agreements get to their end.
+_NAMES = (*_ACTS, *("attempt",) * 5, "request", "deliver", "deliver", "read")
 
 _SCRIPTS = st.lists(
     st.tuples(st.sampled_from(_NAMES), st.integers(0, 7), st.integers(0, 7)),
