--- a/acaciawing/maintenance/waves.py
+++ b/acaciawing/maintenance/waves.py
@@ -8,193 +8,30 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
-from enum import Enum
 from functools import singledispatch
 
 from immutables import Map
 
+from acaciawing.leases import Fence, pool_subject
+from acaciawing.maintenance.records import (
+    ALL_POOLS,
+    NEXT_STAGES,
+    Bounds,
+    OutageChanged,
+    Place,
+    Stage,
+    WavePlanned,
+    WaveResumed,
+    WaveStep,
+    WaveStopped,
+)
 from acaciawing.outcomes import Accepted, Ignored, Verdict
-from acaciawing.records import LogPosition, record_type
-
-ALL_POOLS = ""
+from acaciawing.records import LogPosition
 
 # Instances not seen in a wave for this long were replaced under another id.
 _MAINTAINED_RETENTION_S = 90 * 86_400.0
 
 
-class Stage(Enum):
-    """Where an instance is in a wave."""
-
-    WAITING = "waiting"
-    DRAINING = "draining"
-    RESTORING = "restoring"
-    REBOOTING = "rebooting"
-    VERIFYING = "verifying"
-    RETURNED = "returned"
-    REPLACED = "replaced"
-    SKIPPED = "skipped"
-    FAILED = "failed"
-
-    @property
-    def in_progress(self) -> bool:
-        """Whether the wave keeps the instance out of service."""
-        return self in _IN_PROGRESS
-
-    @property
-    def final(self) -> bool:
-        """Whether the wave is done with the instance."""
-        return not _NEXT[self]
-
-
-_IN_PROGRESS = frozenset(
-    {Stage.DRAINING, Stage.RESTORING, Stage.REBOOTING, Stage.VERIFYING}
-)
-
-_NEXT: dict[Stage, frozenset[Stage]] = {
-    Stage.WAITING: frozenset({Stage.DRAINING, Stage.REPLACED, Stage.SKIPPED}),
-    Stage.DRAINING: frozenset(
-        {Stage.RESTORING, Stage.REBOOTING, Stage.REPLACED, Stage.FAILED}
-    ),
-    # A drain was given up; the instance is put back into service.
-    Stage.RESTORING: frozenset(
-        {Stage.WAITING, Stage.SKIPPED, Stage.REPLACED, Stage.FAILED}
-    ),
-    Stage.REBOOTING: frozenset({Stage.VERIFYING, Stage.FAILED}),
-    Stage.VERIFYING: frozenset({Stage.RETURNED, Stage.FAILED}),
-    Stage.RETURNED: frozenset(),
-    Stage.REPLACED: frozenset(),
-    Stage.SKIPPED: frozenset(),
-    Stage.FAILED: frozenset(),
-}
-
-
-@dataclass(frozen=True)
-class Bounds:
-    """Instances that may be out of service at a time, whatever the cause.
-
-    Attributes:
-        pool: In the wave's pool; its size less its reserve.
-        rack: In one rack, over all pools.
-        zone: In one availability zone, over all pools.
-    """
-
-    pool: int
-    rack: int
-    zone: int
-
-
-@dataclass(frozen=True)
-class Place:
-    """Where an instance is.
-
-    Attributes:
-        instance: Its id.
-        incarnation: Its incarnation when it was observed.
-        zone: Availability zone.
-        rack: Rack within the zone.
-    """
-
-    instance: str
-    incarnation: int
-    zone: str
-    rack: str
-
-
-@record_type("wave-planned", version=1)
-@dataclass(frozen=True)
-class WavePlanned:
-    """A new wave over a pool.
-
-    Attributes:
-        pool: Name of the pool.
-        epoch: Number of the pool's waves that have ended.
-        members: Instances to maintain.
-        bounds: Bounds that hold for each drain of the wave.
-        token: Fencing token of the pool's maintenance lease.
-    """
-
-    pool: str
-    epoch: int
-    members: tuple[Place, ...]
-    bounds: Bounds
-    token: int
-
-
-@record_type("wave-step", version=1)
-@dataclass(frozen=True)
-class WaveStep:
-    """One instance passes to the next stage.
-
-    Attributes:
-        pool: Name of the pool.
-        wave: Epoch of the wave.
-        instance: Id of the instance.
-        epoch: Epoch of the member that the writer saw.
-        stage: The new stage.
-        token: Fencing token of the pool's maintenance lease.
-        reason: Code that explains the step, or an empty string.
-    """
-
-    pool: str
-    wave: int
-    instance: str
-    epoch: int
-    stage: Stage
-    token: int
-    reason: str = ""
-
-
-@record_type("instance-outage", version=1)
-@dataclass(frozen=True)
-class OutageChanged:
-    """An unplanned failure of an instance was observed, or its end.
-
-    Attributes:
-        pool: Pool of the instance.
-        place: Where it is.
-        down: Whether it is out of service.
-        token: Fencing token of the pool's maintenance lease.
-    """
-
-    pool: str
-    place: Place
-    down: bool
-    token: int
-
-
-@record_type("wave-stopped", version=1)
-@dataclass(frozen=True)
-class WaveStopped:
-    """An operator stops maintenance.
-
-    Attributes:
-        pool: Name of the pool, or `ALL_POOLS`.
-        operator: Name of the operator.
-        reason: Text for other operators.
-    """
-
-    pool: str
-    operator: str
-    reason: str
-
-
-@record_type("wave-resumed", version=1)
-@dataclass(frozen=True)
-class WaveResumed:
-    """An operator lifts a stop.
-
-    Attributes:
-        pool: Name of the pool, or `ALL_POOLS`.
-        operator: Name of the operator.
-        stopped_at: Log offset of the stop that is lifted; a late repeat must
-            not lift a newer stop.
-    """
-
-    pool: str
-    operator: str
-    stopped_at: int
-
-
 @dataclass(frozen=True)
 class Member:
     """One instance in a wave.
@@ -251,7 +88,6 @@
         outages: Instances that failed unplanned.
         maintained: Time of the last maintenance or replacement, by instance.
         stopped: Offset of the operator's stop, by pool.
-        tokens: Highest fencing token seen, by pool.
     """
 
     active: Map[str, Wave] = field(default_factory=Map)
@@ -261,7 +97,6 @@
     outages: Map[str, Down] = field(default_factory=Map)
     maintained: Map[str, float] = field(default_factory=Map)
     stopped: Map[str, int] = field(default_factory=Map)
-    tokens: Map[str, int] = field(default_factory=Map)
 
     def is_stopped(self, pool: str) -> bool:
         """Whether an operator stopped maintenance of the pool."""
@@ -322,9 +157,8 @@
 def _(
     record: WavePlanned, table: WaveTable, position: LogPosition
 ) -> tuple[WaveTable, Verdict]:
-    stale = _stale_token(table, record.pool, record.token)
-    if stale is not None:
-        return table, stale
+    if not _covers(record.fence, record.pool):
+        return table, Ignored("wrong-subject", record.fence.subject)
     epoch = table.epochs.get(record.pool, 0)
     if record.pool in table.active or record.epoch != epoch:
         return table, Ignored("stale-epoch", f"{record.epoch}, now {epoch}")
@@ -336,7 +170,7 @@
     }
     wave = Wave(record.pool, epoch, record.bounds, Map(members))
     planned = replace(table, active=table.active.set(record.pool, wave))
-    return _with_token(planned, record.pool, record.token), Accepted()
+    return planned, Accepted()
 
 
 @apply.register
@@ -360,16 +194,15 @@
     stepped = _with_effects(stepped, record, member.place, position)
     if all(m.stage.final for m in wave.members.values()):
         stepped = _closed(stepped, wave, position.appended_at)
-    return _with_token(stepped, record.pool, record.token), Accepted()
+    return stepped, Accepted()
 
 
 @apply.register
 def _(
     record: OutageChanged, table: WaveTable, position: LogPosition
 ) -> tuple[WaveTable, Verdict]:
-    stale = _stale_token(table, record.pool, record.token)
-    if stale is not None:
-        return table, stale
+    if not _covers(record.fence, record.pool):
+        return table, Ignored("wrong-subject", record.fence.subject)
     instance = record.place.instance
     if record.down == (instance in table.outages):
         return table, Ignored("duplicate", instance)
@@ -378,7 +211,7 @@
     else:
         outages = table.outages.delete(instance)
     changed = replace(table, outages=outages)
-    return _with_token(changed, record.pool, record.token), Accepted()
+    return changed, Accepted()
 
 
 @apply.register
@@ -402,16 +235,15 @@
 
 
 def _refused_step(record: WaveStep, table: WaveTable) -> Ignored | None:
-    stale = _stale_token(table, record.pool, record.token)
-    if stale is not None:
-        return stale
+    if not _covers(record.fence, record.pool):
+        return Ignored("wrong-subject", record.fence.subject)
     wave = table.active.get(record.pool)
     if wave is None or wave.number != record.wave:
         return Ignored("unknown-wave", f"{record.pool}/{record.wave}")
     member = wave.members.get(record.instance)
     if member is None or member.epoch != record.epoch:
         return Ignored("stale-epoch", record.instance)
-    if record.stage not in _NEXT[member.stage]:
+    if record.stage not in NEXT_STAGES[member.stage]:
         detail = f"{member.stage.value} to {record.stage.value}"
         return Ignored("invalid-step", detail)
     if record.stage is not Stage.DRAINING:
@@ -457,14 +289,5 @@
     )
 
 
-def _stale_token(table: WaveTable, pool: str, token: int) -> Ignored | None:
-    newest = table.tokens.get(pool, -1)
-    if token < newest:
-        return Ignored("stale-token", f"{token}, newest is {newest}")
-    return None
-
-
-def _with_token(table: WaveTable, pool: str, token: int) -> WaveTable:
-    if table.tokens.get(pool, -1) >= token:
-        return table
-    return replace(table, tokens=table.tokens.set(pool, token))
+def _covers(fence: Fence, pool: str) -> bool:
+    return fence.subject == pool_subject(pool)
