--- a/acaciawing/entry/engine.py
+++ b/acaciawing/entry/engine.py
@@ -11,7 +11,7 @@
 from acaciawing import admission, queueing, retries, routing
 from acaciawing.configuration import ConfigurationIndex, Plan, index
 from acaciawing.entry.counts import PlanCounts
-from acaciawing.entry.credits import credits_of
+from acaciawing.entry.credits import CreditTable
 from acaciawing.entry.messages import (
     Completed,
     Finished,
@@ -60,6 +60,7 @@
         in_flight: Attempts in flight.
         endpoints: Number of endpoints by status.
         members: Entry instances heard of, this one included.
+        leaves: Leave signals of endpoints since the last demand sample.
     """
 
     state: FleetState
@@ -70,6 +71,7 @@
     in_flight: int
     endpoints: dict[str, int]
     members: int
+    leaves: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass
@@ -101,11 +103,18 @@
     _submits: dict[str, Submit] = field(default_factory=dict)
     _started: set[str] = field(default_factory=set)
     _shares: dict[str, float] = field(default_factory=dict)
+    _plan_shares: dict[str, tuple[Plan, float]] = field(default_factory=dict)
     _retries: retries.RetryBudgets = retries.RetryBudgets()
     _members: MembersSeen | None = None
     _spares: tuple[str, ...] = ()
+    _leaves: tuple[tuple[str, int], ...] = ()
+    _credits: CreditTable = field(init=False)
     _tickets: int = 0
 
+    def __post_init__(self) -> None:
+        """Starts the credits of this instance."""
+        self._credits = CreditTable(self.instance)
+
     # Messages that change what is known.
 
     def state_changed(self, message: StateChanged, now: float) -> None:
@@ -154,6 +163,10 @@
             )
             for name in self.index.plans
         }
+        self._plan_shares = {
+            name: (self.index.plans[name], part)
+            for name, part in self._shares.items()
+        }
 
     def _credit_again(self) -> None:
         # Until a peer is heard of, the instance takes itself for the only one;
@@ -162,12 +175,8 @@
         loads: Mapping[str, Mapping[str, float]] = {}
         if self._members is not None:
             zones, loads = self._members.zones, self._members.loads
-        given = credits_of(
-            self._routing,
-            self.index.services.values(),
-            self.instance,
-            zones,
-            loads,
+        given = self._credits.changed(
+            self._routing, self.index.services.values(), zones, loads
         )
         self._routing = routing.set_credits(self._routing, given)
 
@@ -202,7 +211,7 @@
             self._retries = self._retries.earned(plan.name)
         part = self._share(plan.name)
         first = message.request_id not in self._started
-        if first and not admission.may_start(self._admission, plan, part):
+        if first and not admission.may_start(self._admission, plan, part, now):
             route = None
         if route is not None:
             self._grant(message, route, key, now)
@@ -259,12 +268,8 @@
             waiting.deadline - now,
             len(queue) >= self.queue_limit,
         )
-        shares = {
-            name: (self.index.plans[name], part)
-            for name, part in self._shares.items()
-        }
         self._admission, decision = admission.admit(
-            self._admission, arrival, now, shares
+            self._admission, arrival, now, self._plan_shares
         )
         if isinstance(decision, NotRun):
             return decision
@@ -307,7 +312,10 @@
         self._routing = routing.reserve(self._routing, route, now)
         if message.request_id not in self._started:
             self._started.add(message.request_id)
-            self._admission = admission.start(self._admission, message.plan)
+            plan = self.index.plans[message.plan]
+            self._admission = admission.start(
+                self._admission, plan, self._share(plan.name), now
+            )
         self._tickets += 1
         self._attempts[self._tickets] = _Attempt(message, route, key, now)
         message.reply.put(
@@ -340,9 +348,9 @@
         )
         self._routing = routing.release(self._routing, route, now)
         if message.leaving:
-            self.leaving_seen(
-                route.endpoint.instance, route.endpoint.incarnation, now
-            )
+            leave = (route.endpoint.instance, route.endpoint.incarnation)
+            self._leaves = (*self._leaves, leave)
+            self.leaving_seen(*leave, now)
         if message.result is not Result.NOT_RUN:
             self._run_times = queueing.observe_run(
                 self._run_times,
@@ -386,7 +394,7 @@
 
     def _serve(self, pool: str, now: float) -> None:
         long_free = True
-        blocked = self._blocked_plans()
+        blocked = self._blocked_plans(now)
         while True:
             waiting = queueing.next_work(
                 self._queues[pool], now, long_free, blocked
@@ -405,13 +413,15 @@
             )
             del self._submits[waiting.request]
             self._grant(message, route, waiting.key, now)
-            blocked = self._blocked_plans()
+            blocked = self._blocked_plans(now)
 
-    def _blocked_plans(self) -> frozenset[str]:
+    def _blocked_plans(self, now: float) -> frozenset[str]:
         return frozenset(
             name
             for name, plan in self.index.plans.items()
-            if not admission.may_start(self._admission, plan, self._share(name))
+            if not admission.may_start(
+                self._admission, plan, self._share(name), now
+            )
         )
 
     def tick(self, now: float) -> None:
@@ -424,6 +434,11 @@
         self._admission = admission.close_step(self._admission, now)
         self._share_again(now)
 
+    def take_leaves(self) -> tuple[tuple[str, int], ...]:
+        """Leave signals that endpoints gave since the last call."""
+        leaves, self._leaves = self._leaves, ()
+        return tuple(dict.fromkeys(leaves))
+
     def _see_long_runs(self, now: float) -> None:
         for attempt in self._attempts.values():
             limit = queueing.long_after_s(
@@ -438,6 +453,11 @@
 
     # Views.
 
+    @property
+    def waiting(self) -> int:
+        """Requests in the queues."""
+        return len(self._submits)
+
     def view(self) -> EngineView:
         """A frozen view for other tasks."""
         endpoints: dict[str, int] = {}
@@ -453,7 +473,7 @@
             {name: counts.copy() for name, counts in self.counts.items()},
             admission.published_demand(self._admission),
             loads,
-            sum(len(queue) for queue in self._queues.values()),
+            self.waiting,
             len(self._attempts),
             endpoints,
             self._members.view.size if self._members else 1,
