--- a/acaciawing/placement/preemption.py
+++ b/acaciawing/placement/preemption.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Mapping, Sequence, Set
 from dataclasses import dataclass, field
+from operator import itemgetter
 from typing import NamedTuple, TypeAlias
 
 from acaciawing.budgets import (
@@ -159,7 +160,7 @@
     now: float,
 ) -> Preemption | None:
     """The cheapest on the first workers that can be cleared."""
-    best: Preemption | None = None
+    best: tuple[float, str, list[_Option]] | None = None
     cleared = 0
     for name in names:
         if not _able(snapshot, request.task, size, name, now):
@@ -168,11 +169,26 @@
         if found is None:
             continue
         cleared += 1
-        if best is None or found.cost < best.cost:
-            best = found
+        cost = sum(o.cost for o in found)
+        if best is None or cost < best[0]:
+            best = (cost, name, found)
         if cleared == _SAMPLE:
             break
-    return best
+    return None if best is None else _decided(snapshot, size, *best)
+
+
+def _decided(
+    snapshot: PlacementSnapshot,
+    size: Resources,
+    cost: float,
+    name: str,
+    chosen: "list[_Option]",
+) -> Preemption:
+    chosen.sort(key=_BY_COST)
+    victims = tuple(Victim(o.task, _method(o), o.cost) for o in chosen)
+    load = snapshot.table.loads.get(name, Load())
+    worker = snapshot.index.workers[name]
+    return Preemption(worker, load.epoch, size, victims, cost)
 
 
 def _able(
@@ -195,14 +211,20 @@
 
 
 class _Option(NamedTuple):
-    """A way in which one task can give way; sorts by cost."""
+    """A way in which one task can give way, and what it frees."""
 
     cost: float
     offset: int
     stops: bool
+    processors: float
+    memory_mb: int
+    accelerators: int
     task: Task
 
 
+_BY_COST = itemgetter(0, 1)  # cost, then order of arrival
+
+
 def _cleared(
     snapshot: PlacementSnapshot,
     request: PreemptionRequest,
@@ -210,7 +232,7 @@
     name: str,
     over: Mapping[str, float],
     now: float,
-) -> Preemption | None:
+) -> list[_Option] | None:
     """The cheapest victims on one worker; greedy, then pruned."""
     load = snapshot.table.loads.get(name, Load())
     free = snapshot.index.free[name]
@@ -224,15 +246,8 @@
             if not task.throttled:
                 options.append(_throttle(task, weight))
             options.append(_stop(task, weight, now))
-    options.sort(key=lambda o: o[:2])
-    chosen = _greedy(options, free, size)
-    if chosen is None:
-        return None
-    chosen.sort(key=lambda o: o[:2])
-    victims = tuple(Victim(o.task, _method(o), o.cost) for o in chosen)
-    worker = snapshot.index.workers[name]
-    cost = sum(o.cost for o in chosen)
-    return Preemption(worker, load.epoch, size, victims, cost)
+    options.sort(key=_BY_COST)
+    return _greedy(options, free, size)
 
 
 def _greedy(
@@ -243,14 +258,12 @@
     Works on what still lacks of each resource, since sums of `Resources` took
     most of the time of a decision.
     """
-    lacks = [
-        size.processors - free.processors,
-        size.memory_mb - free.memory_mb,
-        size.accelerators - free.accelerators,
-    ]
+    processors = size.processors - free.processors
+    memory_mb = size.memory_mb - free.memory_mb
+    accelerators = size.accelerators - free.accelerators
     chosen: dict[str, _Option] = {}
     for option in options:
-        if max(lacks) <= 0:
+        if processors <= 0 and memory_mb <= 0 and accelerators <= 0:
             break
         name = option.task.submitted.task
         before = chosen.get(name)
@@ -258,30 +271,26 @@
             # A stop replaces a throttle of the same task, not the reverse.
             if before.stops:
                 continue
-            _add(lacks, before, 1)
+            processors += before.processors
         chosen[name] = option
-        _add(lacks, option, -1)
-    if max(lacks) > 0:
+        processors -= option.processors
+        memory_mb -= option.memory_mb
+        accelerators -= option.accelerators
+    if processors > 0 or memory_mb > 0 or accelerators > 0:
         return None
-    for option in sorted(chosen.values(), key=lambda o: -o.cost):
-        _add(lacks, option, 1)
-        if max(lacks) > 0:
-            _add(lacks, option, -1)
-        else:
+    for option in sorted(chosen.values(), key=_BY_COST, reverse=True):
+        if (
+            processors + option.processors <= 0
+            and memory_mb + option.memory_mb <= 0
+            and accelerators + option.accelerators <= 0
+        ):
+            processors += option.processors
+            memory_mb += option.memory_mb
+            accelerators += option.accelerators
             del chosen[option.task.submitted.task]
     return list(chosen.values())
 
 
-def _add(lacks: list[float], option: _Option, sign: int) -> None:
-    size = option.task.size
-    if option.stops:
-        lacks[0] += sign * size.processors
-        lacks[1] += sign * size.memory_mb
-        lacks[2] += sign * size.accelerators
-    else:
-        lacks[0] += sign * size.processors * (1 - THROTTLED_SHARE)
-
-
 def _may_give_way(
     request: PreemptionRequest, task: Task, over: Mapping[str, float]
 ) -> bool:
@@ -299,19 +308,28 @@
 
 
 def _throttle(task: Task, weight: float) -> _Option:
-    delayed = task.size.processors * (1 - THROTTLED_SHARE) * _THROTTLE_S
-    return _Option(weight * delayed, task.offset, False, task)
+    freed = task.size.processors * (1 - THROTTLED_SHARE)
+    cost = weight * freed * _THROTTLE_S
+    return _Option(cost, task.offset, False, freed, 0, 0, task)
 
 
 def _stop(task: Task, weight: float, now: float) -> _Option:
     ran = max(0.0, now - task.started_at)
     if task.submitted.checkpointable:
         ran = min(ran, _CHECKPOINT_S)
-    processors = max(1.0, task.size.processors)
+    size = task.size
     # Starting again costs about as much as a checkpoint, so that stopping a
     # task that has just started is not free.
-    cost = weight * processors * (ran + _CHECKPOINT_S)
-    return _Option(cost, task.offset, True, task)
+    cost = weight * max(1.0, size.processors) * (ran + _CHECKPOINT_S)
+    return _Option(
+        cost,
+        task.offset,
+        True,
+        size.processors,
+        size.memory_mb,
+        size.accelerators,
+        task,
+    )
 
 
 def _method(option: _Option) -> Method:
