Ask a peer again that learned of the outage by the question

Cause: at the begin of an outage each peer that had not noticed it yet tried the log on behalf of the requester, failed, and denied the claim, so the first keys of an outage ended as unknown. The peer is now asked once more and grants.

Ruled out: granting in the same answer. The claim may be in the log by an append whose response was lost, and the question has been answered when that is known.

--- a/acaciawing/idempotency/agreement.py
+++ b/acaciawing/idempotency/agreement.py
@@ -42,6 +42,8 @@
     without,
 )
 
+# Reason of a peer that could not bring the claim to the log.
+LOG_AWAY = "log-away"
 _COLLECT_EVERY_S = 0.5
 # Longer than one append and read-back of a healthy log; the asking request
 # holds a thread of both instances for that time.
@@ -234,6 +236,10 @@
 def _(
     answer: Denied, peer: str, pending: Pending, state: ClaimState, now: float
 ) -> Stepped:
+    if answer.reason == LOG_AWAY:
+        # The peer just learned that its log is away, and can grant now.
+        pending = replace(pending, asked=pending.asked - {peer})
+        return _advance(state, pending, now)
     return settle(state, pending, Unknown(f"peer-{answer.reason}"))
 
 
--- a/acaciawing/idempotency/rules.py
+++ b/acaciawing/idempotency/rules.py
@@ -251,7 +251,7 @@
     state = replace(state, log_up=False)
     outputs: list[Output] = []
     for proxied in state.proxied.values():
-        denied = Denied("log-away")
+        denied = Denied(agreement.LOG_AWAY)
         outputs.extend(Reply(token, denied) for token in proxied.tokens)
     state = replace(state, proxied=Map())
     for pending in tuple(state.pending.values()):
--- a/acaciawing/idempotency/tests/test_interleavings.py
+++ b/acaciawing/idempotency/tests/test_interleavings.py
@@ -340,6 +340,18 @@
         _away(model, "a/1", "c/1")
         assert isinstance(_decision(model, "a/1"), e.Run)
 
+    def test_peers_that_learn_of_the_outage_by_the_question_grant(
+        self,
+    ) -> None:
+        model = Model(3)
+        for node in model.nodes.values():
+            node.log_reachable = False
+        model.read("a/1")
+        token = model.request("a/1", "k")
+        while model.network:
+            model.deliver(0)
+        assert isinstance(model.decisions[token], e.Run)
+
     def test_log_that_only_reads_is_away(self) -> None:
         model = Model(3)
         model.writable = False
