--- a/acaciawing/control/listed.py
+++ b/acaciawing/control/listed.py
@@ -9,6 +9,7 @@
     InstanceAdopted,
     InstanceReplaced,
     InstanceRetired,
+    OwnedInstance,
 )
 from acaciawing.platform import ListedInstance, Listing
 
@@ -26,11 +27,21 @@
     """Yields records for new instances and for new incarnations."""
     if view.listing is None:
         return
-    for listed in sorted(view.listing.instances, key=lambda i: i.instance):
-        if listed.state == LIVE:
-            record = _adoption(state, view, view.listing, listed, now)
-            if record is not None:
-                yield record
+    # Nearly all instances are known; looking for a fence comes after that.
+    owned = state.ownership.instances
+    unknown = [
+        listed
+        for listed in view.listing.instances
+        if listed.state == LIVE and _is_new(listed, owned.get(listed.instance))
+    ]
+    for listed in sorted(unknown, key=lambda i: i.instance):
+        record = _adoption(state, view, view.listing, listed, now)
+        if record is not None:
+            yield record
+
+
+def _is_new(listed: ListedInstance, known: OwnedInstance | None) -> bool:
+    return known is None or listed.incarnation > known.incarnation
 
 
 def _adoption(
@@ -55,8 +66,6 @@
             listing.as_of,
             fence,
         )
-    if listed.incarnation <= known.incarnation:
-        return None
     return InstanceReplaced(
         known.instance,
         known.epoch,
--- a/acaciawing/entry/distribution.py
+++ b/acaciawing/entry/distribution.py
@@ -181,7 +181,9 @@
         self._tasks.gossip.set_roster(
             tuple(m for m in state.roster.members.values() if m not in ended)
         )
-        if ended:
+        # Only a member that knows all grants may end another one: its claims
+        # must have been read first.
+        if ended and self._tasks.claims.wait_complete(0.0):
             self._tasks.journal.ended(ended)
 
     def _look_ready(self, result: ReadResult) -> None:
--- a/acaciawing/entry/engine.py
+++ b/acaciawing/entry/engine.py
@@ -459,15 +459,19 @@
         return len(self._submits)
 
     def view(self) -> EngineView:
-        """A frozen view for other tasks."""
-        endpoints: dict[str, int] = {}
-        loads: dict[str, float] = {}
-        for name, pool in self._routing.pools.items():
-            loads[name] = float(len(self._queue(name)))
-            for cell in pool.cells.values():
-                status = cell.status.value
-                endpoints[status] = endpoints.get(status, 0) + 1
-                loads[name] += cell.in_flight
+        """A frozen view for other tasks.
+
+        Costs nothing for endpoints without work; it is asked for twice a
+        second, and the target has 1,400.
+        """
+        loads: dict[str, float] = {
+            pool: float(len(queue))
+            for pool, queue in self._queues.items()
+            if len(queue)
+        }
+        for attempt in self._attempts.values():
+            pool = attempt.route.endpoint.pool
+            loads[pool] = loads.get(pool, 0.0) + 1.0
         return EngineView(
             self.state,
             {name: counts.copy() for name, counts in self.counts.items()},
@@ -475,10 +479,19 @@
             loads,
             self.waiting,
             len(self._attempts),
-            endpoints,
+            {},
             self._members.view.size if self._members else 1,
         )
 
+    def endpoint_counts(self) -> dict[str, int]:
+        """Number of endpoints by status; a pass over all of them."""
+        found: dict[str, int] = {}
+        for pool in self._routing.pools.values():
+            for cell in pool.cells.values():
+                status = cell.status.value
+                found[status] = found.get(status, 0) + 1
+        return found
+
     def _queue(self, pool: str) -> Queue:
         return self._queues.get(pool) or Queue()
 
--- a/acaciawing/entry/scheduler.py
+++ b/acaciawing/entry/scheduler.py
@@ -73,7 +73,8 @@
         """A frozen view of the state.
 
         Args:
-            close_step: Whether to take a demand sample first.
+            close_step: Whether to take a demand sample first; the view then
+                has the new leave signals and no count of endpoints.
         """
         reply: SimpleQueue[EngineView] = SimpleQueue()
         self._inbox.put(Query(reply, close_step))
@@ -165,7 +166,8 @@
 @handle.register
 def _(message: Query, engine: Engine, now: float) -> None:
     if not message.close_step:
-        message.reply.put(engine.view())
+        endpoints = engine.endpoint_counts()
+        message.reply.put(replace(engine.view(), endpoints=endpoints))
         return
     engine.close_step(now)
     leaves = engine.take_leaves()
--- a/bench/idle.py
+++ b/bench/idle.py
@@ -41,7 +41,7 @@
     """Measures one entry daemon at each size.
 
     Args:
-        seconds: Time of observation, after 4 s of start.
+        seconds: Time of observation, after the start has settled.
     """
     return tuple(_measure(*size, seconds) for size in SIZES)
 
@@ -89,7 +89,7 @@
     )
     ready = f"http://{ports[2]}/readyz"
     wait_until(lambda: HTTP.request("GET", ready).status == 200, 20)
-    time.sleep(4)
+    _settle(fleet, name)
     before = _spent(processes, fleet)
     time.sleep(seconds)
     after = _spent(processes, fleet)
@@ -102,6 +102,21 @@
     )
 
 
+def _settle(fleet: Fleet, name: str) -> None:
+    """Waits until the instance has adopted all instances of the list.
+
+    It appends some 180 records a second then, which is no steady state.
+    """
+    url = f"http://{fleet.administration[name]}/v1/status"
+    offsets: list[int] = []
+    for _ in range(60):
+        time.sleep(1)
+        offsets.append(int(call("GET", url)["offset"]))
+        if len(offsets) > 6 and offsets[-1] - offsets[-6] <= 5:
+            return
+    raise RuntimeError("the entry instance did not settle")
+
+
 def _spent(processes: Processes, fleet: Fleet) -> tuple[float, int]:
     """Processor seconds of the daemon and bytes at both stand-ins."""
     stat = Path(f"/proc/{processes.pid('entry')}/stat").read_text("utf-8")
