Ask a peer again that has just joined; keep reports fresh at the target

A report each 50 s at 60 entry instances would have made the budget gate refuse all moves, which need reports of at most 30 s.

--- a/acaciawing/entry/journal.py
+++ b/acaciawing/entry/journal.py
@@ -14,9 +14,10 @@
 
 # The availability budget holds back what can fail in 10 s.
 COUNTS_S = 10.0
-# A roster larger than this reports less often, so that the reports of all stay
-# at about one a second.
+# A roster larger than this reports less often, so that all together append about
+# one report a second. The gate refuses moves from a report that is 30 s old.
 _FULL_RATE_MEMBERS = 12
+_LONGEST_S = 25.0
 # A join that was not read back by then is sent again; the fold ignores repeats.
 _RESEND_S = 2.0
 
@@ -25,9 +26,10 @@
     """Seconds between two reports of one instance.
 
     >>> counts_interval_s(9), counts_interval_s(60)
-    (10.0, 50.0)
+    (10.0, 25.0)
     """
-    return COUNTS_S * max(1.0, members / _FULL_RATE_MEMBERS)
+    stretched = COUNTS_S * max(1.0, members / _FULL_RATE_MEMBERS)
+    return min(_LONGEST_S, stretched)
 
 
 def report(
--- a/acaciawing/idempotency/agreement.py
+++ b/acaciawing/idempotency/agreement.py
@@ -44,6 +44,9 @@
 
 # Reason of a peer that could not bring the claim to the log.
 LOG_AWAY = "log-away"
+# Reasons of a peer that has just joined, or has not read that this member has.
+# It said nothing about the key, and is asked again at the next tick.
+_ASKED_AGAIN = frozenset({"memory-incomplete", "not-a-member"})
 _COLLECT_EVERY_S = 0.5
 # Longer than one append and read-back of a healthy log; the asking request
 # holds a thread of both instances for that time.
@@ -240,6 +243,10 @@
         # The peer just learned that its log is away, and can grant now.
         pending = replace(pending, asked=pending.asked - {peer})
         return _advance(state, pending, now)
+    if answer.reason in _ASKED_AGAIN:
+        pending = replace(pending, asked=pending.asked - {peer})
+        claim_id = pending.claim.claim_id
+        return replace(state, pending=state.pending.set(claim_id, pending)), ()
     return settle(state, pending, Unknown(f"peer-{answer.reason}"))
 
 
--- a/acaciawing/idempotency/rules.py
+++ b/acaciawing/idempotency/rules.py
@@ -294,9 +294,10 @@
                 outbox=without(state.outbox, claim_id),
             )
     state = _prune(state, now)
+    state, again = agreement.advance_all(state, now)
     state, asks = agreement.collect(state, now)
     state, more = commit(state, now)
-    return state, (*outputs, *asks, *more)
+    return state, (*outputs, *again, *asks, *more)
 
 
 def _prune(state: ClaimState, now: float) -> ClaimState:
--- a/acaciawing/idempotency/tests/test_interleavings.py
+++ b/acaciawing/idempotency/tests/test_interleavings.py
@@ -270,6 +270,28 @@
         for member in ("a/1", "b/1", "d/1"):
             assert isinstance(_decision(model, member), e.Unknown)
 
+    @pytest.mark.parametrize("reason", ["memory-incomplete", "not-a-member"])
+    def test_peer_that_has_just_joined_is_asked_again(
+        self, reason: str
+    ) -> None:
+        # Without it one joining member made every claim of that moment unknown.
+        model = Model(3)
+        _away(model, *model.nodes)
+        first = model.request("a/1", "k")
+        question = model.network[0].question
+        model.network.clear()
+        members = ("a/1", "b/1", "c/1")
+        model.feed(
+            "a/1", e.PeerAnswered("b/1", question, e.Granted(members, ()))
+        )
+        model.feed("a/1", e.PeerAnswered("c/1", question, e.Denied(reason)))
+        assert first not in model.decisions
+        model.tick("a/1")
+        assert [asked.receiver for asked in model.network] == ["c/1"]
+        model.deliver(0)
+        model.settle()
+        assert isinstance(model.decisions[first], e.Run)
+
     def test_grants_reach_the_log_before_new_claims(self) -> None:
         model = Model(3)
         _away(model, *model.nodes)
