Run maintenance waves in the control rounds

Waves existed as decisions only, and nothing began or continued one. The control rounds now decide them for each pool whose lease the process holds, from the ownership table, the list and the statuses of the worker interface. Operators start, stop and resume a wave with `acaciawing wave`; the wave that they ask for may name how many instances are out of service at a time. The scheduler takes instances that move or are maintained out of their pools as soon as the record is folded, and the ownership table overrides the list.

Ruled out: a wave that is due as soon as an instance was adopted. Its real age is unknown, so a new fleet would reboot all pools at once; an instance counts as started at its last ownership record.

--- a/acaciawing/commandline/main.py
+++ b/acaciawing/commandline/main.py
@@ -25,6 +25,7 @@
     as_json,
     report,
 )
+from acaciawing.commandline.waves import WaveOrder, WaveUndecided, run_wave
 from acaciawing.configuration import (
     Findings,
     InvalidSettingsError,
@@ -104,6 +105,39 @@
     return _print_report(*report(outcome))
 
 
+def wave(
+    pool: str,
+    action: Literal["start", "stop", "resume"],
+    *,
+    log: str,
+    author: str,
+    at_once: int = 0,
+    reason: str = "",
+) -> int:
+    """Start, stop or resume maintenance of a pool.
+
+    Args:
+        pool: Name of the pool.
+        action: What to do.
+        log: Address of the platform's log, http://ip:port.
+        author: Name of the operator, for the audit.
+        at_once: Instances of the pool that a started wave may take out of
+            service at a time; default is the pool's usual bound.
+        reason: Why it is stopped, for other operators.
+    """
+    _require_url("--log", log)
+    _require_label("--author", author)
+    _require_label("POOL", pool)
+    if at_once < 0:
+        raise UsageError("--at-once: 0 or more is needed")
+    order = WaveOrder(uuid.uuid4().hex, pool, action, author, at_once, reason)
+    try:
+        outcome = run_wave(order, LogClient(log), monotonic, sleep)
+    except KeyboardInterrupt:
+        outcome = WaveUndecided("interrupted", in_doubt=True)
+    return _print_report(*report(outcome))
+
+
 def status(
     *,
     entry: str,
@@ -182,7 +216,7 @@
     Args:
         arguments: Arguments without the program name; default `sys.argv`.
     """
-    commands = [entry, check, publish, status, explain, version]
+    commands = [entry, check, publish, wave, status, explain, version]
     try:
         code: int = defopt.run(
             commands,
--- a/acaciawing/commandline/report.py
+++ b/acaciawing/commandline/report.py
@@ -21,6 +21,12 @@
     Published,
     StateExpired,
 )
+from acaciawing.commandline.waves import (
+    WaveAccepted,
+    WaveLost,
+    WaveRefused,
+    WaveUndecided,
+)
 
 DONE = 0
 REFUSED = 1
@@ -39,6 +45,12 @@
     "budget left",
 )
 
+_WAVE_ACTIONS = {
+    "start": "wave requested",
+    "stop": "maintenance stopped",
+    "resume": "maintenance resumed",
+}
+
 
 @singledispatch
 def report(outcome: object) -> tuple[int, str]:
@@ -93,6 +105,35 @@
     )
 
 
+@report.register
+def _(outcome: WaveAccepted) -> tuple[int, str]:
+    done = _WAVE_ACTIONS[outcome.action]
+    return DONE, f"{done}: pool {outcome.pool}, log offset {outcome.offset}"
+
+
+@report.register
+def _(outcome: WaveRefused) -> tuple[int, str]:
+    return REFUSED, f"{outcome.code}: {outcome.detail}; nothing was changed"
+
+
+@report.register
+def _(outcome: WaveLost) -> tuple[int, str]:
+    return LOST, (
+        f"lost-race: another operator came first ({outcome.reason}: "
+        f"{outcome.detail}); nothing was changed"
+    )
+
+
+@report.register
+def _(outcome: WaveUndecided) -> tuple[int, str]:
+    if not outcome.in_doubt:
+        return AWAY, f"log-away: {outcome.detail}; nothing was changed"
+    return AWAY, (
+        f"outcome-unknown: {outcome.detail}; the record may have taken effect; "
+        "run the command again, a repeat changes nothing"
+    )
+
+
 @report.register
 def _(outcome: EntryRefused) -> tuple[int, str]:
     if outcome.status in (401, 403):
--- a/acaciawing/commandline/tests/test_operators_page.py
+++ b/acaciawing/commandline/tests/test_operators_page.py
@@ -16,6 +16,12 @@
     StateExpired,
 )
 from acaciawing.commandline.report import report
+from acaciawing.commandline.waves import (
+    WAVE_REFUSALS,
+    WaveLost,
+    WaveRefused,
+    WaveUndecided,
+)
 from acaciawing.configuration import Code, customers, plans, settings
 from acaciawing.configuration.fields import Key
 
@@ -71,6 +77,10 @@
             EntryRefused(404),
             EntryAway(""),
             ExplainDocument("task", "x"),
+            WaveLost("", ""),
+            WaveUndecided("", in_doubt=False),
+            WaveUndecided("", in_doubt=True),
+            *(WaveRefused(code, "") for code in WAVE_REFUSALS),
         )
         told = {}
         for outcome in outcomes:
--- a/acaciawing/control/decisions.py
+++ b/acaciawing/control/decisions.py
@@ -6,30 +6,9 @@
 and calls for steps that were read back as accepted.
 """
 
-from collections.abc import Callable
-from dataclasses import dataclass
-from random import Random
-from typing import TypeAlias
+from acaciawing.control.proposals import Decide, Proposal
+from acaciawing.control.wave_rounds import maintain
 
-from acaciawing.control.view import Call, ControlView
-from acaciawing.fold import FleetState
+__all__ = ["DECISIONS", "Decide", "Proposal"]
 
-
-@dataclass(frozen=True)
-class Proposal:
-    """What one decision wants.
-
-    Attributes:
-        subjects: Lease subjects that it needs someone to hold.
-        records: Records to append.
-        calls: Calls to the worker interface.
-    """
-
-    subjects: tuple[str, ...] = ()
-    records: tuple[object, ...] = ()
-    calls: tuple[Call, ...] = ()
-
-
-Decide: TypeAlias = Callable[[FleetState, ControlView, float, Random], Proposal]
-
-DECISIONS: tuple[Decide, ...] = ()
+DECISIONS: tuple[Decide, ...] = (maintain,)
--- a/acaciawing/control/loop.py
+++ b/acaciawing/control/loop.py
@@ -21,6 +21,7 @@
 )
 from acaciawing.control.rounds import decide_round
 from acaciawing.control.view import STATUS, Call, ControlView, Round
+from acaciawing.control.wave_rounds import WAVE_PREFIX, is_current
 from acaciawing.fold import FleetState, SnapshotWritten, Step
 from acaciawing.leases import (
     LONGEST_LEASE_S,
@@ -294,7 +295,10 @@
         if isinstance(outcome, OperationDone):
             statuses = {**view.statuses, call.instance: outcome.instance}
             gone = view.gone - {call.instance}
-            view = replace(view, statuses=statuses, gone=gone)
+            read_at = {**view.status_at, call.instance: self._clock()}
+            view = replace(
+                view, statuses=statuses, status_at=read_at, gone=gone
+            )
             if call.operation != STATUS:
                 finished = view.finished | {call.operation_id}
                 view = replace(view, finished=finished)
@@ -328,6 +332,8 @@
 
 def _epoch_is_current(state: FleetState, operation_id: str) -> bool:
     """Returns whether an operation belongs to the instance's present epoch."""
+    if operation_id.startswith(WAVE_PREFIX):
+        return is_current(state.waves, operation_id)
     instance, epoch, _ = operation_id.rsplit("/", 2)
     known = state.ownership.instances.get(instance)
     return known is not None and str(known.epoch) == epoch
--- a/acaciawing/control/view.py
+++ b/acaciawing/control/view.py
@@ -70,6 +70,7 @@
         gone: Instances that the platform has said it doesn't know.
         finished: Ids of operations that have taken effect.
         statuses: Instances as last reported by the worker interface.
+        status_at: Time of that report, by instance.
         unread: Records sent lately and not read back yet.
         snapshot_sent_at: Time of the last snapshot attempt, or None.
         stopping: Whether this process is about to end.
@@ -89,6 +90,7 @@
     gone: frozenset[str] = frozenset()
     finished: frozenset[str] = frozenset()
     statuses: Mapping[str, ListedInstance] = field(default_factory=dict)
+    status_at: Mapping[str, float] = field(default_factory=dict)
     unread: frozenset[object] = frozenset()
     snapshot_sent_at: float | None = None
     stopping: bool = False
@@ -98,6 +100,15 @@
         """Id of this entry instance."""
         return self.writer.rpartition("/")[0]
 
+    def fresh_status(
+        self, instance: str, now: float, age_s: float
+    ) -> ListedInstance | None:
+        """Returns the status of an instance if it is at most so old."""
+        at = self.status_at.get(instance)
+        if at is None or now - at > age_s:
+            return None
+        return self.statuses.get(instance)
+
     def fence(self, subject: str, now: float) -> Fence | None:
         """Returns the fence of a subject if this process may act on it."""
         lease = self.held.get(subject)
--- /dev/null
+++ b/acaciawing/control/wave_rounds.py
@@ -0,0 +1,291 @@
+"""Maintenance in the control rounds.
+
+`maintain` gives `acaciawing.maintenance.decide` what this process observes of
+the pools whose lease it holds. A drain, a reboot and a return are calls with
+the id of the member's step, so whoever takes over repeats them without harm.
+"""
+
+from collections.abc import Iterator, Mapping
+from random import Random
+
+from acaciawing.budgets import BudgetSnapshot
+from acaciawing.configuration import Configuration
+from acaciawing.control.moves import drained_after_s
+from acaciawing.control.proposals import Proposal
+from acaciawing.control.view import (
+    DRAIN,
+    REBOOT,
+    RETURN,
+    STATUS,
+    Call,
+    ControlView,
+)
+from acaciawing.fold import FleetState
+from acaciawing.leases import Fence, pool_subject
+from acaciawing.maintenance import (
+    Bounds,
+    MaintenanceRecord,
+    MaintenanceSnapshot,
+    Member,
+    ObservedInstance,
+    Place,
+    PlatformCall,
+    RoundRequest,
+    Stage,
+    WaveStep,
+    WaveTable,
+    decide,
+)
+from acaciawing.ownership import SERVING, MoveBegun, OwnedInstance
+
+WAVE_PREFIX = "wave/"
+
+# Instances of a pool that stay in service in any wave.
+_LEAST_SERVING = 2
+
+# One of eight instances of a pool, and one of a hundred of a zone, may be out
+# of service at a time; see docs/decisions/control-decisions.md.
+_POOL_SHARE = 8
+_ZONE_SHARE = 100
+
+# The list is read each second and lags, so an instance that is off it for less
+# has not failed yet.
+_ABSENT_S = 3.0
+
+# Maintenance allows two seconds for the lag of a status.
+STATUS_AGE_S = 2.0
+
+_OPERATIONS = {
+    "drain": DRAIN,
+    "reboot": REBOOT,
+    "undrain": RETURN,
+    "return": RETURN,
+}
+
+
+def maintain(
+    state: FleetState, view: ControlView, now: float, random: Random
+) -> Proposal:
+    """Decides the waves over the pools whose lease this process holds."""
+    if view.listing is None:
+        return Proposal()
+    by_pool: dict[str, list[OwnedInstance]] = {}
+    for owned in state.ownership.instances.values():
+        by_pool.setdefault(owned.pool, []).append(owned)
+    budgets = budget_snapshot(state)
+    records: list[object] = []
+    calls: list[Call] = []
+    for pool in sorted(by_pool):
+        fence = view.fence(pool_subject(pool), now)
+        if fence is None:
+            continue
+        seen = _observe(state, view, pool, by_pool[pool], now)
+        affected = impact(state.configuration.configuration, pool)
+        snapshot = MaintenanceSnapshot(
+            state.waves, budgets, seen, dict.fromkeys(seen, affected)
+        )
+        bounds = _bounds(state, pool, len(by_pool[pool]))
+        request = RoundRequest(pool, bounds, fence)
+        decided = decide(snapshot, request, view.log_now)
+        records += _startable(decided.records, seen, view)
+        calls += _calls(view, pool, decided.calls, fence)
+        calls += _late_returns(state, view, by_pool[pool], fence, now)
+    return Proposal(records=tuple(records), calls=tuple(calls))
+
+
+def is_current(waves: WaveTable, operation_id: str) -> bool:
+    """Returns whether an operation belongs to the present step of a member."""
+    wave_id, instance, epoch = operation_id.rsplit("/", 2)
+    pool, _, number = wave_id.removeprefix(WAVE_PREFIX).rpartition("/")
+    wave = waves.active.get(pool)
+    if wave is None or str(wave.number) != number:
+        return False
+    member = wave.members.get(instance)
+    return member is not None and str(member.epoch) == epoch
+
+
+def budget_snapshot(state: FleetState) -> BudgetSnapshot:
+    """What the gate of the budgets looks at."""
+    plans = state.configuration.configuration.plans
+    return BudgetSnapshot(
+        state.budgets,
+        {plan.name: plan for plan in plans},
+        frozenset(state.roster.members),
+    )
+
+
+def impact(configuration: Configuration, pool: str) -> Mapping[str, float]:
+    """Requests that taking out an instance of a pool fails, by plan.
+
+    A graceful drain fails none. The plans are named all the same, since the
+    gate then denies the drain while one of them has spent its budget.
+    """
+    served = {s.name for s in configuration.services if s.pool == pool}
+    return {
+        plan.name: 0.0
+        for plan in configuration.plans
+        if served.intersection(plan.services)
+    }
+
+
+def _bounds(state: FleetState, pool: str, size: int) -> Bounds:
+    requested = state.waves.requested.get(pool)
+    most = max(1, size - _LEAST_SERVING)
+    usual = max(1, size // _POOL_SHARE)
+    at_once = requested.at_once if requested is not None else 0
+    fleet = len(state.ownership.instances)
+    zones = len({i.zone for i in state.ownership.instances.values()})
+    zone = max(1, fleet // max(1, zones) // _ZONE_SHARE)
+    return Bounds(min(at_once or usual, most), 1, zone)
+
+
+def _observe(
+    state: FleetState,
+    view: ControlView,
+    pool: str,
+    owned: list[OwnedInstance],
+    now: float,
+) -> dict[str, ObservedInstance]:
+    """Observes a pool's instances, the members of its wave and its outages."""
+    assert view.listing is not None
+    known = state.ownership.instances
+    wave = state.waves.active.get(pool)
+    members: Mapping[str, Member] = {} if wave is None else wave.members
+    names = {i.instance for i in owned} | set(members)
+    names |= {n for n, down in state.waves.outages.items() if down.pool == pool}
+    listed = {
+        i.instance: i.incarnation
+        for i in view.listing.instances
+        if i.instance in names
+    }
+    return {
+        name: _observed(
+            state, view, known[name], members.get(name), listed, now
+        )
+        for name in sorted(names)
+        if name in known
+    }
+
+
+def _observed(
+    state: FleetState,
+    view: ControlView,
+    owned: OwnedInstance,
+    member: Member | None,
+    listed: Mapping[str, int],
+    now: float,
+) -> ObservedInstance:
+    name = owned.instance
+    # A move takes its instance off the list for its reboot; that is planned.
+    moving = owned.phase != SERVING or _is_to_move(state, view, owned)
+    status = view.fresh_status(name, now, STATUS_AGE_S)
+    incarnation = max(owned.incarnation, listed.get(name, 0))
+    serving = (
+        name in listed
+        or owned.phase != SERVING
+        or now - view.absent_since.get(name, now) < _ABSENT_S
+        or (status is not None and status.state in ("live", "leaving"))
+    )
+    draining, verified = False, True
+    in_flight = None
+    if member is not None and member.stage.in_progress:
+        step = _step_id(state, owned, member)
+        done = step in view.finished
+        if status is not None:
+            incarnation = max(incarnation, status.incarnation)
+            up_again = status.state in ("live", "rebooted")
+            serving = serving or up_again
+        draining = done if member.stage is Stage.DRAINING else not done
+        verified = done
+        if status is not None and done:
+            in_flight = status.in_flight
+        waited = view.log_now - member.since
+        configuration = state.configuration.configuration
+        if in_flight is None and waited >= drained_after_s(configuration):
+            in_flight = 0
+    place = Place(name, incarnation, owned.zone, owned.rack)
+    return ObservedInstance(
+        place,
+        owned.pool,
+        serving,
+        draining,
+        moving,
+        in_flight,
+        verified,
+        owned.changed_at,
+    )
+
+
+def _is_to_move(
+    state: FleetState, view: ControlView, owned: OwnedInstance
+) -> bool:
+    """Whether a loan calls for a move, or one was sent and not read back."""
+    loan = state.loans.active.get(owned.instance)
+    if loan is not None:
+        target = loan.home if loan.returning else loan.borrower
+        if owned.pool != target:
+            return True
+    return any(
+        isinstance(r, MoveBegun) and r.instance == owned.instance
+        for r in view.unread
+    )
+
+
+def _step_id(state: FleetState, owned: OwnedInstance, member: Member) -> str:
+    for pool in (owned.pool, *state.waves.active):
+        wave = state.waves.active.get(pool)
+        if wave is not None and wave.members.get(owned.instance) is member:
+            return (
+                f"{WAVE_PREFIX}{pool}/{wave.number}/"
+                f"{owned.instance}/{member.epoch}"
+            )
+    return ""
+
+
+def _startable(
+    records: tuple[MaintenanceRecord, ...],
+    seen: Mapping[str, ObservedInstance],
+    view: ControlView,
+) -> Iterator[MaintenanceRecord]:
+    """Leaves out new drains while a move takes capacity from the pool."""
+    moving = any(instance.moving for instance in seen.values())
+    for record in records:
+        drains = isinstance(record, WaveStep) and record.stage is Stage.DRAINING
+        if not (drains and moving):
+            yield record
+
+
+def _late_returns(
+    state: FleetState,
+    view: ControlView,
+    owned: list[OwnedInstance],
+    fence: Fence,
+    now: float,
+) -> Iterator[Call]:
+    """Returns instances that came up after their wave gave them up."""
+    for instance in owned:
+        name = instance.instance
+        if name not in state.waves.outages or name in state.waves.in_progress:
+            continue
+        status = view.fresh_status(name, now, STATUS_AGE_S)
+        if status is None or status.state != "rebooted":
+            continue
+        if instance.phase == SERVING:
+            operation_id = f"{name}/{instance.epoch}/{RETURN}"
+            yield Call(RETURN, name, operation_id, fence, instance.pool)
+
+
+def _calls(
+    view: ControlView,
+    pool: str,
+    calls: tuple[PlatformCall, ...],
+    fence: Fence,
+) -> Iterator[Call]:
+    """Yields each call until it is done, then asks what became of it."""
+    for call in calls:
+        operation = _OPERATIONS[call.operation]
+        if call.request_id not in view.finished:
+            yield Call(operation, call.instance, call.request_id, fence, pool)
+        elif operation != RETURN:
+            status = f"{call.instance}/wave/{STATUS}"
+            yield Call(STATUS, call.instance, status, fence)
--- a/acaciawing/entry/engine.py
+++ b/acaciawing/entry/engine.py
@@ -21,8 +21,10 @@
     StateChanged,
     Submit,
 )
+from acaciawing.entry.pools import serving_pools
 from acaciawing.fold import FleetState
 from acaciawing.outcomes import NotRun
+from acaciawing.platform import Listing
 from acaciawing.queueing import Queue, RunClass, Waiting, WorkKey
 from acaciawing.retries import FailureDomain, NoAttempt
 from acaciawing.routing import (
@@ -107,6 +109,9 @@
     _members: MembersSeen | None = None
     _spares: tuple[str, ...] = ()
     _leaves: tuple[tuple[str, int], ...] = ()
+    _listing: Listing | None = None
+    _pool_of: Mapping[str, str] = field(default_factory=dict)
+    _pools_from: tuple[object, object] = (None, None)
     _credits: CreditTable = field(init=False)
     _tickets: int = 0
 
@@ -120,6 +125,7 @@
         """Takes a newer state of the fold."""
         old = self.state.configuration
         self.state = message.state
+        self._pools_again(now)
         if message.state.configuration is not old:
             self.index = index(message.state.configuration.configuration)
             self._spares = tuple(
@@ -132,8 +138,9 @@
 
     def listing_seen(self, message: ListingSeen, now: float) -> None:
         """Takes an answer of the platform's list."""
+        self._listing = message.listing
         self._routing = routing.observe_listing(
-            self._routing, message.listing, self._pool_of(), now
+            self._routing, message.listing, self._pool_of, now
         )
         self._credit_again()
 
@@ -149,8 +156,19 @@
             self._routing, instance, incarnation, now
         )
 
-    def _pool_of(self) -> Mapping[str, str]:
-        return {}
+    def _pools_again(self, now: float) -> None:
+        """Follows moves and waves without waiting for the next list."""
+        ownership, waves = self.state.ownership, self.state.waves
+        seen = (ownership.instances, waves.in_progress)
+        if all(a is b for a, b in zip(seen, self._pools_from, strict=True)):
+            return
+        self._pools_from = seen
+        self._pool_of = serving_pools(ownership, waves)
+        if self._listing is not None:
+            self._routing = routing.observe_listing(
+                self._routing, self._listing, self._pool_of, now
+            )
+            self._credit_again()
 
     def _share_again(self, now: float) -> None:
         view = admission.EntryView(self.instance)
--- a/acaciawing/fold/steps.py
+++ b/acaciawing/fold/steps.py
@@ -49,6 +49,7 @@
     ledger.BudgetReserved: ("budgets", ledger.apply),
     ledger.BudgetReleased: ("budgets", ledger.apply),
     wave_records.WavePlanned: ("waves", waves.apply),
+    wave_records.WaveRequested: ("waves", waves.apply),
     wave_records.WaveStep: ("waves", waves.apply),
     wave_records.OutageChanged: ("waves", waves.apply),
     wave_records.WaveStopped: ("waves", waves.apply),
--- a/acaciawing/maintenance/progress.py
+++ b/acaciawing/maintenance/progress.py
@@ -43,6 +43,8 @@
         moving: Whether it is leaving the pool for a loan or its return.
         in_flight: Requests that it runs, or None when unknown.
         verified: Whether it passed its checks since its start.
+        started_at: Time of its last known restart on the log's clock, in
+            seconds, or None when unknown.
     """
 
     place: Place
@@ -52,6 +54,7 @@
     moving: bool = False
     in_flight: int | None = None
     verified: bool = False
+    started_at: float | None = None
 
 
 @dataclass(frozen=True)
--- a/acaciawing/maintenance/records.py
+++ b/acaciawing/maintenance/records.py
@@ -108,6 +108,23 @@
     fence: Fence
 
 
+@record_type("wave-requested", version=1)
+@dataclass(frozen=True)
+class WaveRequested:
+    """An operator asks for a wave now, whether or not one is due.
+
+    Attributes:
+        pool: Name of the pool.
+        operator: Name of the operator.
+        at_once: Instances of the pool that may be out of service at a time,
+            or 0 for the pool's usual bound.
+    """
+
+    pool: str
+    operator: str
+    at_once: int = 0
+
+
 @record_type("wave-step", version=1)
 @dataclass(frozen=True)
 class WaveStep:
--- a/acaciawing/maintenance/rounds.py
+++ b/acaciawing/maintenance/rounds.py
@@ -4,7 +4,7 @@
 earlier round decided, so any instance can continue a wave at any record.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -17,10 +17,15 @@
     ask,
 )
 from acaciawing.leases import Fence
-from acaciawing.maintenance.progress import MaintenanceSnapshot, reached
+from acaciawing.maintenance.progress import (
+    MaintenanceSnapshot,
+    ObservedInstance,
+    reached,
+)
 from acaciawing.maintenance.records import (
     Bounds,
     OutageChanged,
+    Place,
     Stage,
     WavePlanned,
     WaveStep,
@@ -61,7 +66,7 @@
     """A call to the worker interface; idempotent by its id.
 
     Attributes:
-        operation: ``drain``, ``undrain`` or ``reboot``.
+        operation: ``drain``, ``undrain``, ``reboot`` or ``return``.
         instance: Id of the instance.
         request_id: The same in each round until the instance moves on.
     """
@@ -169,16 +174,16 @@
     if snapshot.waves.is_stopped(request.pool):
         return ()
     ages = {
-        seen.place: now - snapshot.waves.maintained.get(name, -PERIOD_S)
+        seen.place: now - _last_restart(snapshot, name, seen)
         for name, seen in snapshot.observed.items()
         if seen.pool == request.pool and seen.serving
     }
-    if not ages or max(ages.values()) < _DUE_AGE_S:
-        return ()
-    ended = snapshot.waves.ended.get(request.pool)
-    if ended is not None and now - ended < _RETRY_S:
+    if request.pool in snapshot.waves.requested:
+        due = list(ages)
+    else:
+        due = _due(snapshot, request.pool, ages, now)
+    if not due:
         return ()
-    due = [place for place, age in ages.items() if age >= _FRESH_AGE_S]
     due.sort(key=lambda place: place.instance)
     epoch = snapshot.waves.epochs.get(request.pool, 0)
     wave = WavePlanned(
@@ -187,6 +192,30 @@
     return (wave,)
 
 
+def _due(
+    snapshot: MaintenanceSnapshot,
+    pool: str,
+    ages: Mapping[Place, float],
+    now: float,
+) -> list[Place]:
+    """Instances of a wave that starts by itself; empty if none is due."""
+    if max(ages.values(), default=0.0) < _DUE_AGE_S:
+        return []
+    ended = snapshot.waves.ended.get(pool)
+    if ended is not None and now - ended < _RETRY_S:
+        return []
+    return [place for place, age in ages.items() if age >= _FRESH_AGE_S]
+
+
+def _last_restart(
+    snapshot: MaintenanceSnapshot, name: str, seen: ObservedInstance
+) -> float:
+    maintained = snapshot.waves.maintained.get(name, -PERIOD_S)
+    return max(
+        maintained, -PERIOD_S if seen.started_at is None else seen.started_at
+    )
+
+
 def _steps(
     snapshot: MaintenanceSnapshot,
     request: RoundRequest,
@@ -316,3 +345,5 @@
             yield PlatformCall("reboot", instance, request_id)
         elif member.stage is Stage.RESTORING:
             yield PlatformCall("undrain", instance, request_id)
+        elif member.stage is Stage.VERIFYING:
+            yield PlatformCall("return", instance, request_id)
--- a/acaciawing/maintenance/waves.py
+++ b/acaciawing/maintenance/waves.py
@@ -21,6 +21,7 @@
     Place,
     Stage,
     WavePlanned,
+    WaveRequested,
     WaveResumed,
     WaveStep,
     WaveStopped,
@@ -88,6 +89,8 @@
         outages: Instances that failed unplanned.
         maintained: Time of the last maintenance or replacement, by instance.
         stopped: Offset of the operator's stop, by pool.
+        requested: An operator's request that no wave has answered yet, by
+            pool.
     """
 
     active: Map[str, Wave] = field(default_factory=Map)
@@ -97,6 +100,7 @@
     outages: Map[str, Down] = field(default_factory=Map)
     maintained: Map[str, float] = field(default_factory=Map)
     stopped: Map[str, int] = field(default_factory=Map)
+    requested: Map[str, WaveRequested] = field(default_factory=Map)
 
     def is_stopped(self, pool: str) -> bool:
         """Whether an operator stopped maintenance of the pool."""
@@ -169,8 +173,27 @@
         for place in record.members
     }
     wave = Wave(record.pool, epoch, record.bounds, Map(members))
-    planned = replace(table, active=table.active.set(record.pool, wave))
-    return planned, Accepted()
+    requested = table.requested
+    if record.pool in requested:
+        requested = requested.delete(record.pool)
+    active = table.active.set(record.pool, wave)
+    return replace(table, active=active, requested=requested), Accepted()
+
+
+@apply.register
+def _(
+    record: WaveRequested, table: WaveTable, position: LogPosition
+) -> tuple[WaveTable, Verdict]:
+    if not record.pool or record.at_once < 0:
+        return table, Ignored("malformed", f"wave over {record.pool!r}")
+    if record.pool in table.active:
+        return table, Ignored("wave-active", record.pool)
+    if record.pool in table.requested:
+        return table, Ignored("duplicate", record.pool)
+    if table.is_stopped(record.pool):
+        return table, Ignored("stopped", record.pool)
+    requested = table.requested.set(record.pool, record)
+    return replace(table, requested=requested), Accepted()
 
 
 @apply.register
--- a/acaciawing/platform/listing.py
+++ b/acaciawing/platform/listing.py
@@ -20,7 +20,10 @@
         zone: Availability zone.
         rack: Rack within the zone.
         address: ``ip:port`` of its endpoint.
-        state: ``live`` or ``leaving``.
+        state: ``live`` or ``leaving``; a status may also say ``rebooting`` or
+            ``rebooted`` (up again and not yet returned to service).
+        in_flight: Requests that it runs, from a status; the list and older
+            platforms leave it out.
     """
 
     instance: str
@@ -30,6 +33,7 @@
     rack: str
     address: str
     state: str
+    in_flight: int | None = None
 
 
 @dataclass(frozen=True)
