Lend instances in the control rounds

Lending existed as decisions only. The holder of the lending lease now decides loans and returns; whoever holds the lease of the pool that an instance is in begins the move, so that a loan goes on whichever of the two is lost. The holder asks each live entry instance for its demand by pool, since the gossip rounds it to powers of four and keeps it inside a zone. The cost of a move is measured from the records; the setting move_cost is used until then.

--- a/acaciawing/configuration/settings.py
+++ b/acaciawing/configuration/settings.py
@@ -16,6 +16,7 @@
     choice,
     count,
     digest,
+    duration,
     read_fields,
     rejected,
     table,
@@ -63,6 +64,8 @@
         peers: Entry instances known at start.
         threads: Request threads.
         log_format: ``json`` or ``console``.
+        move_cost: Seconds for which a move takes an instance out of service;
+            used until moves are measured.
     """
 
     instance: str
@@ -77,6 +80,7 @@
     peers: tuple[Peer, ...] = ()
     threads: int = 64
     log_format: str = "json"
+    move_cost: float = 30.0
 
 
 @dataclass(frozen=True)
@@ -253,6 +257,7 @@
     Key("peers", _peers, required=False),
     Key("threads", count(1, 4096), required=False),
     Key("log_format", choice("json", "console"), required=False),
+    Key("move_cost", duration, required=False),
 )
 
 
--- a/acaciawing/control/__init__.py
+++ b/acaciawing/control/__init__.py
@@ -1,9 +1,11 @@
 """Control rounds inside the entry daemon."""
 
 from acaciawing.control.decisions import DECISIONS, Decide, Proposal
+from acaciawing.control.loan_rounds import begin_moves, lend
 from acaciawing.control.loop import ControlLoop
 from acaciawing.control.messages import (
     ControlMessage,
+    DemandSeen,
     ListingRead,
     LiveChanged,
     OperationEnded,
@@ -13,6 +15,7 @@
 from acaciawing.control.rounds import decide_round
 from acaciawing.control.task import ControlTask, WorkerTask, make_call
 from acaciawing.control.view import Call, ControlView, Round
+from acaciawing.control.wave_rounds import maintain
 
 __all__ = [
     "DECISIONS",
@@ -22,6 +25,7 @@
     "ControlTask",
     "ControlView",
     "Decide",
+    "DemandSeen",
     "ListingRead",
     "LiveChanged",
     "OperationEnded",
@@ -30,6 +34,9 @@
     "StepsFolded",
     "TimedCall",
     "WorkerTask",
+    "begin_moves",
     "decide_round",
+    "lend",
+    "maintain",
     "make_call",
 ]
--- a/acaciawing/control/decisions.py
+++ b/acaciawing/control/decisions.py
@@ -6,9 +6,10 @@
 and calls for steps that were read back as accepted.
 """
 
+from acaciawing.control.loan_rounds import begin_moves, lend
 from acaciawing.control.proposals import Decide, Proposal
 from acaciawing.control.wave_rounds import maintain
 
 __all__ = ["DECISIONS", "Decide", "Proposal"]
 
-DECISIONS: tuple[Decide, ...] = (maintain,)
+DECISIONS: tuple[Decide, ...] = (maintain, lend, begin_moves)
--- /dev/null
+++ b/acaciawing/control/loan_rounds.py
@@ -0,0 +1,135 @@
+"""Lending in the control rounds.
+
+The holder of the lending lease decides loans and returns. The moves that they
+call for are begun by whoever holds the lease of the pool that the instance is
+in, since a move's records carry that lease. So a loan goes on whichever of the
+two holders is lost.
+"""
+
+from random import Random
+
+from acaciawing.configuration import Service
+from acaciawing.control.proposals import Proposal
+from acaciawing.control.view import ControlView
+from acaciawing.control.wave_rounds import budget_snapshot, impact
+from acaciawing.fold import FleetState
+from acaciawing.leases import pool_subject
+from acaciawing.lending import (
+    LENDING_SUBJECT,
+    DemandHistory,
+    LendingRequest,
+    LendingSnapshot,
+    PoolInstance,
+    PoolView,
+    decide,
+)
+from acaciawing.maintenance import Stage, WaveStep
+from acaciawing.ownership import SERVING, MoveBegun, OwnedInstance
+from acaciawing.platform import Listing
+
+# A loan lasts many seconds, and a decision over 349 pools is not needed in
+# each round.
+_INTERVAL_S = 2.0
+
+# Demand that is older says nothing about now; lending pauses without it.
+DEMAND_AGE_S = 60.0
+
+_NO_SERVICE_SLOTS = 8
+
+
+def lend(
+    state: FleetState, view: ControlView, now: float, random: Random
+) -> Proposal:
+    """Decides loans and returns under the lending lease."""
+    idle = Proposal(subjects=(LENDING_SUBJECT,))
+    fence = view.fence(LENDING_SUBJECT, now)
+    if fence is None or view.listing is None or view.demand_at is None:
+        return idle
+    if now - view.demand_at > DEMAND_AGE_S:
+        return idle
+    if view.log_now - view.history.updated_at < _INTERVAL_S:
+        return idle
+    # After a gap, for example without the lease, nothing has lasted.
+    gap = view.log_now - view.history.updated_at > DEMAND_AGE_S
+    pools = _pools(state, view, view.listing)
+    configuration = state.configuration.configuration
+    touched = {name: impact(configuration, name) for name in pools}
+    snapshot = LendingSnapshot(
+        state.loans,
+        pools,
+        DemandHistory() if gap else view.history,
+        view.move_cost_s,
+        budget_snapshot(state),
+        {
+            owned.instance: touched[owned.pool]
+            for owned in state.ownership.instances.values()
+        },
+    )
+    decided = decide(snapshot, LendingRequest(fence), view.log_now)
+    return Proposal(
+        (LENDING_SUBJECT,), decided.records, history=decided.history
+    )
+
+
+def begin_moves(
+    state: FleetState, view: ControlView, now: float, random: Random
+) -> Proposal:
+    """Begins the moves that accepted loans and returns call for."""
+    draining = {
+        record.instance
+        for record in view.unread
+        if isinstance(record, WaveStep) and record.stage is Stage.DRAINING
+    }
+    moves = []
+    for name, loan in sorted(state.loans.active.items()):
+        owned = state.ownership.instances.get(name)
+        target = loan.home if loan.returning else loan.borrower
+        if owned is None or owned.pool == target or owned.phase != SERVING:
+            continue
+        fence = view.fence(pool_subject(owned.pool), now)
+        # A wave that has begun with the instance takes it to its end first.
+        busy = name in state.waves.in_progress or name in draining
+        if fence is None or busy:
+            continue
+        reason = "loan-return" if loan.returning else "lent"
+        moves.append(MoveBegun(name, owned.epoch, target, reason, fence))
+    return Proposal(records=tuple(moves))
+
+
+def _pools(
+    state: FleetState, view: ControlView, listing: Listing
+) -> dict[str, PoolView]:
+    """All pools; one without a service lends and borrows nothing."""
+    services: dict[str, Service] = {
+        s.pool: s for s in state.configuration.configuration.services
+    }
+    live = {i.instance for i in listing.instances if i.state == "live"}
+    found: dict[str, list[PoolInstance]] = {name: [] for name in services}
+    for owned in state.ownership.instances.values():
+        available = owned.pool in services and _is_available(state, owned, live)
+        instance = PoolInstance(
+            owned.instance, owned.zone, owned.epoch, available
+        )
+        found.setdefault(owned.pool, []).append(instance)
+    views = {}
+    for name, instances in found.items():
+        service = services.get(name)
+        views[name] = PoolView(
+            name,
+            tuple(sorted(instances, key=lambda i: i.instance)),
+            _NO_SERVICE_SLOTS if service is None else service.slots,
+            view.demand.get(name, 0.0),
+            spare=service is not None and service.spare,
+        )
+    return views
+
+
+def _is_available(
+    state: FleetState, owned: OwnedInstance, live: set[str]
+) -> bool:
+    return (
+        owned.phase == SERVING
+        and owned.instance in live
+        and owned.instance not in state.waves.in_progress
+        and owned.instance not in state.waves.outages
+    )
--- a/acaciawing/control/loop.py
+++ b/acaciawing/control/loop.py
@@ -13,12 +13,18 @@
 from acaciawing.control.decisions import DECISIONS, Decide
 from acaciawing.control.messages import (
     ControlMessage,
+    DemandSeen,
     ListingRead,
     LiveChanged,
     OperationEnded,
     StepsFolded,
     TimedCall,
 )
+from acaciawing.control.move_times import (
+    MOVE_COST_S,
+    MoveTimes,
+    observe_move,
+)
 from acaciawing.control.rounds import decide_round
 from acaciawing.control.view import STATUS, Call, ControlView, Round
 from acaciawing.control.wave_rounds import WAVE_PREFIX, is_current
@@ -77,6 +83,8 @@
         random: Random source.
         call: Receives each call with the time until which it may be made.
         decisions: Decisions of other packages.
+        move_cost_s: Time for which a move takes an instance out of service,
+            until moves are measured.
     """
 
     def __init__(
@@ -87,6 +95,7 @@
         random: Random,
         call: Callable[[TimedCall], None],
         decisions: Sequence[Decide] = DECISIONS,
+        move_cost_s: float = MOVE_COST_S,
     ) -> None:
         """Starts without a state, a live view and leases."""
         self._log = log
@@ -96,6 +105,7 @@
         self._decisions = decisions
         self._state = FleetState()
         self._view = ControlView(writer)
+        self._move_times = MoveTimes(move_cost_s)
         self._confirmation: Confirmation | None = None
         self._sent: dict[bytes, _Sent] = {}
         self._released: frozenset[Fence] = frozenset()
@@ -109,6 +119,10 @@
         """The newest state."""
         return self._state
 
+    def holds(self, subject: str) -> bool:
+        """Whether this process held a lease in the last round."""
+        return subject in self._view.held
+
     def handle(self, message: ControlMessage) -> None:
         """Takes note of a message."""
         match message:
@@ -122,6 +136,10 @@
                 self._view = replace(self._view, live=live)
             case ListingRead(listing):
                 self._view = replace(self._view, listing=listing)
+            case DemandSeen(pools):
+                self._view = replace(
+                    self._view, demand=pools, demand_at=self._clock()
+                )
             case OperationEnded():
                 self._operation_ended(message)
 
@@ -140,6 +158,8 @@
             self._state, self._view, now, self._random, self._decisions
         )
         self._wanted = decided.subjects
+        if decided.history is not None:
+            self._view = replace(self._view, history=decided.history)
         for record in decided.records:
             if not self._append(record):
                 return decided
@@ -189,6 +209,7 @@
                 f for f in view.finished if _epoch_is_current(state, f)
             ),
             unread=unread,
+            move_cost_s=self._move_times.cost_s,
             stopping=stopping,
         )
 
@@ -267,6 +288,7 @@
 
     def _read_back(self, step: Step) -> None:
         self._note_log_time(step.position.appended_at)
+        self._move_times = observe_move(self._move_times, step)
         if step.writer != self._view.writer or step.record is None:
             return
         sent = self._sent.pop(encode(step.record, step.writer), None)
--- a/acaciawing/control/messages.py
+++ b/acaciawing/control/messages.py
@@ -1,5 +1,6 @@
 """Messages that the control task and the worker task receive."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -40,6 +41,17 @@
     listing: Listing
 
 
+@dataclass(frozen=True)
+class DemandSeen:
+    """The demand of all pools over all live entry instances.
+
+    Attributes:
+        pools: Requests that run or wait, by the pool of their service.
+    """
+
+    pools: Mapping[str, float]
+
+
 @dataclass(frozen=True)
 class OperationEnded:
     """A call to the worker interface has ended.
@@ -54,7 +66,7 @@
 
 
 ControlMessage: TypeAlias = (
-    StepsFolded | LiveChanged | ListingRead | OperationEnded
+    StepsFolded | LiveChanged | ListingRead | DemandSeen | OperationEnded
 )
 
 
--- a/acaciawing/control/moves.py
+++ b/acaciawing/control/moves.py
@@ -31,6 +31,9 @@
 # A leaving endpoint may get new work for 3 s.
 LEAVE_S = 3.0
 
+# A status that is older tells nothing of the requests that run.
+STATUS_AGE_S = 2.0
+
 # A drain that has not been confirmed by then is given up, so that an instance
 # whose interface doesn't answer goes back to its pool.
 DRAIN_LIMIT_S = 600.0
@@ -60,24 +63,32 @@
         if fence is None:
             continue
         if known.phase == LEAVING:
-            yield _leave(known, view, fence, wait)
+            yield from _leave(known, view, fence, wait, now)
         else:
             yield from _return(known, view, fence, wait)
 
 
 def _leave(
-    known: OwnedInstance, view: ControlView, fence: Fence, wait: float
-) -> MoveFinished | MoveCancelled | Call:
+    known: OwnedInstance,
+    view: ControlView,
+    fence: Fence,
+    wait: float,
+    now: float,
+) -> Iterator[MoveFinished | MoveCancelled | Call]:
     since = view.log_now - known.changed_at
     drain = _call(known, DRAIN, fence)
     if drain.operation_id in view.finished:
-        if since >= wait:
-            return MoveFinished(known.instance, known.epoch, fence)
-        return drain
-    if since >= DRAIN_LIMIT_S:
+        status = view.fresh_status(known.instance, now, STATUS_AGE_S)
+        idle = status is not None and status.in_flight == 0
+        if since >= wait or (idle and since >= LEAVE_S + STATUS_AGE_S):
+            yield MoveFinished(known.instance, known.epoch, fence)
+        else:
+            yield _call(known, STATUS, fence)
+    elif since >= DRAIN_LIMIT_S:
         reason = "drain-not-confirmed"
-        return MoveCancelled(known.instance, known.epoch, reason, fence)
-    return drain
+        yield MoveCancelled(known.instance, known.epoch, reason, fence)
+    else:
+        yield drain
 
 
 def _return(
--- a/acaciawing/control/proposals.py
+++ b/acaciawing/control/proposals.py
@@ -7,6 +7,7 @@
 
 from acaciawing.control.view import Call, ControlView
 from acaciawing.fold import FleetState
+from acaciawing.lending import DemandHistory
 
 
 @dataclass(frozen=True)
@@ -17,11 +18,14 @@
         subjects: Lease subjects that it needs someone to hold.
         records: Records to append.
         calls: Calls to the worker interface.
+        history: Demand with this round's observation, to be kept for the next
+            round, or None.
     """
 
     subjects: tuple[str, ...] = ()
     records: tuple[object, ...] = ()
     calls: tuple[Call, ...] = ()
+    history: DemandHistory | None = None
 
 
 Decide: TypeAlias = Callable[[FleetState, ControlView, float, Random], Proposal]
--- a/acaciawing/control/rounds.py
+++ b/acaciawing/control/rounds.py
@@ -10,6 +10,7 @@
 from acaciawing.control.view import Call, ControlView, Round
 from acaciawing.fold import FleetState
 from acaciawing.leases import Fence
+from acaciawing.lending import LoanBegun, LoanExtended
 from acaciawing.ownership import (
     InstanceAdopted,
     InstanceReplaced,
@@ -22,6 +23,15 @@
 # use 200 of them.
 _FLEET_RECORDS = 90
 
+# Records that name a time, which differs in each round.
+_TIMED = (
+    InstanceAdopted,
+    InstanceReplaced,
+    InstanceRetired,
+    LoanBegun,
+    LoanExtended,
+)
+
 # A snapshot is written again if its mark was not read back by then.
 _SNAPSHOT_RETRY_S = 10.0
 
@@ -69,6 +79,7 @@
         (*calls, *(c for proposal in proposals for c in proposal.calls)),
         _snapshot(state, view, now),
         tuple(wanted),
+        next((p.history for p in proposals if p.history is not None), None),
     )
 
 
@@ -81,7 +92,7 @@
 
 def _key(record: object) -> object:
     """Identifies a record by its instance where it names a changing time."""
-    if isinstance(record, InstanceAdopted | InstanceReplaced | InstanceRetired):
+    if isinstance(record, _TIMED):
         return type(record), record.instance
     return record
 
--- a/acaciawing/control/task.py
+++ b/acaciawing/control/task.py
@@ -12,6 +12,7 @@
     OperationEnded,
     TimedCall,
 )
+from acaciawing.control.move_times import MOVE_COST_S
 from acaciawing.control.view import Call
 from acaciawing.platform import Log, OperationOutcome, Workers
 
@@ -94,6 +95,8 @@
         workers: Client of the worker interface, for this task.
         appended: Called after a round that appended, so that the reader of the
             control stream reads at once.
+        move_cost_s: Time for which a move takes an instance out of service,
+            until moves are measured.
     """
 
     def __init__(
@@ -102,6 +105,7 @@
         log: Log,
         workers: Workers,
         appended: Callable[[], None],
+        move_cost_s: float = MOVE_COST_S,
     ) -> None:
         """Builds the loop; `start` begins the rounds."""
         super().__init__(name="control", daemon=True)
@@ -111,9 +115,18 @@
         self._worker_task = WorkerTask(workers, clock, self.post)
         self._clock = clock
         self._loop = ControlLoop(
-            writer, log, clock, self._random, self._worker_task.post
+            writer,
+            log,
+            clock,
+            self._random,
+            self._worker_task.post,
+            move_cost_s=move_cost_s,
         )
 
+    def holds(self, subject: str) -> bool:
+        """Whether this process held a lease in the last round; any thread."""
+        return self._loop.holds(subject)
+
     def post(self, message: ControlMessage) -> None:
         """Passes a message to the task; returns at once."""
         self._inbox.put(message)
--- a/acaciawing/control/tests/fakes.py
+++ b/acaciawing/control/tests/fakes.py
@@ -7,6 +7,7 @@
 from acaciawing.control import (
     ControlLoop,
     ControlView,
+    Decide,
     ListingRead,
     LiveChanged,
     Proposal,
@@ -15,6 +16,7 @@
     TimedCall,
     make_call,
 )
+from acaciawing.control.move_times import MOVE_COST_S
 from acaciawing.fold import FleetState, step
 from acaciawing.leases import is_held, pool_subject
 from acaciawing.ownership import MoveBegun
@@ -41,9 +43,9 @@
     done: set[str] = field(default_factory=set)
     lose_answers: int = 0
 
-    def put(self, number: int, pool: str) -> None:
+    def put(self, number: int, pool: str, zone: str = "zone") -> None:
         name = f"worker-{number}"
-        place = ("zone", "rack", "192.0.2.1:80", "live")
+        place = (zone, "rack", "192.0.2.1:80", "live")
         self.instances[name] = ListedInstance(name, 1, pool, *place)
 
     def listing(self, as_of: float) -> Listing:
@@ -115,7 +117,7 @@
     """Entry instances on one clock, one log and one platform."""
 
     count: int = 3
-    decisions: tuple[Lend, ...] = ()
+    decisions: tuple[Decide, ...] = ()
     loop_type: type[ControlLoop] = ControlLoop
     log: FakeLog = field(default_factory=FakeLog)
     platform: FakePlatform = field(default_factory=FakePlatform)
@@ -123,6 +125,7 @@
     paused: set[int] = field(default_factory=set)
     loops: list[ControlLoop] = field(default_factory=list)
     calls: list[tuple[int, TimedCall]] = field(default_factory=list)
+    move_cost_s: float = MOVE_COST_S
 
     def start(self) -> "Fleet":
         self.loops = [self.started(number) for number in range(self.count)]
@@ -136,6 +139,7 @@
             Random(number),
             lambda timed: self.calls.append((number, timed)),
             self.decisions,
+            self.move_cost_s,
         )
         live = tuple(f"entry-{n}" for n in range(self.count))
         loop.handle(LiveChanged(live))
--- a/acaciawing/control/view.py
+++ b/acaciawing/control/view.py
@@ -3,7 +3,9 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from acaciawing.control.move_times import MOVE_COST_S
 from acaciawing.leases import Fence, HeldLease, may_act
+from acaciawing.lending import DemandHistory
 from acaciawing.platform import ListedInstance, Listing
 
 DRAIN = "drain"
@@ -41,12 +43,14 @@
         calls: Calls for steps that were read back as accepted.
         snapshot: Lease under which to write a snapshot, or None.
         subjects: Lease subjects that someone has to hold.
+        history: Demand to keep for the next round, or None if unchanged.
     """
 
     records: tuple[object, ...] = ()
     calls: tuple[Call, ...] = ()
     snapshot: Fence | None = None
     subjects: tuple[str, ...] = ()
+    history: DemandHistory | None = None
 
 
 @dataclass(frozen=True)
@@ -73,6 +77,11 @@
         status_at: Time of that report, by instance.
         unread: Records sent lately and not read back yet.
         snapshot_sent_at: Time of the last snapshot attempt, or None.
+        demand: Newest demand of all pools; empty before the first.
+        demand_at: Time at which it was read, or None.
+        history: Demand that earlier rounds have seen.
+        move_cost_s: Mean time for which a move takes an instance out of
+            service.
         stopping: Whether this process is about to end.
     """
 
@@ -93,6 +102,10 @@
     status_at: Mapping[str, float] = field(default_factory=dict)
     unread: frozenset[object] = frozenset()
     snapshot_sent_at: float | None = None
+    demand: Mapping[str, float] = field(default_factory=dict)
+    demand_at: float | None = None
+    history: DemandHistory = DemandHistory()
+    move_cost_s: float = MOVE_COST_S
     stopping: bool = False
 
     @property
--- a/acaciawing/control/wave_rounds.py
+++ b/acaciawing/control/wave_rounds.py
@@ -10,7 +10,7 @@
 
 from acaciawing.budgets import BudgetSnapshot
 from acaciawing.configuration import Configuration
-from acaciawing.control.moves import drained_after_s
+from acaciawing.control.moves import STATUS_AGE_S, drained_after_s
 from acaciawing.control.proposals import Proposal
 from acaciawing.control.view import (
     DRAIN,
@@ -52,9 +52,6 @@
 # has not failed yet.
 _ABSENT_S = 3.0
 
-# Maintenance allows two seconds for the lag of a status.
-STATUS_AGE_S = 2.0
-
 _OPERATIONS = {
     "drain": DRAIN,
     "reboot": REBOOT,
--- a/acaciawing/entry/daemon.py
+++ b/acaciawing/entry/daemon.py
@@ -15,6 +15,7 @@
 from acaciawing.control import ControlTask, LiveChanged
 from acaciawing.entry.administration import Administration
 from acaciawing.entry.callers import Callers, Directory
+from acaciawing.entry.demand import DEMAND_PATH, DemandTask
 from acaciawing.entry.dispatcher import Dispatcher
 from acaciawing.entry.distribution import Distribution, Tasks
 from acaciawing.entry.engine import Engine
@@ -31,6 +32,7 @@
 from acaciawing.exchange import Exchanger
 from acaciawing.fold import FleetState
 from acaciawing.idempotency.task import ClaimTask
+from acaciawing.lending import LENDING_SUBJECT
 from acaciawing.membership import EntryJoined
 from acaciawing.platform import ListClient, LogClient, WorkerClient
 from acaciawing.telemetry import Event, configure_logs, log_event
@@ -109,7 +111,20 @@
             LogClient(settings.log),
             WorkerClient(settings.list),
             self._poke,
+            settings.move_cost,
         )
+        demand = DemandTask(
+            settings.instance,
+            lambda: control.holds(LENDING_SUBJECT),
+            lambda: self._scheduler.view().demand_by_pool,
+            self._ask_demand,
+            control.post,
+        )
+
+        def tell_live(live: tuple[str, ...]) -> None:
+            control.post(LiveChanged(live))
+            demand.set_live(live)
+
         gossip = GossipTask(
             self._member,
             {p.instance: (p.zone, p.address) for p in settings.peers},
@@ -118,13 +133,13 @@
             Listeners(
                 self._scheduler.post,
                 self._scheduler.post,
-                lambda live: control.post(LiveChanged(live)),
+                tell_live,
                 self._fall_behind,
             ),
             time.monotonic,
             Random(),
         )
-        return Tasks(self._scheduler, claims, journal, control, gossip)
+        return Tasks(self._scheduler, claims, journal, control, gossip, demand)
 
     def run(self) -> None:
         """Serves until SIGTERM or SIGINT, then drains."""
@@ -139,6 +154,7 @@
         log_event(Event.ENTRY_STARTED, {"listen": self._settings.listen})
         self._tasks.journal.start()
         self._tasks.control.start()
+        self._tasks.demand.start()
         self._log_observer.start()
         self._list_observer.start()
         self._tasks.gossip.start()
@@ -174,6 +190,7 @@
             {
                 "claims": self._tasks.claims.answer_peer,
                 "gossip": self._tasks.gossip.answer_peer,
+                "demand": self._tasks.demand.answer_peer,
                 "serve": lambda payload: serve_forwarded(
                     payload, self._directory.index, dispatcher.serve
                 ),
@@ -206,6 +223,7 @@
 
     def _leave(self) -> None:
         """Releases leases, flushes claims and leaves the roster."""
+        self._tasks.demand.stop()
         self._tasks.control.stop()
         self._tasks.gossip.stop()
         pause = threading.Event()
@@ -245,6 +263,12 @@
             if state is not None:
                 yield state
 
+    def _ask_demand(self, instance: str) -> bytes | None:
+        address = self._distribution.address_of(instance)
+        if not address:
+            return None
+        return self._peers.send(address, DEMAND_PATH, b"{}")
+
     def _ask_claim(
         self, instance: str, address: str, payload: bytes
     ) -> bytes | None:
--- a/acaciawing/entry/distribution.py
+++ b/acaciawing/entry/distribution.py
@@ -10,6 +10,7 @@
     StepsFolded,
 )
 from acaciawing.entry.callers import Directory
+from acaciawing.entry.demand import DemandTask
 from acaciawing.entry.forwarding import Member
 from acaciawing.entry.gossip import GossipTask
 from acaciawing.entry.journal import Journal
@@ -38,6 +39,7 @@
     journal: Journal
     control: ControlTask
     gossip: GossipTask
+    demand: DemandTask
 
 
 class Distribution:
@@ -82,6 +84,12 @@
             if name != self._member.instance
         )
 
+    def address_of(self, instance: str) -> str:
+        """Administration listener of a member, or ""; for any thread."""
+        state = self._state
+        member = None if state is None else state.roster.members.get(instance)
+        return "" if member is None else member.address
+
     def log_read(self, result: ReadResult) -> None:
         """Takes a result of the log observer."""
         self._report_log(result)
--- a/acaciawing/entry/engine.py
+++ b/acaciawing/entry/engine.py
@@ -58,6 +58,8 @@
         plans: Counts by plan.
         demand: Published demand by plan, in requests a second.
         loads: Requests running or waiting here, by pool.
+        demand_by_pool: The same by the pool of their service, wherever they
+            run.
         waiting: Requests in the queues.
         in_flight: Attempts in flight.
         endpoints: Number of endpoints by status.
@@ -73,6 +75,7 @@
     in_flight: int
     endpoints: dict[str, int]
     members: int
+    demand_by_pool: dict[str, float] = field(default_factory=dict)
     leaves: tuple[tuple[str, int], ...] = ()
 
 
@@ -475,6 +478,8 @@
         endpoints: dict[str, int] = {}
         loads: dict[str, float] = {}
         for name, pool in self._routing.pools.items():
+            if not name:
+                continue  # Instances out of service belong to no pool.
             loads[name] = float(len(self._queue(name)))
             for cell in pool.cells.values():
                 status = cell.status.value
@@ -489,8 +494,17 @@
             len(self._attempts),
             endpoints,
             self._members.view.size if self._members else 1,
+            self._demand_by_pool(),
         )
 
+    def _demand_by_pool(self) -> dict[str, float]:
+        demand = {n: float(len(q)) for n, q in self._queues.items() if len(q)}
+        for attempt in self._attempts.values():
+            service = self.index.services.get(attempt.submit.service)
+            if service is not None:
+                demand[service.pool] = demand.get(service.pool, 0.0) + 1.0
+        return demand
+
     def _queue(self, pool: str) -> Queue:
         return self._queues.get(pool) or Queue()
 
--- a/acaciawing/entry/tests/test_engine.py
+++ b/acaciawing/entry/tests/test_engine.py
@@ -1,7 +1,10 @@
 """Tests of the scheduler's decisions, with injected time."""
 
+from dataclasses import replace
 from queue import SimpleQueue
 
+from immutables import Map
+
 from acaciawing.configuration import (
     Configuration,
     ConfigurationState,
@@ -19,7 +22,14 @@
 )
 from acaciawing.exchange import Interrupted
 from acaciawing.fold import FleetState
+from acaciawing.maintenance import Down, Place, WaveTable
 from acaciawing.outcomes import NotRun
+from acaciawing.ownership import (
+    LEAVING,
+    SERVING,
+    OwnedInstance,
+    Ownership,
+)
 from acaciawing.platform import ListedInstance, Listing
 from acaciawing.routing import Result
 
@@ -259,3 +269,57 @@
         )
         second = bench.granted(bench.again(first, 10.0))
         assert second.endpoint.rack != first.endpoint.rack
+
+
+def owned(name: str, pool: str, phase: str = SERVING) -> OwnedInstance:
+    place = ("a", "r", "192.0.2.1:80", 1.0)
+    return OwnedInstance(name, 1, pool, *place, epoch=1, phase=phase)
+
+
+class TestOwnership:
+    """Guards against new work at an instance that moves or is maintained."""
+
+    def _bench(self, *instances: OwnedInstance, down: str = "") -> Bench:
+        bench = Bench(plan("gold"), workers=("visits-1", "portal-1"))
+        table = Ownership(Map({i.instance: i for i in instances}))
+        waves = WaveTable()
+        if down:
+            place = Place(down, 1, "a", "r")
+            waves = WaveTable(in_progress=Map({down: Down("visits", place)}))
+        state = replace(bench.engine.state, ownership=table, waves=waves)
+        bench.engine.state_changed(StateChanged(state), 2.0)
+        return bench
+
+    def _endpoints(self, bench: Bench) -> set[str]:
+        replies = [bench.submit(3.0) for _ in range(4)]
+        granted = [r.get_nowait() for r in replies if not r.empty()]
+        return {g.endpoint.instance for g in granted if isinstance(g, Granted)}
+
+    def test_ownership_overrides_the_list(self) -> None:
+        bench = self._bench(
+            owned("visits-1", "visits"), owned("portal-1", "visits")
+        )
+        assert self._endpoints(bench) == {"visits-1", "portal-1"}
+        loads = bench.engine.view().loads
+        assert loads["visits"] == 4.0
+
+    def test_nothing_new_while_it_moves(self) -> None:
+        bench = self._bench(
+            owned("visits-1", "visits", LEAVING), owned("portal-1", "portal")
+        )
+        assert self._endpoints(bench) <= {"portal-1"}
+
+    def test_nothing_new_while_it_is_maintained(self) -> None:
+        bench = self._bench(owned("visits-1", "visits"), down="visits-1")
+        assert "visits-1" not in self._endpoints(bench)
+
+    def test_back_in_service_without_a_new_list(self) -> None:
+        bench = self._bench(owned("visits-1", "visits"), down="visits-1")
+        state = replace(bench.engine.state, waves=WaveTable())
+        bench.engine.state_changed(StateChanged(state), 3.0)
+        assert "visits-1" in self._endpoints(bench)
+
+    def test_demand_counts_work_that_spilled_over(self) -> None:
+        bench = self._bench(owned("visits-1", "visits", LEAVING))
+        self._endpoints(bench)
+        assert bench.engine.view().demand_by_pool == {"visits": 4.0}
