Give new work to an instance whose drain was given up

A leave mark is sticky for an incarnation, so an instance that a stop of maintenance put back into service got no work until its next restart. The record that ends the drain, and a later list that shows the instance live, now lift the mark. Ruled out: a restart after each drain that is given up, since the operator has just stopped maintenance.

Guarded by test_new_work_again_after_a_drain_that_was_given_up, which fails without the change.

--- a/acaciawing/entry/engine.py
+++ b/acaciawing/entry/engine.py
@@ -21,7 +21,7 @@
     StateChanged,
     Submit,
 )
-from acaciawing.entry.pools import serving_pools
+from acaciawing.entry.pools import PutBack, put_back, serving_pools
 from acaciawing.fold import FleetState
 from acaciawing.outcomes import NotRun
 from acaciawing.platform import Listing
@@ -114,6 +114,7 @@
     _spares: tuple[str, ...] = ()
     _leaves: tuple[tuple[str, int], ...] = ()
     _listing: Listing | None = None
+    _put_back: dict[str, PutBack] = field(default_factory=dict)
     _pool_of: Mapping[str, str] = field(default_factory=dict)
     _pools_from: tuple[object, object] = (None, None)
     _credits: CreditTable = field(init=False)
@@ -127,8 +128,10 @@
 
     def state_changed(self, message: StateChanged, now: float) -> None:
         """Takes a newer state of the fold."""
-        old = self.state.configuration
+        old, waves = self.state.configuration, self.state.waves
         self.state = message.state
+        if waves.in_progress is not message.state.waves.in_progress:
+            self._put_back |= put_back(waves, message.state.waves)
         self._pools_again(now)
         if message.state.configuration is not old:
             self.index = index(message.state.configuration.configuration)
@@ -143,6 +146,7 @@
     def listing_seen(self, message: ListingSeen, now: float) -> None:
         """Takes an answer of the platform's list."""
         self._listing = message.listing
+        self._lift_leave_marks(message.listing)
         self._routing = routing.observe_listing(
             self._routing, message.listing, self._pool_of, now
         )
@@ -160,6 +164,20 @@
             self._routing, instance, incarnation, now
         )
 
+    def _lift_leave_marks(self, listing: Listing) -> None:
+        """Opens instances again that a later list shows to be live."""
+        if not self._put_back:
+            return
+        for listed in listing.instances:
+            back = self._put_back.get(listed.instance)
+            if back is None or listing.as_of <= back.since:
+                continue
+            if listed.state == "live":
+                del self._put_back[listed.instance]
+                self._routing = routing.observe_put_back(
+                    self._routing, listed.instance, back.incarnation
+                )
+
     def _pools_again(self, now: float) -> None:
         """Follows moves and waves without waiting for the next list."""
         ownership, waves = self.state.ownership, self.state.waves
--- a/acaciawing/entry/tests/test_engine.py
+++ b/acaciawing/entry/tests/test_engine.py
@@ -22,7 +22,15 @@
 )
 from acaciawing.exchange import Interrupted
 from acaciawing.fold import FleetState
-from acaciawing.maintenance import Down, Place, WaveTable
+from acaciawing.maintenance import (
+    Bounds,
+    Down,
+    Member,
+    Place,
+    Stage,
+    Wave,
+    WaveTable,
+)
 from acaciawing.outcomes import NotRun
 from acaciawing.ownership import (
     LEAVING,
@@ -319,6 +327,29 @@
         bench.engine.state_changed(StateChanged(state), 3.0)
         assert "visits-1" in self._endpoints(bench)
 
+    def _drained(self, stage: Stage, since: float) -> WaveTable:
+        place = Place("visits-1", 1, "a", "r")
+        member = Member(place, stage, since)
+        wave = Wave("visits", 0, Bounds(1, 1, 1), Map({"visits-1": member}))
+        down = Map({"visits-1": Down("visits", place)})
+        return WaveTable(
+            Map(visits=wave), in_progress=down if stage.in_progress else Map()
+        )
+
+    def test_new_work_again_after_a_drain_that_was_given_up(self) -> None:
+        bench = self._bench(owned("visits-1", "visits"))
+        leaving = listed("visits-1", state="leaving")
+        bench.list(3.0, leaving)
+        for stage in (Stage.DRAINING, Stage.RESTORING, Stage.WAITING):
+            waves = self._drained(stage, since=4.0)
+            state = replace(bench.engine.state, waves=waves)
+            bench.engine.state_changed(StateChanged(state), 4.0)
+        # A list from before the record says nothing about the end of it.
+        bench.list(4.0, listed("visits-1"))
+        assert bench.engine.endpoint_counts() == {"leaving": 1}
+        bench.list(5.0, listed("visits-1"))
+        assert self._endpoints(bench) == {"visits-1"}
+
     def test_demand_counts_work_that_spilled_over(self) -> None:
         bench = self._bench(owned("visits-1", "visits", LEAVING))
         self._endpoints(bench)
--- a/acaciawing/routing/state.py
+++ b/acaciawing/routing/state.py
@@ -221,6 +221,35 @@
     return replace(state, pools=state.pools.set(name, pool))
 
 
+def observe_put_back(
+    state: RoutingState, instance: str, incarnation: int
+) -> RoutingState:
+    """Lifts the leave mark of an instance whose drain was given up.
+
+    This is the one exception from the sticky mark. The caller must know from
+    the log that the drain has ended, and from a later list that the instance
+    is live; a signal that is still on its way marks it again.
+
+    Args:
+        state: The state before.
+        instance: Id of the instance.
+        incarnation: The incarnation that stays.
+    """
+    mark = state.leaving.get(instance)
+    if mark is None or mark.incarnation != incarnation:
+        return state
+    state = replace(state, leaving=state.leaving.delete(instance))
+    name = state.pool_of.get(instance)
+    if name is None:
+        return state
+    cell = state.pools[name].cells[instance]
+    if cell.status is not Status.LEAVING:
+        return state
+    opened = replace(cell, status=Status.OPEN)
+    pool = put(state.pools[name], instance, opened)
+    return replace(state, pools=state.pools.set(name, pool))
+
+
 def set_credits(
     state: RoutingState, credit_of: Mapping[str, Credit]
 ) -> RoutingState:
