--- a/acaciawing/entry/engine.py
+++ b/acaciawing/entry/engine.py
@@ -21,8 +21,10 @@
     StateChanged,
     Submit,
 )
+from acaciawing.entry.pools import PutBack, put_back, serving_pools
 from acaciawing.fold import FleetState
 from acaciawing.outcomes import NotRun
+from acaciawing.platform import Listing
 from acaciawing.queueing import Queue, RunClass, Waiting, WorkKey
 from acaciawing.retries import FailureDomain, NoAttempt
 from acaciawing.routing import (
@@ -56,6 +58,8 @@
         plans: Counts by plan.
         demand: Published demand by plan, in requests a second.
         loads: Requests running or waiting here, by pool.
+        demand_by_pool: The same by the pool of their service, wherever they
+            run.
         waiting: Requests in the queues.
         in_flight: Attempts in flight.
         endpoints: Number of endpoints by status.
@@ -71,6 +75,7 @@
     in_flight: int
     endpoints: dict[str, int]
     members: int
+    demand_by_pool: dict[str, float] = field(default_factory=dict)
     leaves: tuple[tuple[str, int], ...] = ()
 
 
@@ -108,6 +113,10 @@
     _members: MembersSeen | None = None
     _spares: tuple[str, ...] = ()
     _leaves: tuple[tuple[str, int], ...] = ()
+    _listing: Listing | None = None
+    _put_back: dict[str, PutBack] = field(default_factory=dict)
+    _pool_of: Mapping[str, str] = field(default_factory=dict)
+    _pools_from: tuple[object, object] = (None, None)
     _credits: CreditTable = field(init=False)
     _tickets: int = 0
 
@@ -119,8 +128,11 @@
 
     def state_changed(self, message: StateChanged, now: float) -> None:
         """Takes a newer state of the fold."""
-        old = self.state.configuration
+        old, waves = self.state.configuration, self.state.waves
         self.state = message.state
+        if waves.in_progress is not message.state.waves.in_progress:
+            self._put_back |= put_back(waves, message.state.waves)
+        self._pools_again(now)
         if message.state.configuration is not old:
             self.index = index(message.state.configuration.configuration)
             self._spares = tuple(
@@ -133,8 +145,10 @@
 
     def listing_seen(self, message: ListingSeen, now: float) -> None:
         """Takes an answer of the platform's list."""
+        self._listing = message.listing
+        self._lift_leave_marks(message.listing)
         self._routing = routing.observe_listing(
-            self._routing, message.listing, self._pool_of(), now
+            self._routing, message.listing, self._pool_of, now
         )
         self._credit_again()
 
@@ -150,8 +164,33 @@
             self._routing, instance, incarnation, now
         )
 
-    def _pool_of(self) -> Mapping[str, str]:
-        return {}
+    def _lift_leave_marks(self, listing: Listing) -> None:
+        """Opens instances again that a later list shows to be live."""
+        if not self._put_back:
+            return
+        for listed in listing.instances:
+            back = self._put_back.get(listed.instance)
+            if back is None or listing.as_of <= back.since:
+                continue
+            if listed.state == "live":
+                del self._put_back[listed.instance]
+                self._routing = routing.observe_put_back(
+                    self._routing, listed.instance, back.incarnation
+                )
+
+    def _pools_again(self, now: float) -> None:
+        """Follows moves and waves without waiting for the next list."""
+        ownership, waves = self.state.ownership, self.state.waves
+        seen = (ownership.instances, waves.in_progress)
+        if all(a is b for a, b in zip(seen, self._pools_from, strict=True)):
+            return
+        self._pools_from = seen
+        self._pool_of = serving_pools(ownership, waves)
+        if self._listing is not None:
+            self._routing = routing.observe_listing(
+                self._routing, self._listing, self._pool_of, now
+            )
+            self._credit_again()
 
     def _share_again(self, now: float) -> None:
         view = admission.EntryView(self.instance)
@@ -481,6 +520,7 @@
             len(self._attempts),
             {},
             self._members.view.size if self._members else 1,
+            self._demand_by_pool(),
         )
 
     def endpoint_counts(self) -> dict[str, int]:
@@ -492,6 +532,14 @@
                 found[status] = found.get(status, 0) + 1
         return found
 
+    def _demand_by_pool(self) -> dict[str, float]:
+        demand = {n: float(len(q)) for n, q in self._queues.items() if len(q)}
+        for attempt in self._attempts.values():
+            service = self.index.services.get(attempt.submit.service)
+            if service is not None:
+                demand[service.pool] = demand.get(service.pool, 0.0) + 1.0
+        return demand
+
     def _queue(self, pool: str) -> Queue:
         return self._queues.get(pool) or Queue()
 
