Keep what folded records say about instances and tasks

Cause: `explain instance` and `explain task` had no events, since only the scheduler recorded decisions, and nothing told operators who had changed what.

The reader of the control stream now passes each record to the recorder: a decision for each instance and task that it names, and a change for each publication, stopped or resumed wave. A recovery passes its replayed records as well; without that, an instance started after an adoption knew nothing of it. AW1106 is logged only by the writer of an accepted record, so that a decision has one line in the fleet's logs; refusals stay AW1102 at every reader.

Requests are kept apart from instances and tasks: at load they would push the others out within seconds. Ruled out: 20 events for each subject as before, since three kinds at 2,000 subjects could pass the memory limit.

The log's time is taken from the records read, so that leases are not judged by a wall clock that differs from the log's.

--- a/acaciawing/entry/daemon.py
+++ b/acaciawing/entry/daemon.py
@@ -75,12 +75,13 @@
         )
         self._tasks = self._make_tasks()
         self._distribution = Distribution(
-            self._member, self._directory, self._tasks
+            self._member, self._directory, self._tasks, self._recorder
         )
         self._log_observer = LogObserver(
             LogClient(settings.log),
             self._ask_states,
             self._distribution.log_read,
+            self._distribution.keep,
         )
         self._list_observer = ListObserver(
             ListClient(settings.list), self._distribution.list_read
--- a/acaciawing/entry/distribution.py
+++ b/acaciawing/entry/distribution.py
@@ -1,6 +1,7 @@
 """Passes what the observers read on to the other tasks."""
 
 import time
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
 from acaciawing.configuration import NO_VERSION, index
@@ -12,9 +13,12 @@
 from acaciawing.entry.callers import Directory
 from acaciawing.entry.forwarding import Member
 from acaciawing.entry.gossip import GossipTask
+from acaciawing.entry.history import change_of, decisions_of
 from acaciawing.entry.journal import Journal
+from acaciawing.entry.log_clock import LogClock
 from acaciawing.entry.messages import ListingSeen, StateChanged
 from acaciawing.entry.observers import ReadResult
+from acaciawing.entry.recorder import Recorder
 from acaciawing.entry.scheduler import Scheduler
 from acaciawing.fold import FleetState, Step
 from acaciawing.idempotency.task import ClaimTask
@@ -26,7 +30,7 @@
 )
 from acaciawing.outcomes import Accepted, Ignored
 from acaciawing.platform import Listing, ListUnavailable
-from acaciawing.telemetry import Event, log_event
+from acaciawing.telemetry import Event, Tally, log_event
 
 
 @dataclass(frozen=True)
@@ -50,12 +54,21 @@
         member: This entry instance.
         directory: Configuration and readiness for the request threads.
         tasks: Tasks to tell.
+        recorder: Keeps the decisions and changes in the records.
     """
 
     def __init__(
-        self, member: EntryJoined, directory: Directory, tasks: Tasks
+        self,
+        member: EntryJoined,
+        directory: Directory,
+        tasks: Tasks,
+        recorder: Recorder,
     ) -> None:
         """Knows no state yet."""
+        self._recorder = recorder
+        self._verdicts = Tally()
+        self._kept_to = 0
+        self._log_clock = LogClock(time.monotonic, time.time)
         self._member = member
         self._directory = directory
         self._tasks = tasks
@@ -71,6 +84,20 @@
         """Version of the configuration in force here."""
         return self._version
 
+    @property
+    def log_up(self) -> bool:
+        """Whether the last read of the log was answered."""
+        return self._log_up
+
+    def log_now(self) -> float:
+        """Time on the log's clock, in seconds; for any thread."""
+        return self._log_clock.now()
+
+    @property
+    def verdicts(self) -> Mapping[tuple[str, str], int]:
+        """Records read, by verdict and reason; for any thread."""
+        return self._verdicts.read()
+
     def other_members(self) -> tuple[Member, ...]:
         """Members on the roster without this instance; for any thread."""
         state = self._state
@@ -87,12 +114,33 @@
         self._report_log(result)
         for step in result.steps:
             _report_ignored(step)
+            self.keep(step)
         if result.state is not self._state:
             self._new_state(result)
         if result.caught_up and self._state is not None:
             self._tasks.journal.state_changed(self._state)
         self._look_ready(result)
 
+    def keep(self, step: Step) -> None:
+        """Counts a record and keeps what it says for the operators.
+
+        Called by the log observer for each record that it reads, also for
+        those of a recovery. A recovery may read a record twice.
+        """
+        offset = step.position.offset
+        if offset < self._kept_to:
+            return
+        self._kept_to = offset + 1
+        self._log_clock.note(step.position.appended_at)
+        ignored = step.verdict if isinstance(step.verdict, Ignored) else None
+        verdict = "ignored" if ignored else "accepted"
+        self._verdicts.add((verdict, ignored.reason if ignored else ""))
+        for decision in decisions_of(step, _name(self._member)):
+            self._recorder.post(decision)
+        change = change_of(step)
+        if change is not None:
+            self._recorder.post(change)
+
     def list_read(self, outcome: Listing | ListUnavailable) -> None:
         """Takes a result of the list observer."""
         if isinstance(outcome, ListUnavailable):
--- /dev/null
+++ b/acaciawing/entry/history.py
@@ -0,0 +1,130 @@
+"""What the folded records say about single instances and tasks, and the audit.
+
+The records in the log are the authority. What is kept here is a bounded copy of
+what this instance has read since its start or its last snapshot.
+"""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from acaciawing.budgets import PlanCounts
+from acaciawing.configuration import ConfigurationPublished
+from acaciawing.entry.recorder import Change, Decision
+from acaciawing.fold import Step
+from acaciawing.leases import Fence, LeasesRenewed
+from acaciawing.maintenance import (
+    OutageChanged,
+    WavePlanned,
+    WaveResumed,
+    WaveStopped,
+)
+from acaciawing.outcomes import Ignored
+from acaciawing.placement import TaskLeasesRenewed, TasksCancelled
+from acaciawing.records import name_of
+from acaciawing.telemetry import Event
+
+# Records that repeat every few seconds and decide nothing.
+_ROUTINE = (PlanCounts, LeasesRenewed, TaskLeasesRenewed)
+
+
+# Lists and documents may hold a whole pool, a burst of tasks or the operators'
+# lists; the record in the log has them.
+_LONG = (list, dict)
+
+
+def decisions_of(step: Step, writer: str) -> tuple[Decision, ...]:
+    """Decisions in one folded record.
+
+    Args:
+        step: The folded record.
+        writer: ``instance/incarnation`` of this process. Its own accepted
+            records are logged, so that each decision has one line in the
+            fleet's logs.
+
+    Returns:
+        One decision of the kind ``record``, and one for each instance and task
+        that the record concerns; none for a record that decides nothing.
+    """
+    record = step.record
+    if record is None or isinstance(record, _ROUTINE):
+        return ()
+    reasons = _reasons(step)
+    at = step.position.appended_at
+    event = Event.CONTROL_DECIDED
+    own = step.writer == writer and not isinstance(step.verdict, Ignored)
+    subjects = dict.fromkeys(_subjects(record))
+    return (
+        Decision("record", name_of(record), at, event, reasons, logged=own),
+        *(
+            Decision(kind, name, at, event, reasons, logged=False)
+            for kind, name in subjects
+        ),
+    )
+
+
+def change_of(step: Step) -> Change | None:
+    """The operator's change in one folded record, or None."""
+    record = step.record
+    if isinstance(record, ConfigurationPublished):
+        author, subject = record.author, record.publication_id
+    elif isinstance(record, WaveStopped | WaveResumed):
+        author, subject = record.operator, record.pool
+    else:
+        return None
+    ignored = step.verdict if isinstance(step.verdict, Ignored) else None
+    return Change(
+        step.position.offset,
+        step.position.appended_at,
+        name_of(record),
+        subject,
+        author,
+        "refused" if ignored else "accepted",
+        ignored.reason if ignored else "",
+        ignored.detail if ignored else getattr(record, "reason", ""),
+    )
+
+
+def _subjects(record: Any) -> Iterator[tuple[str, str]]:
+    if isinstance(record, WavePlanned):
+        for place in record.members:
+            yield ("instance", place.instance)
+        return
+    if isinstance(record, OutageChanged):
+        yield ("instance", record.place.instance)
+        return
+    if isinstance(record, TasksCancelled):
+        for task in record.tasks:
+            yield ("task", task)
+        return
+    for kind, member in (
+        ("instance", "instance"),
+        ("instance", "worker"),
+        ("task", "task"),
+    ):
+        name = getattr(record, member, "")
+        if isinstance(name, str) and name:
+            yield (kind, name)
+
+
+def _reasons(step: Step) -> dict[str, Any]:
+    record = step.record
+    reasons: dict[str, Any] = {
+        "record": name_of(record),
+        "verdict": "accepted",
+        "offset": step.position.offset,
+        "writer": step.writer,
+    }
+    if isinstance(step.verdict, Ignored):
+        reasons |= {
+            "verdict": "ignored",
+            "reason": step.verdict.reason,
+            "detail": step.verdict.detail,
+        }
+    for name, value in msgspec.to_builtins(record).items():
+        if name == "fence" and isinstance(record.fence, Fence):
+            reasons["token"] = record.fence.token
+        elif name not in reasons and not isinstance(value, _LONG):
+            reasons[name] = value
+    return reasons
--- a/acaciawing/entry/observers.py
+++ b/acaciawing/entry/observers.py
@@ -86,6 +86,7 @@
         log: The platform's log.
         peer_states: Asks peers for their states; called while the log is away.
         publish: Receives the result of each read.
+        replayed: Receives each step of a recovery, whose result has none.
         clock: Monotonic time in seconds.
     """
 
@@ -94,6 +95,7 @@
         log: Log,
         peer_states: Callable[[], Iterable[FleetState]],
         publish: Callable[[ReadResult], None],
+        replayed: Callable[[Step], None] = lambda step: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Keeps the arguments; `start` begins to read."""
@@ -101,6 +103,7 @@
         self._log = log
         self._peer_states = peer_states
         self._publish = publish
+        self._replayed = replayed
         self._clock = clock
         self._state: FleetState | None = None
         self._behind = threading.Event()
@@ -144,11 +147,17 @@
 
     def _recover(self, problem: str) -> ReadResult | None:
         """Takes the newest state within reach, never one that is older."""
-        outcome = recover(self._log, (), self._clock(), self._state)
+        outcome = recover(
+            self._log, (), self._clock(), self._state, self._replayed
+        )
         if not isinstance(outcome, Recovered):
             self._behind.clear()
             outcome = recover(
-                self._log, self._peer_states(), self._clock(), self._state
+                self._log,
+                self._peer_states(),
+                self._clock(),
+                self._state,
+                self._replayed,
             )
         if isinstance(outcome, NotRecovered):
             return ReadResult(
--- a/acaciawing/entry/recorder.py
+++ b/acaciawing/entry/recorder.py
@@ -1,16 +1,20 @@
-"""Task that writes decision log lines and keeps the latest for ``explain``."""
+"""Task that writes decision log lines and keeps the latest for operators."""
 
 import threading
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass
 from queue import SimpleQueue
 from typing import Any
 
 from acaciawing.telemetry import Event, log_event
 
-# About 2 KB each; 2,000 subjects keep the daemon under its memory limit.
+# Instances and tasks are kept apart from requests, which arrive so fast that
+# they would push the others out within seconds. 2,000 subjects cover all
+# instances of the target size; ten events cover a move and a wave.
 _KEPT_SUBJECTS = 2000
-_KEPT_EVENTS = 20
+_KEPT_EVENTS = 10
+# About one day of changes at the target size.
+_KEPT_CHANGES = 1000
 
 
 @dataclass(frozen=True)
@@ -23,6 +27,7 @@
         time: Wall-clock time in seconds.
         event: Catalogue entry.
         reasons: Values that the decision rests on.
+        logged: Whether this process writes a log line for it.
     """
 
     kind: str
@@ -30,20 +35,47 @@
     time: float
     event: Event
     reasons: dict[str, Any]
+    logged: bool = True
+
+
+@dataclass(frozen=True)
+class Change:
+    """A change that an operator made or tried to make.
+
+    Attributes:
+        offset: Offset of the record in the control stream.
+        time: Time of the append on the log's clock, in seconds.
+        record: Type of the record.
+        subject: Publication id, or pool of a wave.
+        author: Name of the operator.
+        verdict: ``accepted`` or ``refused``.
+        reason: Code of the refusal, or an empty string.
+        detail: Text of the refusal, or the operator's reason.
+    """
+
+    offset: int
+    time: float
+    record: str
+    subject: str
+    author: str
+    verdict: str
+    reason: str
+    detail: str
 
 
 class Recorder(threading.Thread):
-    """Owns the log output and the decisions kept for ``explain``."""
+    """Owns the decision log lines and what is kept for operators."""
 
     def __init__(self) -> None:
         """Starts with nothing recorded."""
         super().__init__(name="recorder", daemon=True)
         self._inbox: SimpleQueue[Any] = SimpleQueue()
-        self._kept: OrderedDict[tuple[str, str], list[Decision]] = OrderedDict()
+        self._kept: dict[str, OrderedDict[str, deque[Decision]]] = {}
+        self._changes: deque[Change] = deque(maxlen=_KEPT_CHANGES)
 
-    def post(self, decision: Decision) -> None:
-        """Records a decision; returns at once."""
-        self._inbox.put(decision)
+    def post(self, entry: Decision | Change) -> None:
+        """Records a decision or a change; returns at once."""
+        self._inbox.put(entry)
 
     def explain(self, kind: str, subject: str) -> list[Decision]:
         """Decisions about a subject, oldest first."""
@@ -51,6 +83,12 @@
         self._inbox.put((kind, subject, reply))
         return reply.get()
 
+    def changes(self) -> list[Change]:
+        """Kept changes, oldest first."""
+        reply: SimpleQueue[list[Change]] = SimpleQueue()
+        self._inbox.put(("changes", "", reply))
+        return reply.get()
+
     def stop(self) -> None:
         """Writes what was posted and ends the task."""
         self._inbox.put(None)
@@ -64,19 +102,27 @@
                 return
             if isinstance(message, Decision):
                 self._record(message)
+            elif isinstance(message, Change):
+                self._changes.append(message)
             else:
                 kind, subject, reply = message
-                reply.put(list(self._kept.get((kind, subject), ())))
+                reply.put(self._read(kind, subject))
+
+    def _read(self, kind: str, subject: str) -> list[Any]:
+        if kind == "changes":
+            return list(self._changes)
+        kept = self._kept.get(kind)
+        return [] if kept is None else list(kept.get(subject, ()))
 
     def _record(self, decision: Decision) -> None:
-        log_event(
-            decision.event,
-            {decision.kind: decision.subject, **decision.reasons},
-        )
-        key = (decision.kind, decision.subject)
-        events = self._kept.setdefault(key, [])
+        if decision.logged:
+            log_event(
+                decision.event,
+                {decision.kind: decision.subject, **decision.reasons},
+            )
+        kept = self._kept.setdefault(decision.kind, OrderedDict())
+        events = kept.setdefault(decision.subject, deque(maxlen=_KEPT_EVENTS))
         events.append(decision)
-        del events[:-_KEPT_EVENTS]
-        self._kept.move_to_end(key)
-        if len(self._kept) > _KEPT_SUBJECTS:
-            self._kept.popitem(last=False)
+        kept.move_to_end(decision.subject)
+        if len(kept) > _KEPT_SUBJECTS:
+            kept.popitem(last=False)
--- /dev/null
+++ b/acaciawing/entry/tests/test_history.py
@@ -0,0 +1,138 @@
+"""Tests of the decisions and changes taken from folded records."""
+
+from acaciawing.configuration import Configuration, ConfigurationPublished
+from acaciawing.entry.history import change_of, decisions_of
+from acaciawing.entry.log_clock import LogClock
+from acaciawing.entry.recorder import Decision, Recorder
+from acaciawing.fold import FleetState, Step, step
+from acaciawing.leases import Fence, LeasesRenewed
+from acaciawing.maintenance import (
+    Bounds,
+    Place,
+    WavePlanned,
+    WaveResumed,
+    WaveStopped,
+)
+from acaciawing.outcomes import Ignored
+from acaciawing.placement import TasksCancelled
+from acaciawing.records import LogPosition, encode
+from acaciawing.telemetry import Event
+
+WRITER = "entry-a/1"
+
+
+def fold(record: object, state: FleetState | None = None) -> Step:
+    held = state or FleetState(offset=5)
+    return step(held, encode(record, WRITER), LogPosition(held.offset, 9.5))
+
+
+class TestDecisions:
+    """Guards against records that no explanation shows."""
+
+    def test_every_instance_of_a_record_is_named(self) -> None:
+        places = tuple(Place(f"visits-{n}", 1, "a", "r") for n in (1, 2))
+        planned = WavePlanned(
+            "visits", 0, places, Bounds(1, 1, 1), Fence("pool:visits", 3)
+        )
+        record, *subjects = decisions_of(fold(planned), WRITER)
+        assert [(d.kind, d.subject) for d in subjects] == [
+            ("instance", "visits-1"),
+            ("instance", "visits-2"),
+        ]
+        assert record.reasons["verdict"] == "ignored"
+        assert record.reasons["reason"] == "stale-token"
+        assert record.reasons["token"] == 3
+        assert record.time == 9.5
+
+    def test_burst_of_cancellations(self) -> None:
+        decisions = decisions_of(fold(TasksCancelled(("t1", "t2"))), "b/1")
+        assert [d.subject for d in decisions[1:]] == ["t1", "t2"]
+
+    def test_one_log_line_for_an_accepted_own_record(self) -> None:
+        """A line of each reader would multiply the logs by the fleet."""
+        stopped = fold(WaveStopped("visits", "ana", "fair"))
+        own, other = decisions_of(stopped, WRITER), decisions_of(stopped, "b/1")
+        assert [d.logged for d in own] == [True]
+        assert [d.logged for d in other] == [False]
+        repeated = fold(WaveStopped("visits", "ana", "fair"), stopped.state)
+        assert not any(d.logged for d in decisions_of(repeated, WRITER))
+
+    def test_renewals_are_no_decisions(self) -> None:
+        renewed = LeasesRenewed(WRITER, 1, 10.0)
+        assert decisions_of(fold(renewed), WRITER) == ()
+
+
+class TestChanges:
+    """Guards against an audit that hides who changed what."""
+
+    def test_accepted_and_refused_publications(self) -> None:
+        won = fold(ConfigurationPublished("p1", -1, "ana", Configuration()))
+        lost = fold(
+            ConfigurationPublished("p2", -1, "bor", Configuration()), won.state
+        )
+        first, second = change_of(won), change_of(lost)
+        assert first is not None and second is not None
+        assert (first.author, first.verdict, first.time) == (
+            "ana",
+            "accepted",
+            9.5,
+        )
+        assert (second.author, second.verdict, second.reason) == (
+            "bor",
+            "refused",
+            "lost-race",
+        )
+
+    def test_waves_stopped_and_resumed(self) -> None:
+        stopped = fold(WaveStopped("visits", "ana", "fair"))
+        resumed = fold(WaveResumed("visits", "bor", 4), stopped.state)
+        first, second = change_of(stopped), change_of(resumed)
+        assert first is not None and second is not None
+        assert (first.subject, first.detail) == ("visits", "fair")
+        assert isinstance(resumed.verdict, Ignored)
+        assert (second.author, second.verdict) == ("bor", "refused")
+
+    def test_documents_are_not_copied(self) -> None:
+        """The lists hold digests of credentials and may be large."""
+        won = fold(ConfigurationPublished("p1", -1, "ana", Configuration()))
+        (record,) = decisions_of(won, WRITER)
+        assert "configuration" not in record.reasons
+
+
+class TestRecorder:
+    """Guards against memory that grows with the traffic."""
+
+    def test_requests_do_not_push_out_instances(self) -> None:
+        recorder = Recorder()
+        recorder.start()
+
+        def post(kind: str, subject: str) -> None:
+            recorder.post(
+                Decision(kind, subject, 0.0, Event.CONTROL_DECIDED, {}, False)
+            )
+
+        post("instance", "visits-1")
+        for number in range(5000):
+            post("request", f"r-{number}")
+            post("request", "often")
+        assert len(recorder.explain("instance", "visits-1")) == 1
+        assert recorder.explain("request", "r-0") == []
+        assert len(recorder.explain("request", "r-4999")) == 1
+        assert len(recorder.explain("request", "often")) == 10
+        recorder.stop()
+
+
+class TestLogClock:
+    """Guards against leases that seem over since two clocks differ."""
+
+    def test_newest_record_counts(self) -> None:
+        steady = [50.0]
+        clock = LogClock(lambda: steady[0], lambda: 7.0)
+        assert clock.now() == 7.0
+        clock.note(1000.0)
+        steady[0] = 53.0
+        assert clock.now() == 1003.0
+        clock.note(1001.0)  # read late, for example after an outage
+        assert clock.now() == 1003.0
+        clock.note(1005.0)
+        assert clock.now() == 1005.0
--- a/acaciawing/records/__init__.py
+++ b/acaciawing/records/__init__.py
@@ -6,6 +6,7 @@
     Malformed,
     decode,
     encode,
+    name_of,
     record_type,
 )
 
@@ -15,5 +16,6 @@
     "Malformed",
     "decode",
     "encode",
+    "name_of",
     "record_type",
 ]
--- a/acaciawing/records/envelope.py
+++ b/acaciawing/records/envelope.py
@@ -88,6 +88,15 @@
     return register
 
 
+def name_of(record: object) -> str:
+    """Name of a record's type in the log, in kebab case.
+
+    Raises:
+        KeyError: If the class is not registered.
+    """
+    return _NAMES[type(record)][0]
+
+
 def encode(record: object, writer: str) -> bytes:
     """Encodes a record for the log.
 
--- a/acaciawing/snapshots/recovery.py
+++ b/acaciawing/snapshots/recovery.py
@@ -1,10 +1,10 @@
 """Recovery of the state from the log, and from peers while the log is away."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from acaciawing.fold import FleetState, step
+from acaciawing.fold import FleetState, Step, step
 from acaciawing.platform import (
     CONTROL_STREAM,
     Batch,
@@ -87,6 +87,7 @@
     peer_states: Iterable[FleetState],
     now: float,
     held: FleetState | None = None,
+    replayed: Callable[[Step], None] = lambda step: None,
 ) -> Recovery:
     """Recovers the state; never to a lower offset than that of ``held``.
 
@@ -95,6 +96,8 @@
         peer_states: States that peers gave, in any order.
         now: Time of the recovery, seconds.
         held: State of a process that fell behind the log's retention.
+        replayed: Receives each step of the replay; a later attempt may repeat
+            steps.
 
     Returns:
         What was reached.
@@ -109,10 +112,10 @@
         if isinstance(start, NotRecovered):
             return start
         # The start is never below the best state, and a replay only adds.
-        best, outcome = _replay(log, start)
+        best, outcome = _replay(log, start, replayed)
         if outcome is None:
-            replayed = best.offset - start.offset
-            return Recovered(best, start.offset, replayed, now)
+            count = best.offset - start.offset
+            return Recovered(best, start.offset, count, now)
         if isinstance(outcome, LogUnavailable):
             return _without_log(best, outcome.detail, now)
         detail = f"overtaken by retention at {best.offset}"
@@ -165,7 +168,7 @@
 
 
 def _replay(
-    log: Log, state: FleetState
+    log: Log, state: FleetState, replayed: Callable[[Step], None]
 ) -> tuple[FleetState, Expired | LogUnavailable | None]:
     """Folds the tail of the log; the outcome is None at its head."""
     while True:
@@ -173,7 +176,9 @@
         if not isinstance(outcome, Batch):
             return state, outcome
         for entry in outcome.entries:
-            state = step(state, entry.payload, entry.position).state
+            result = step(state, entry.payload, entry.position)
+            state = result.state
+            replayed(result)
         if not outcome.entries or state.offset >= outcome.head_offset:
             return state, None
 
--- a/acaciawing/telemetry/events.py
+++ b/acaciawing/telemetry/events.py
@@ -18,6 +18,8 @@
     LOG_UNAVAILABLE = ("AW1103", "log unavailable")
     LOG_AVAILABLE = ("AW1104", "log available again")
     LIST_UNAVAILABLE = ("AW1105", "instance list unavailable")
+    CONTROL_DECIDED = ("AW1106", "control decision read back")
+    PUBLICATION_ENDED = ("AW1107", "publication through the API ended")
     REQUEST_ROUTED = ("AW2001", "request routed")
     REQUEST_REFUSED = ("AW2002", "request refused")
     REQUEST_ENDED = ("AW2003", "request ended")
