Build the status from the fold's ledger

Cause: the status showed the counts of the instance that answered as if they were the fleet's, no budget, and empty lists of moves, waves and loans.

The document is now a pure function of the scheduler's view, the fold's state in it and the time. Rates and budgets come from `acaciawing.budgets` over the counts of all entry instances; failures seen here that no record shows yet are held back. The lists are paged by key: an entry that appears or goes away between two pages hides no other, which offsets would not give.

`explaining` names every reason for which an instance or a task gets no work. The scheduler's view carries live members, results of attempts and the status of each endpoint for both.

--- a/acaciawing/entry/engine.py
+++ b/acaciawing/entry/engine.py
@@ -60,6 +60,9 @@
         in_flight: Attempts in flight.
         endpoints: Number of endpoints by status.
         members: Entry instances heard of, this one included.
+        live: Their ids.
+        attempts: Ended attempts by result.
+        statuses: Pool and status of each endpoint, by instance.
         leaves: Leave signals of endpoints since the last demand sample.
     """
 
@@ -71,6 +74,9 @@
     in_flight: int
     endpoints: dict[str, int]
     members: int
+    live: frozenset[str] = frozenset()
+    attempts: Mapping[str, int] = field(default_factory=dict)
+    statuses: Mapping[str, tuple[str, str]] = field(default_factory=dict)
     leaves: tuple[tuple[str, int], ...] = ()
 
 
@@ -109,6 +115,7 @@
     _leaves: tuple[tuple[str, int], ...] = ()
     _credits: CreditTable = field(init=False)
     _tickets: int = 0
+    _results: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Starts the credits of this instance."""
@@ -338,6 +345,8 @@
         """Frees the slot of an attempt and serves the queue."""
         attempt = self._attempts.pop(message.ticket)
         route = attempt.route
+        result = message.result.value
+        self._results[result] = self._results.get(result, 0) + 1
         self._routing = routing.observe_result(
             self._routing,
             route.endpoint,
@@ -456,10 +465,12 @@
         """A frozen view for other tasks."""
         endpoints: dict[str, int] = {}
         loads: dict[str, float] = {}
+        statuses: dict[str, tuple[str, str]] = {}
         for name, pool in self._routing.pools.items():
             loads[name] = float(len(self._queue(name)))
             for cell in pool.cells.values():
                 status = cell.status.value
+                statuses[cell.endpoint.instance] = (name, status)
                 endpoints[status] = endpoints.get(status, 0) + 1
                 loads[name] += cell.in_flight
         return EngineView(
@@ -471,6 +482,10 @@
             len(self._attempts),
             endpoints,
             self._members.view.size if self._members else 1,
+            frozenset(self._members.zones if self._members else ())
+            | {self.instance},
+            dict(self._results),
+            statuses,
         )
 
     def _queue(self, pool: str) -> Queue:
--- /dev/null
+++ b/acaciawing/entry/explaining.py
@@ -0,0 +1,97 @@
+"""Why an instance or a task gets no work now.
+
+Pure functions of the scheduler's view, the fold's state in it and the time.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from acaciawing.entry.engine import EngineView
+from acaciawing.leases import is_held
+from acaciawing.ownership import SERVING
+from acaciawing.placement import PLACEMENT_SUBJECT, TaskState
+
+
+@dataclass(frozen=True)
+class Cause:
+    """One reason for which no work is given.
+
+    Attributes:
+        code: Code in kebab case.
+        detail: Text for the operator.
+    """
+
+    code: str
+    detail: str
+
+
+def causes(
+    kind: str, subject: str, view: EngineView, now: float
+) -> tuple[Cause, ...] | None:
+    """Finds all reasons for which a subject gets no work now.
+
+    Args:
+        kind: ``instance`` or ``task``.
+        subject: Its id.
+        view: View of the scheduler.
+        now: Time on the log's clock, in seconds.
+
+    Returns:
+        The reasons, empty if it gets work, or None if the subject is not
+        known or is no instance and no task.
+    """
+    if kind == "instance":
+        return _instance(subject, view)
+    if kind == "task":
+        return _task(subject, view, now)
+    return None
+
+
+def _instance(name: str, view: EngineView) -> tuple[Cause, ...] | None:
+    state = view.state
+    known = name in view.statuses or name in state.ownership.instances
+    if not known and name not in state.waves.outages:
+        return None
+    found = [*_endpoint(name, view), *_ownership(name, view)]
+    for wave in state.waves.active.values():
+        member = wave.members.get(name)
+        if member is not None and member.stage.in_progress:
+            detail = f"wave of {wave.pool}: {member.stage.value}"
+            found.append(Cause("in-wave", detail))
+    if name in state.waves.outages:
+        found.append(Cause("outage", "out of service since a failure"))
+    return tuple(found)
+
+
+def _endpoint(name: str, view: EngineView) -> Iterator[Cause]:
+    listed = view.statuses.get(name)
+    if listed is None:
+        yield Cause("not-listed", "the instance list does not hold it")
+        return
+    pool, status = listed
+    if status != "open":
+        yield Cause(status, f"endpoint of pool {pool} as seen here")
+
+
+def _ownership(name: str, view: EngineView) -> Iterator[Cause]:
+    owned = view.state.ownership.instances.get(name)
+    if owned is None:
+        yield Cause("not-owned", "no accepted record adopts it")
+    elif owned.phase != SERVING:
+        target = f" to {owned.to_pool}" if owned.to_pool else ""
+        yield Cause("moving", f"{owned.phase} in {owned.pool}{target}")
+
+
+def _task(name: str, view: EngineView, now: float) -> tuple[Cause, ...] | None:
+    table = view.state.tasks
+    task = table.tasks.get(name)
+    if task is None:
+        ended = name in table.ended or name in table.ended_before
+        return (Cause("ended", "the task has ended"),) if ended else None
+    if task.state is not TaskState.WAITING:
+        return ()
+    found = [Cause("waiting", f"team {task.submitted.team}")]
+    if not is_held(view.state.leases, PLACEMENT_SUBJECT, now):
+        detail = "no entry instance holds the lease of placement"
+        found.append(Cause("no-lease", detail))
+    return tuple(found)
--- /dev/null
+++ b/acaciawing/entry/status.py
@@ -0,0 +1,303 @@
+"""Status document of an entry instance.
+
+All functions are pure: they see the scheduler's view, the fold's state in it and
+the time. Rates and budgets come from the fold's ledger, so they hold the counts
+of all entry instances; the counts of the instance that answers stand beside.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from acaciawing.budgets import BudgetSnapshot, budget, counts_age
+from acaciawing.configuration import Plan
+from acaciawing.entry.counts import PlanCounts
+from acaciawing.entry.engine import EngineView
+from acaciawing.entry.paging import PageRequest, page
+from acaciawing.fold import FleetState
+from acaciawing.leases import end_of, is_held, pool_subject
+from acaciawing.maintenance import Wave
+from acaciawing.ownership import LEAVING, SERVING, OwnedInstance
+
+Entry = dict[str, Any]
+
+
+@dataclass(frozen=True)
+class Own:
+    """What the instance that answers knows of itself.
+
+    Attributes:
+        instance: Its id.
+        zone: Its availability zone.
+        ready: Whether it takes requests.
+        log_up: Whether its last read of the log was answered.
+    """
+
+    instance: str
+    zone: str
+    ready: bool
+    log_up: bool
+
+
+@dataclass(frozen=True)
+class _View:
+    """What the entries of the lists are made from."""
+
+    own: Own
+    engine: EngineView
+    now: float
+
+    @property
+    def state(self) -> FleetState:
+        return self.engine.state
+
+
+def status(
+    own: Own, view: EngineView, now: float, request: PageRequest[str]
+) -> Entry:
+    """Builds the status document.
+
+    Args:
+        own: The instance that answers.
+        view: View of its scheduler.
+        now: Time on the log's clock, in seconds.
+        request: Limit of each list; ``after`` is not used.
+
+    Returns:
+        The document. Its member ``more`` names each list that goes on and
+        the key to go on after.
+    """
+    state = view.state
+    document: Entry = {
+        "instance": own.instance,
+        "zone": own.zone,
+        "ready": own.ready,
+        "log_up": own.log_up,
+        "version": state.configuration.version,
+        "offset": state.offset,
+        "snapshot_offset": state.snapshot.offset,
+        "counts_age_s": counts_age(_snapshot(own, view), now),
+        "in_flight": view.in_flight,
+        "waiting": view.waiting,
+        "endpoints": view.endpoints,
+    }
+    more = {}
+    for name in LISTS:
+        part = status_list(
+            name, own, view, now, PageRequest[str](request.limit)
+        )
+        document[name] = part["entries"]
+        if part["next"] is not None:
+            more[name] = part["next"]
+    document["more"] = more
+    return document
+
+
+def status_list(
+    name: str,
+    own: Own,
+    view: EngineView,
+    now: float,
+    request: PageRequest[str],
+) -> Entry:
+    """Builds one page of one list of the status.
+
+    Args:
+        name: One of `LISTS`.
+        own: The instance that answers.
+        view: View of its scheduler.
+        now: Time on the log's clock, in seconds.
+        request: Which page.
+
+    Raises:
+        KeyError: If there is no such list.
+    """
+    keys, entry = LISTS[name]
+    context = _View(own, view, now)
+    part = page(keys(context), request)
+    return {
+        "list": name,
+        "entries": [entry(context, key) for key in part.keys],
+        "next": part.next,
+    }
+
+
+def _snapshot(own: Own, view: EngineView) -> BudgetSnapshot:
+    state = view.state
+    plans = {p.name: p for p in state.configuration.configuration.plans}
+    return BudgetSnapshot(
+        state.budgets,
+        plans,
+        frozenset(state.roster.members),
+        _unreported(own, view, plans),
+    )
+
+
+def _unreported(
+    own: Own, view: EngineView, plans: Mapping[str, Plan]
+) -> dict[str, int]:
+    """Failures counted here that no record of the log shows yet."""
+    member = view.state.roster.members.get(own.instance)
+    sources = view.state.budgets.sources.get(own.instance)
+    source = None
+    if member is not None and sources is not None:
+        source = sources.get(member.incarnation)
+    reported = source.totals if source is not None else {}
+    return {
+        name: max(0, view.plans[name].failed - reported.get(name, (0, 0))[1])
+        for name in plans
+        if name in view.plans
+    }
+
+
+def _plan_keys(view: _View) -> Iterable[str]:
+    return (p.name for p in view.state.configuration.configuration.plans)
+
+
+def _plan(view: _View, name: str) -> Entry:
+    snapshot = _snapshot(view.own, view.engine)
+    state = budget(snapshot, snapshot.plans[name], view.now)
+    counts = view.engine.plans.get(name, PlanCounts())
+    return {
+        "plan": name,
+        "promised": state.promised,
+        "achieved": state.achieved if state.requests else None,
+        "succeeded": state.requests - state.failed,
+        "failed": state.failed,
+        "burn_rate": state.burn_rate,
+        "reserved": state.reserved,
+        "held_back": state.held_back,
+        "remaining_budget": state.remaining,
+        "here": {
+            "succeeded": counts.succeeded,
+            "failed": counts.failed,
+            "refused": counts.refused,
+        },
+    }
+
+
+def _member_keys(view: _View) -> Iterable[str]:
+    return set(view.state.roster.members) | set(view.engine.live)
+
+
+def _member(view: _View, name: str) -> Entry:
+    roster = view.state.roster
+    known = roster.members.get(name)
+    entry: Entry = {
+        "instance": name,
+        "live": name in view.engine.live,
+        "on_roster": known is not None,
+    }
+    if known is not None:
+        entry |= asdict(known)
+        entry["joined_at"] = roster.joined_at.get(name)
+    return entry
+
+
+def _move_keys(view: _View) -> Iterable[str]:
+    instances = view.state.ownership.instances.values()
+    return (i.instance for i in instances if i.phase != SERVING)
+
+
+def _move(view: _View, name: str) -> Entry:
+    owned = view.state.ownership.instances[name]
+    return {
+        "instance": name,
+        "pool": owned.pool,
+        "to": owned.to_pool,
+        "phase": owned.phase,
+        "since": owned.changed_at,
+        "waits_for": _waits_for(owned, view),
+    }
+
+
+def _waits_for(owned: OwnedInstance, view: _View) -> str:
+    """What the next step of a move needs.
+
+    ``log``, ``lease`` (no entry instance holds the pool's lease), ``drain``
+    (requests in flight end first) or ``return`` (the worker is prepared for
+    service).
+    """
+    if not view.own.log_up:
+        return "log"
+    if not is_held(view.state.leases, pool_subject(owned.pool), view.now):
+        return "lease"
+    return "drain" if owned.phase == LEAVING else "return"
+
+
+def _wave_keys(view: _View) -> Iterable[str]:
+    waves = view.state.waves
+    return set(waves.active) | set(waves.stopped)
+
+
+def _wave(view: _View, pool: str) -> Entry:
+    waves = view.state.waves
+    entry: Entry = {
+        "pool": pool,
+        "stopped": waves.is_stopped(pool),
+        "stopped_at": waves.stopped.get(pool),
+    }
+    wave = waves.active.get(pool)
+    return entry | (_progress(wave) if wave is not None else {})
+
+
+def _progress(wave: Wave) -> Entry:
+    stages = Counter(m.stage.value for m in wave.members.values())
+    held = (
+        {"instance": name, "stage": member.stage.value, "since": member.since}
+        for name, member in sorted(wave.members.items())
+        if member.stage.in_progress
+    )
+    return {
+        "wave": wave.number,
+        "bounds": asdict(wave.bounds),
+        "stages": dict(sorted(stages.items())),
+        "held": list(held),
+    }
+
+
+def _loan_keys(view: _View) -> Iterable[str]:
+    return view.state.loans.active
+
+
+def _loan(view: _View, name: str) -> Entry:
+    loan = view.state.loans.active[name]
+    return {
+        "instance": name,
+        "home": loan.home,
+        "borrower": loan.borrower,
+        "begun_at": loan.begun_at,
+        "due_at": loan.due_at,
+        "returning": loan.returning,
+    }
+
+
+def _lease_keys(view: _View) -> Iterable[str]:
+    return view.state.leases.leases
+
+
+def _lease(view: _View, subject: str) -> Entry:
+    leases = view.state.leases
+    lease = leases.leases[subject]
+    return {
+        "subject": subject,
+        "holder": lease.holder,
+        "token": lease.token,
+        "ends_at": end_of(leases, subject),
+        "held": is_held(leases, subject, view.now),
+    }
+
+
+# Keys and entries of each list.
+LISTS: Mapping[
+    str,
+    tuple[Callable[[_View], Iterable[str]], Callable[[_View, str], Entry]],
+] = {
+    "plans": (_plan_keys, _plan),
+    "members": (_member_keys, _member),
+    "moves": (_move_keys, _move),
+    "waves": (_wave_keys, _wave),
+    "loans": (_loan_keys, _loan),
+    "leases": (_lease_keys, _lease),
+}
--- /dev/null
+++ b/acaciawing/entry/tests/test_status.py
@@ -0,0 +1,119 @@
+"""Tests of the status document and of the reasons for no work."""
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from acaciawing.entry.explaining import causes
+from acaciawing.entry.paging import PageRequest
+from acaciawing.entry.status import LISTS, status, status_list
+from acaciawing.entry.tests.views import NOW, OWN, make_state, make_view
+
+
+def document(limit: int = 100) -> dict[str, Any]:
+    return status(OWN, make_view(), NOW, PageRequest[str](limit))
+
+
+class TestPlans:
+    """Guards against a budget shown from the counts of one instance only."""
+
+    def test_counts_of_all_entry_instances(self) -> None:
+        (plan,) = document()["plans"]
+        assert (plan["succeeded"], plan["failed"]) == (1995, 5)
+        assert plan["achieved"] == pytest.approx(0.9975)
+        assert plan["promised"] == 0.99
+        assert plan["here"] == {"succeeded": 1010, "failed": 2, "refused": 4}
+
+    def test_remaining_budget_holds_back_what_is_not_counted_yet(self) -> None:
+        (plan,) = document()["plans"]
+        # 5 failures in the last 20 s, and 2 seen here that are not appended.
+        assert plan["burn_rate"] == pytest.approx(0.25)
+        assert plan["held_back"] == pytest.approx(0.25 * 10 + 2)
+        assert plan["remaining_budget"] == pytest.approx(20 - 5 - 4.5)
+
+    def test_plan_without_requests_has_no_achieved_rate(self) -> None:
+        view = make_view()
+        late = status(OWN, view, NOW + 7200.0, PageRequest[str]())
+        assert late["plans"][0]["achieved"] is None
+
+
+class TestLists:
+    """Guards against parts of the fleet that the status leaves out."""
+
+    def test_members(self) -> None:
+        seen = [
+            (m["instance"], m["live"], m["on_roster"])
+            for m in document()["members"]
+        ]
+        assert seen == [
+            ("entry-a", True, True),
+            ("entry-b", False, True),
+            ("entry-c", True, False),
+        ]
+
+    def test_moves_tell_why_they_wait(self) -> None:
+        moves = document()["moves"]
+        assert [(m["instance"], m["phase"], m["waits_for"]) for m in moves] == [
+            ("portal-1", "leaving", "lease"),
+            ("portal-2", "returning", "return"),
+        ]
+        cut_off = replace(OWN, log_up=False)
+        part = status_list("moves", cut_off, make_view(), NOW, PageRequest())
+        assert [m["waits_for"] for m in part["entries"]] == ["log", "log"]
+
+    def test_waves_with_stages_and_held_instances(self) -> None:
+        everywhere, visits = document()["waves"]
+        assert (everywhere["pool"], everywhere["stopped_at"]) == ("", 30)
+        assert visits["stopped"] and visits["stopped_at"] is None
+        assert visits["stages"] == {"rebooting": 1, "waiting": 1}
+        assert visits["held"] == [
+            {"instance": "visits-1", "stage": "rebooting", "since": 80.0}
+        ]
+
+    def test_loans_and_leases(self) -> None:
+        (loan,) = document()["loans"]
+        assert (loan["home"], loan["due_at"]) == ("portal", 400.0)
+        leases = document()["leases"]
+        assert [(x["subject"], x["holder"], x["held"]) for x in leases] == [
+            ("pool:portal", "entry-b/1", False),
+            ("pool:visits", "entry-a/1", True),
+        ]
+
+    def test_cut_lists_name_where_they_go_on(self) -> None:
+        first = document(limit=1)
+        assert first["more"]["members"] == "entry-a"
+        assert "loans" not in first["more"]
+        for name in LISTS:
+            entries = first[name]
+            after = first["more"].get(name)
+            while after is not None:
+                request = PageRequest(1, after)
+                part = status_list(name, OWN, make_view(), NOW, request)
+                entries += part["entries"]
+                after = part["next"]
+            assert entries == document()[name]
+
+
+class TestNoWork:
+    """Guards against an idle instance that nobody can explain."""
+
+    @pytest.mark.parametrize(
+        ("instance", "codes"),
+        [
+            ("portal-1", ["moving"]),
+            ("portal-2", ["leaving", "moving"]),
+            ("visits-1", ["in-wave"]),
+            ("visits-3", ["ejected"]),
+            ("visits-4", ["not-owned"]),
+        ],
+    )
+    def test_instances(self, instance: str, codes: list[str]) -> None:
+        found = causes("instance", instance, make_view(), NOW)
+        assert found is not None
+        assert [cause.code for cause in found] == codes
+
+    def test_unknown_is_not_the_same_as_at_work(self) -> None:
+        view = replace(make_view(), state=make_state())
+        assert causes("instance", "nobody", view, NOW) is None
+        assert causes("task", "nobody", view, NOW) is None
