Read all instruments from the scheduler's view

Cause: the instruments existed and nothing gave them values.

The readings take the scheduler's view, the records counted by the reader of the control stream and the claims counted by kind. Labels are limited to plan, service, zone, outcome, code and status.

--- a/acaciawing/entry/keyed.py
+++ b/acaciawing/entry/keyed.py
@@ -3,7 +3,7 @@
 import threading
 import time
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import singledispatch
 from typing import Protocol
 
@@ -20,6 +20,7 @@
     request_fingerprint,
 )
 from acaciawing.outcomes import AlreadyRan, NotRun, OutcomeUnknown, Refusal
+from acaciawing.telemetry import Tally
 
 # Whole answers kept for repeats that reach the same entry instance.
 _KEPT_ANSWERS = 2000
@@ -96,6 +97,12 @@
         self._forward = forward
         self._clock = clock
         self._answers = KeptAnswers()
+        self._decided = Tally()
+
+    @property
+    def decided(self) -> Mapping[tuple[str, str], int]:
+        """Claims decided, by kind and an empty string; for any thread."""
+        return self._decided.read()
 
     def run(
         self, request: CallerRequest, deadline: float, run: RunRequest
@@ -118,6 +125,7 @@
         decision = self._decider.claim(
             request.customer.name, request.key, fingerprint, deadline
         )
+        self._decided.add((_kind(decision), ""))
         known = (request.customer.name, request.key)
         if _needs_member(decision) and not request.forwarded:
             outcome = self._forward(request, deadline - self._clock())
@@ -142,6 +150,19 @@
 _FORWARDED = frozenset({"not-on-roster", "memory-incomplete"})
 
 
+_KINDS = {
+    Run: "run",
+    Finished: "finished",
+    InProgress: "in-progress",
+    KeyReused: "key-reused",
+    Unknown: "unknown",
+}
+
+
+def _kind(decision: ClaimDecision) -> str:
+    return _KINDS[type(decision)]
+
+
 def _needs_member(decision: ClaimDecision) -> bool:
     return isinstance(decision, Unknown) and decision.reason in _FORWARDED
 
--- a/acaciawing/telemetry/metrics.py
+++ b/acaciawing/telemetry/metrics.py
@@ -4,8 +4,8 @@
 when the metrics are collected, so that the request path pays nothing.
 """
 
+import threading
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any
 
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
@@ -15,17 +15,25 @@
 Labels = tuple[tuple[str, str], ...]
 Reading = Mapping[Labels, float]
 
+# The only labels; each has a bounded set of values.
+LABELS = frozenset({"plan", "service", "zone", "outcome", "code", "status"})
+
 # Name, unit and meaning of each instrument; docs/measures.md lists the same.
 COUNTERS = {
-    "acaciawing.requests": ("{request}", "Final answers by plan and verdict"),
-    "acaciawing.attempts": ("{attempt}", "Attempts at endpoints by result"),
+    "acaciawing.requests": ("{request}", "Final answers by plan and outcome"),
+    "acaciawing.attempts": ("{attempt}", "Ended attempts by outcome"),
     "acaciawing.refusals": ("{request}", "Refusals by plan and code"),
-    "acaciawing.records": ("{record}", "Records of the log by verdict"),
+    "acaciawing.records": ("{record}", "Records read, by outcome and code"),
+    "acaciawing.claims": ("{claim}", "Claims decided, by outcome"),
 }
 GAUGES = {
     "acaciawing.in_flight": ("{request}", "Attempts in flight"),
-    "acaciawing.waiting": ("{request}", "Requests in the queue"),
+    "acaciawing.waiting": ("{request}", "Requests in the queues"),
+    "acaciawing.endpoints": ("{instance}", "Endpoints by status"),
     "acaciawing.configuration.version": ("{offset}", "Version in force"),
+    "acaciawing.log.up": ("1", "1 if the last read was answered, else 0"),
+    "acaciawing.snapshot.offset": ("{offset}", "Offset of the last snapshot"),
+    "acaciawing.leases.held": ("{lease}", "Leases held by this instance"),
     "acaciawing.plan.achieved": ("1", "Achieved success rate by plan"),
     "acaciawing.plan.promised": ("1", "Promised success rate by plan"),
     "acaciawing.members": ("{instance}", "Entry instances heard from"),
@@ -50,6 +58,7 @@
         """Creates the instruments."""
         self._read = read
         self._values: Mapping[str, Reading] = {}
+        self._lock = threading.Lock()
         self._reader = InMemoryMetricReader()
         resource = Resource.create(
             {
@@ -78,12 +87,13 @@
 
         return observe
 
-    def collect(self) -> Any:
-        """Collects all instruments.
+    def collect(self) -> str:
+        """Collects all instruments; for any thread.
 
         Returns:
             The metrics data as a JSON string in OpenTelemetry's own form.
         """
-        self._values = self._read()
-        data = self._reader.get_metrics_data()
+        with self._lock:
+            self._values = self._read()
+            data = self._reader.get_metrics_data()
         return data.to_json(indent=None) if data is not None else "{}"
