Serve status lists, metrics, audit and publications

The administration listener gets a table of routes, so that an unknown path is 404, another method 405 with `Allow`, and each path names who may use it.

--- a/acaciawing/commandline/documents.py
+++ b/acaciawing/commandline/documents.py
@@ -4,25 +4,45 @@
 instance can be asked as well.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
 
 
+@dataclass(frozen=True)
+class OwnCounts:
+    """Requests that the entry instance has answered since it started.
+
+    Attributes:
+        succeeded: Requests that succeeded.
+        failed: Requests that failed.
+        refused: Requests that were refused because the plan asked above its
+            allowance.
+    """
+
+    succeeded: int = 0
+    failed: int = 0
+    refused: int = 0
+
+
 @dataclass(frozen=True)
 class PlanStatus:
-    """One plan as an entry instance sees it.
+    """One plan over the whole fleet.
 
     Attributes:
         plan: Name of the plan.
         promised: Promised success rate.
-        achieved: Achieved success rate, or None before the first request.
+        achieved: Achieved success rate over the window, or None before the
+            first request.
         succeeded: Requests that succeeded in the window.
         failed: Requests that failed in the window.
-        refused: Requests that were refused in the window.
+        burn_rate: Failures a second at present.
+        reserved: Failures held by reservations of moves and reboots.
+        held_back: Failures that the lagging counts may not show yet.
         remaining_budget: Failures that the window still allows, or None if
-            not known.
+            not known; negative if overspent.
+        here: Counts of the instance that answered.
     """
 
     plan: str
@@ -30,8 +50,11 @@
     achieved: float | None = None
     succeeded: int = 0
     failed: int = 0
-    refused: int = 0
+    burn_rate: float = 0.0
+    reserved: float = 0.0
+    held_back: float = 0.0
     remaining_budget: float | None = None
+    here: OwnCounts = OwnCounts()
 
 
 @dataclass(frozen=True)
@@ -43,22 +66,46 @@
         zone: Its availability zone.
         ready: Whether it takes requests.
         version: Version of the configuration that it uses, -1 for none.
+        log_up: Whether its last read of the log was answered.
+        offset: Offset of the next record that it reads.
+        counts_age_s: Age of the oldest last counts of a member, in seconds,
+            or None if a member has not reported.
         plans: Plans of that configuration.
         moves: Moves under way.
-        waves: Maintenance waves under way.
+        waves: Maintenance waves under way and stops.
         loans: Loans between pools.
-        members: Entry instances that it knows.
+        leases: Leases of control subjects.
+        members: Entry instances on the roster or heard from.
+        more: Key after which each list that is cut off goes on, by list.
     """
 
     instance: str
     zone: str
     ready: bool
     version: int
+    log_up: bool = True
+    offset: int = 0
+    counts_age_s: float | None = None
     plans: tuple[PlanStatus, ...] = ()
     moves: tuple[dict[str, Any], ...] = ()
     waves: tuple[dict[str, Any], ...] = ()
     loans: tuple[dict[str, Any], ...] = ()
+    leases: tuple[dict[str, Any], ...] = ()
     members: tuple[dict[str, Any], ...] = ()
+    more: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class NoWork:
+    """A reason for which a subject gets no work now.
+
+    Attributes:
+        code: Code in kebab case.
+        detail: Text for the operator.
+    """
+
+    code: str
+    detail: str
 
 
 @dataclass(frozen=True)
@@ -86,11 +133,15 @@
         kind: ``request``, ``task`` or ``instance``.
         id: Id of the subject.
         events: Decisions about it, oldest first.
+        known: Whether the entry instance knows the subject.
+        no_work_because: Why it gets no work now.
     """
 
     kind: str
     id: str
     events: tuple[ExplainEvent, ...] = ()
+    known: bool = False
+    no_work_because: tuple[NoWork, ...] = ()
 
 
 _STATUS = msgspec.json.Decoder(StatusDocument)
--- a/acaciawing/commandline/report.py
+++ b/acaciawing/commandline/report.py
@@ -35,8 +35,9 @@
     "holds",
     "succeeded",
     "failed",
-    "refused",
+    "burn rate",
     "budget left",
+    "here ok/failed/refused",
 )
 
 
@@ -112,23 +113,34 @@
         f"{outcome.instance} in zone {outcome.zone}: {ready}, "
         f"configuration version {outcome.version}"
     )
+    if not outcome.log_up:
+        head += ", log away"
+    if outcome.counts_age_s is not None:
+        head += f", counts {outcome.counts_age_s:.0f} s old"
     rows = [_plan_row(plan) for plan in outcome.plans]
     parts = [head, tabulate(rows, _PLAN_HEADERS, disable_numparse=True)]
-    for title in ("moves", "waves", "loans", "members"):
+    for title in ("moves", "waves", "loans", "leases", "members"):
         entries = getattr(outcome, title)
         if entries:
             parts.append(f"{title}\n{_table(entries)}")
+    parts += [
+        f"{title}: more after {key!r}" for title, key in outcome.more.items()
+    ]
     return DONE, "\n\n".join(parts)
 
 
 @report.register
 def _(outcome: ExplainDocument) -> tuple[int, str]:
-    if not outcome.events:
+    if not outcome.events and not outcome.known:
         return REFUSED, (
             f"unknown-subject: this entry instance keeps no decision about "
             f"{outcome.kind} {outcome.id!r}"
         )
-    return DONE, "\n".join(_event_line(event) for event in outcome.events)
+    lines = [_event_line(event) for event in outcome.events]
+    lines += [f"no work: {c.code}: {c.detail}" for c in outcome.no_work_because]
+    if not lines:
+        lines = ["no decision kept; nothing keeps it from work"]
+    return DONE, "\n".join(lines)
 
 
 def as_json(document: StatusDocument | ExplainDocument) -> str:
@@ -147,8 +159,11 @@
         holds,
         str(plan.succeeded),
         str(plan.failed),
-        str(plan.refused),
-        "-" if plan.remaining_budget is None else f"{plan.remaining_budget:g}",
+        f"{plan.burn_rate:.3g}/s",
+        "-"
+        if plan.remaining_budget is None
+        else f"{plan.remaining_budget:.4g}",
+        f"{plan.here.succeeded}/{plan.here.failed}/{plan.here.refused}",
     )
 
 
--- a/acaciawing/entry/administration.py
+++ b/acaciawing/entry/administration.py
@@ -3,147 +3,243 @@
 import hashlib
 import hmac
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 from typing import Any
 
 import msgspec
 
 from acaciawing.configuration import EntrySettings
 from acaciawing.entry.callers import Directory
+from acaciawing.entry.configuring import Publisher
+from acaciawing.entry.engine import EngineView
+from acaciawing.entry.explaining import causes
+from acaciawing.entry.framing import MAX_BODY_BYTES
+from acaciawing.entry.paging import PageRequest, page, read_query
+from acaciawing.entry.readings import Tallies, readings
 from acaciawing.entry.recorder import Recorder
 from acaciawing.entry.requests import digest_credential
 from acaciawing.entry.scheduler import Scheduler
+from acaciawing.entry.status import LISTS, Own, status, status_list
 from acaciawing.snapshots import encode_state
+from acaciawing.telemetry import Metrics
 
-_REASONS = {200: "OK", 401: "Unauthorized", 404: "Not Found", 503: "Busy"}
+_REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    411: "Length Required",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    503: "Service Unavailable",
+}
 
 Answer = tuple[int, Any]
 PeerHandler = Callable[[bytes], bytes | None]
 
 
+@dataclass(frozen=True)
+class Exchange:
+    """One request to the listener.
+
+    Attributes:
+        rest: Variable segments of the path.
+        query: Query part of the target.
+        body: Whole body.
+    """
+
+    rest: tuple[str, ...]
+    query: str
+    body: bytes
+
+
+@dataclass(frozen=True)
+class Route:
+    """A path of the listener; ``docs/api.md`` lists the same.
+
+    Attributes:
+        method: HTTP method; HEAD is answered wherever GET is.
+        path: Path; a segment in braces stands for any one segment.
+        name: Method of `Administration` that answers.
+        access: ``open``, ``operator`` or ``peer``.
+    """
+
+    method: str
+    path: str
+    name: str
+    access: str = "operator"
+
+
+ROUTES = (
+    Route("GET", "/healthz", "_health", "open"),
+    Route("GET", "/readyz", "_readiness", "open"),
+    Route("GET", "/v1/status", "_status"),
+    Route("GET", "/v1/status/{list}", "_status_list"),
+    Route("GET", "/v1/metrics", "_metrics"),
+    Route("GET", "/v1/explain/{kind}/{id}", "_explain"),
+    Route("GET", "/v1/audit", "_audit"),
+    Route("POST", "/v1/configuration", "_configure"),
+    Route("GET", "/v1/peer/state", "_peer_state", "peer"),
+    Route("POST", "/v1/peer/{message}", "_peer_message", "peer"),
+)
+_KINDS = ("request", "task", "instance")
+
+
+@dataclass(frozen=True)
+class Sources:
+    """What the documents are made from.
+
+    Attributes:
+        directory: Readiness and configuration.
+        scheduler: Task asked for its view.
+        recorder: Task asked for decisions and changes.
+        publisher: Publishes configurations.
+        log_up: Whether the last read of the log was answered.
+        tallies: Counts kept outside the scheduler.
+        clock: Time on the log's clock, in seconds.
+    """
+
+    directory: Directory
+    scheduler: Scheduler
+    recorder: Recorder
+    publisher: Publisher
+    log_up: Callable[[], bool]
+    tallies: Callable[[], Tallies]
+    clock: Callable[[], float]
+
+
 class Administration:
     """Serves operators and peers.
 
     Args:
         settings: Settings of the entry instance.
-        directory: Readiness and configuration.
-        scheduler: Task asked for its view.
-        recorder: Task asked for explanations.
+        sources: What the documents are made from.
         peer_handlers: Answers to peers' messages, by the last part of the path.
     """
 
     def __init__(
         self,
         settings: EntrySettings,
-        directory: Directory,
-        scheduler: Scheduler,
-        recorder: Recorder,
+        sources: Sources,
         peer_handlers: Mapping[str, PeerHandler] | None = None,
     ) -> None:
         """Keeps the arguments."""
         self._settings = settings
+        self._sources = sources
         self._peer_digest = hashlib.sha256(
             settings.peer_credential.encode()
         ).hexdigest()
         self._peer_handlers = dict(peer_handlers or {})
-        self._directory = directory
-        self._scheduler = scheduler
-        self._recorder = recorder
+        self._instruments = Metrics(
+            settings.instance, settings.zone, self._readings
+        )
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Serves one request (PEP 3333)."""
-        status, document = self._answer(environ)
+        path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
+        headers = [("Content-Type", "application/json")]
+        found = _routes(path)
+        wanted = "GET" if method == "HEAD" else method
+        route = found.get(wanted)
+        if not found:
+            code, document = _error(404, "no-such-path", f"no path {path}")
+        elif route is None:
+            allowed = ", ".join(sorted(found))
+            headers.append(("Allow", allowed))
+            code, document = _error(405, "method", f"allowed: {allowed}")
+        else:
+            code, document = self._answer(route, path, environ)
         if not isinstance(document, bytes):
             document = msgspec.json.encode(document)
-        body = document
-        headers = [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-        ]
-        start_response(f"{status} {_REASONS.get(status, 'Status')}", headers)
-        return [body]
-
-    def _answer(self, environ: dict[str, Any]) -> Answer:
-        path = environ["PATH_INFO"]
-        if path == "/healthz":
-            return 200, {"healthy": True}
-        if path == "/readyz":
-            ready = self._directory.ready and not self._directory.draining
-            return (200 if ready else 503), {"ready": ready}
-        parts = path.strip("/").split("/")
-        if parts[:2] == ["v1", "peer"]:
-            return self._answer_peer(environ, parts[2:])
-        if not self._authorized(environ):
-            return 401, {"error": "credential missing or unknown"}
-        if parts == ["v1", "status"]:
-            return 200, self._status()
-        if parts[:2] == ["v1", "explain"] and len(parts) == 4:
-            return 200, self._explain(parts[2], parts[3])
-        return 404, {"error": f"no path {path}"}
-
-    def _answer_peer(self, environ: dict[str, Any], rest: list[str]) -> Answer:
-        digest = digest_credential(environ.get("HTTP_AUTHORIZATION", ""))
-        if not hmac.compare_digest(digest or "", self._peer_digest):
-            return 401, {"error": "peer credential missing or unknown"}
-        method = environ["REQUEST_METHOD"]
-        if rest == ["state"] and method == "GET":
-            if not self._directory.ready:
-                return 503, {"error": "not recovered yet"}
-            return 200, encode_state(self._scheduler.view().state)
-        handler = self._peer_handlers.get("/".join(rest))
-        if handler is None or method != "POST":
-            return 404, {"error": "no such message"}
-        length = int(environ.get("CONTENT_LENGTH") or 0)
-        answer = handler(environ["wsgi.input"].read(length))
-        return (200, answer) if answer is not None else (400, {"error": "bad"})
-
-    def _authorized(self, environ: dict[str, Any]) -> bool:
+        headers.append(("Content-Length", str(len(document))))
+        start_response(f"{code} {_REASONS.get(code, 'Status')}", headers)
+        return [] if method == "HEAD" else [document]
+
+    def _answer(
+        self, route: Route, path: str, environ: dict[str, Any]
+    ) -> Answer:
+        if not self._authorized(route, environ):
+            return _error(401, "credential", "credential missing or unknown")
+        body = _read_body(environ) if route.method == "POST" else b""
+        if not isinstance(body, bytes):
+            return body
+        exchange = Exchange(
+            tuple(_variable(route.path, path)),
+            environ.get("QUERY_STRING", ""),
+            body,
+        )
+        answer: Answer = getattr(self, route.name)(exchange)
+        return answer
+
+    def _authorized(self, route: Route, environ: dict[str, Any]) -> bool:
+        if route.access == "open":
+            return True
+        known = self._settings.administration_sha256
+        if route.access == "peer":
+            known = self._peer_digest
         digest = digest_credential(environ.get("HTTP_AUTHORIZATION", ""))
-        return hmac.compare_digest(
-            digest or "", self._settings.administration_sha256
+        return hmac.compare_digest(digest or "", known)
+
+    def _own(self) -> Own:
+        return Own(
+            self._settings.instance,
+            self._settings.zone,
+            self._sources.directory.ready,
+            self._sources.log_up(),
         )
 
-    def _status(self) -> dict[str, Any]:
-        view = self._scheduler.view()
-        configuration = view.state.configuration
-        plans = []
-        for plan in configuration.configuration.plans:
-            counts = view.plans.get(plan.name)
-            succeeded = counts.succeeded if counts else 0
-            failed = counts.failed if counts else 0
-            total = succeeded + failed
-            plans.append(
-                {
-                    "plan": plan.name,
-                    "promised": plan.success_rate,
-                    "achieved": succeeded / total if total else None,
-                    "succeeded": succeeded,
-                    "failed": failed,
-                    "refused": counts.refused if counts else 0,
-                    "remaining_budget": None,
-                }
-            )
-        return {
-            "instance": self._settings.instance,
-            "zone": self._settings.zone,
-            "ready": self._directory.ready,
-            "version": configuration.version,
-            "offset": view.state.offset,
-            "in_flight": view.in_flight,
-            "waiting": view.waiting,
-            "endpoints": view.endpoints,
-            "plans": plans,
-            "moves": [],
-            "waves": [],
-            "loans": [],
-            "members": [
-                asdict(member) for member in view.state.roster.members.values()
-            ],
-        }
+    def _view(self) -> EngineView:
+        return self._sources.scheduler.view()
+
+    def _readings(self) -> Mapping[str, Any]:
+        return readings(
+            self._own(),
+            self._view(),
+            self._sources.tallies(),
+            self._sources.clock(),
+        )
+
+    # Answers to operators.
+
+    def _health(self, _: Exchange) -> Answer:
+        return 200, {"healthy": True}
+
+    def _readiness(self, _: Exchange) -> Answer:
+        directory = self._sources.directory
+        ready = directory.ready and not directory.draining
+        return (200 if ready else 503), {"ready": ready}
 
-    def _explain(self, kind: str, subject: str) -> dict[str, Any]:
+    def _status(self, exchange: Exchange) -> Answer:
+        request = read_query(exchange.query, str)
+        if isinstance(request, str):
+            return _error(400, "bad-query", request)
+        if request.after is not None:
+            detail = "after: ask for one list, /v1/status/{list}"
+            return _error(400, "bad-query", detail)
+        now = self._sources.clock()
+        return 200, status(self._own(), self._view(), now, request)
+
+    def _status_list(self, exchange: Exchange) -> Answer:
+        name = exchange.rest[0]
+        if name not in LISTS:
+            return _error(404, "no-such-list", f"no list {name!r}")
+        request = read_query(exchange.query, str)
+        if isinstance(request, str):
+            return _error(400, "bad-query", request)
+        now = self._sources.clock()
+        return 200, status_list(name, self._own(), self._view(), now, request)
+
+    def _metrics(self, _: Exchange) -> Answer:
+        return 200, self._instruments.collect().encode()
+
+    def _explain(self, exchange: Exchange) -> Answer:
+        kind, subject = exchange.rest
+        if kind not in _KINDS:
+            return _error(404, "no-such-kind", f"no kind {kind!r}")
         events = [
             {
                 "time": decision.time,
@@ -151,6 +247,79 @@
                 "event": decision.event.text,
                 "reasons": decision.reasons,
             }
-            for decision in self._recorder.explain(kind, subject)
+            for decision in self._sources.recorder.explain(kind, subject)
         ]
-        return {"kind": kind, "id": subject, "events": events}
+        found = causes(kind, subject, self._view(), self._sources.clock())
+        return 200, {
+            "kind": kind,
+            "id": subject,
+            "known": bool(events) or found is not None,
+            "no_work_because": [asdict(cause) for cause in found or ()],
+            "events": events,
+        }
+
+    def _audit(self, exchange: Exchange) -> Answer:
+        request: PageRequest[int] | str = read_query(exchange.query, int)
+        if isinstance(request, str):
+            return _error(400, "bad-query", request)
+        changes = {c.offset: c for c in self._sources.recorder.changes()}
+        part = page(changes, request)
+        return 200, {
+            "entries": [asdict(changes[key]) for key in part.keys],
+            "next": part.next,
+        }
+
+    def _configure(self, exchange: Exchange) -> Answer:
+        return self._sources.publisher.publish(exchange.body)
+
+    # Answers to peers.
+
+    def _peer_state(self, _: Exchange) -> Answer:
+        if not self._sources.directory.ready:
+            return _error(503, "not-ready", "not recovered yet")
+        return 200, encode_state(self._view().state)
+
+    def _peer_message(self, exchange: Exchange) -> Answer:
+        handler = self._peer_handlers.get(exchange.rest[0])
+        if handler is None:
+            return _error(404, "no-such-message", "no such message")
+        answer = handler(exchange.body)
+        if answer is None:
+            return _error(400, "bad-request", "message not understood")
+        return 200, answer
+
+
+def _routes(path: str) -> dict[str, Route]:
+    """Routes of a path, by method; a fixed path goes before a pattern."""
+    found: dict[str, Route] = {}
+    for route in ROUTES:
+        if _matches(route.path, path):
+            found.setdefault(route.method, route)
+    return found
+
+
+def _matches(pattern: str, path: str) -> bool:
+    expected, given = pattern.split("/"), path.split("/")
+    return len(expected) == len(given) and all(
+        (e.startswith("{") and g) or e == g
+        for e, g in zip(expected, given, strict=True)
+    )
+
+
+def _variable(pattern: str, path: str) -> Iterable[str]:
+    pairs = zip(pattern.split("/"), path.split("/"), strict=True)
+    return (g for e, g in pairs if e.startswith("{"))
+
+
+def _read_body(environ: dict[str, Any]) -> bytes | Answer:
+    length = environ.get("CONTENT_LENGTH")
+    if not length:
+        return _error(411, "length", "Content-Length is needed")
+    if int(length) > MAX_BODY_BYTES:
+        return _error(413, "body-too-large", f"limit {MAX_BODY_BYTES} bytes")
+    body: bytes = environ["wsgi.input"].read(int(length))
+    return body
+
+
+def _error(status_code: int, code: str, detail: str) -> Answer:
+    return status_code, {"code": code, "error": detail}
--- a/acaciawing/entry/daemon.py
+++ b/acaciawing/entry/daemon.py
@@ -13,8 +13,9 @@
     split_address,
 )
 from acaciawing.control import ControlTask, LiveChanged
-from acaciawing.entry.administration import Administration
+from acaciawing.entry.administration import Administration, Sources
 from acaciawing.entry.callers import Callers, Directory
+from acaciawing.entry.configuring import Publisher
 from acaciawing.entry.dispatcher import Dispatcher
 from acaciawing.entry.distribution import Distribution, Tasks
 from acaciawing.entry.engine import Engine
@@ -26,6 +27,7 @@
 from acaciawing.entry.messages import Stop
 from acaciawing.entry.observers import ListObserver, LogObserver
 from acaciawing.entry.peers import PeerClient
+from acaciawing.entry.readings import Tallies
 from acaciawing.entry.recorder import Decision, Recorder
 from acaciawing.entry.scheduler import Scheduler
 from acaciawing.exchange import Exchanger
@@ -160,18 +162,21 @@
             Exchanger(),
             self._distribution.other_members,
         )
-        dispatcher = Dispatcher(
-            self._scheduler,
-            self._recorder,
-            Claims(self._tasks.claims, forwarder.forward),
-        )
+        claims = Claims(self._tasks.claims, forwarder.forward)
+        dispatcher = Dispatcher(self._scheduler, self._recorder, claims)
         callers = Callers(settings.instance, self._directory, dispatcher)
         self._callers = callers
         administration = Administration(
             settings,
-            self._directory,
-            self._scheduler,
-            self._recorder,
+            Sources(
+                self._directory,
+                self._scheduler,
+                self._recorder,
+                Publisher(LogClient(settings.log)),
+                lambda: self._distribution.log_up,
+                lambda: Tallies(self._distribution.verdicts, claims.decided),
+                self._distribution.log_now,
+            ),
             {
                 "claims": self._tasks.claims.answer_peer,
                 "gossip": self._tasks.gossip.answer_peer,
