Close the connection after a chunked request

Cause: cheroot drains a body that was not read only if its length was given. A refusal (401 before the body is read) left a chunked body on the connection, and its next line was parsed as a request: a chunk extension such as "17;X /hidden HTTP/1.1" or a trailer "GET /hidden HTTP/1.1" was served. Behind a balancer that shares connections, one caller's answer could go to another.

Ruled out: reading the rest of the body, since cheroot does not read trailers unless asked and a refused sender could hold the thread. A chunked request now costs its sender a new connection; requests with a length are not affected.

Three of the four new cases fail without the change.

--- a/acaciawing/entry/framing.py
+++ b/acaciawing/entry/framing.py
@@ -72,6 +72,14 @@
 class _Request(cheroot_server.HTTPRequest):
     header_reader = StrictHeaderReader()
 
+    def send_headers(self) -> None:
+        # cheroot drains an unread body only if its length was given. What is
+        # left of a chunked one, and its trailers, would be parsed as the next
+        # request on the connection.
+        if self.chunked_read:
+            self.close_connection = True
+        super().send_headers()
+
 
 class _Connection(cheroot_server.HTTPConnection):
     RequestHandlerClass = _Request
--- a/acaciawing/entry/tests/test_framing.py
+++ b/acaciawing/entry/tests/test_framing.py
@@ -37,6 +37,32 @@
         assert received.startswith(b"HTTP/1.1 400")
         assert received.count(b"HTTP/1.1") == 1
 
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"17;X /hidden HTTP/1.1\r\nHost: entry\r\nX-A: b\r\n\r\n\r\n0\r\n\r\n",
+            b"0\r\nGET /hidden HTTP/1.1\r\nHost: entry\r\n\r\n",
+        ],
+        ids=["chunk-extension", "trailer"],
+    )
+    @pytest.mark.parametrize("reads", [False, True])
+    def test_chunked_body_hides_no_request(
+        self, body: bytes, reads: bool
+    ) -> None:
+        """A refusal leaves the body unread; trailers are never read."""
+
+        def application(environ, start_response):  # type: ignore[no-untyped-def]
+            if reads:
+                environ["wsgi.input"].read()
+            start_response("401 Unauthorized", [("Content-Length", "0")])
+            return [b""]
+
+        with running(application) as address:
+            sent = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + body
+            received = exchange(address, sent)
+        assert received.startswith(b"HTTP/1.1 401")
+        assert received.count(b"HTTP/1.1") == 1
+
     def test_plain_request_passes(self) -> None:
         with running(echo_application) as address:
             received = exchange(address, _HEAD + b"Content-Length: 2\r\n\r\n{}")
