--- a/acaciawing/entry/daemon.py
+++ b/acaciawing/entry/daemon.py
@@ -13,8 +13,9 @@
     split_address,
 )
 from acaciawing.control import ControlTask, LiveChanged
-from acaciawing.entry.administration import Administration
+from acaciawing.entry.administration import Administration, Sources
 from acaciawing.entry.callers import Callers, Directory
+from acaciawing.entry.configuring import Publisher
 from acaciawing.entry.demand import DEMAND_PATH, DemandTask
 from acaciawing.entry.dispatcher import Dispatcher
 from acaciawing.entry.distribution import Distribution, Tasks
@@ -27,6 +28,7 @@
 from acaciawing.entry.messages import Stop
 from acaciawing.entry.observers import ListObserver, LogObserver
 from acaciawing.entry.peers import PeerClient
+from acaciawing.entry.readings import Tallies
 from acaciawing.entry.recorder import Decision, Recorder
 from acaciawing.entry.scheduler import Scheduler
 from acaciawing.exchange import Exchanger
@@ -77,12 +79,13 @@
         )
         self._tasks = self._make_tasks()
         self._distribution = Distribution(
-            self._member, self._directory, self._tasks
+            self._member, self._directory, self._tasks, self._recorder
         )
         self._log_observer = LogObserver(
             LogClient(settings.log),
             self._ask_states,
             self._distribution.log_read,
+            self._distribution.keep,
         )
         self._list_observer = ListObserver(
             ListClient(settings.list), self._distribution.list_read
@@ -175,18 +178,21 @@
             Exchanger(),
             self._distribution.other_members,
         )
-        dispatcher = Dispatcher(
-            self._scheduler,
-            self._recorder,
-            Claims(self._tasks.claims, forwarder.forward),
-        )
+        claims = Claims(self._tasks.claims, forwarder.forward)
+        dispatcher = Dispatcher(self._scheduler, self._recorder, claims)
         callers = Callers(settings.instance, self._directory, dispatcher)
         self._callers = callers
         administration = Administration(
             settings,
-            self._directory,
-            self._scheduler,
-            self._recorder,
+            Sources(
+                self._directory,
+                self._scheduler,
+                self._recorder,
+                Publisher(LogClient(settings.log)),
+                lambda: self._distribution.log_up,
+                lambda: Tallies(self._distribution.verdicts, claims.decided),
+                self._distribution.log_now,
+            ),
             {
                 "claims": self._tasks.claims.answer_peer,
                 "gossip": self._tasks.gossip.answer_peer,
--- a/acaciawing/entry/engine.py
+++ b/acaciawing/entry/engine.py
@@ -64,6 +64,9 @@
         in_flight: Attempts in flight.
         endpoints: Number of endpoints by status.
         members: Entry instances heard of, this one included.
+        live: Their ids.
+        attempts: Ended attempts by result.
+        statuses: Pool and status of each endpoint, by instance.
         leaves: Leave signals of endpoints since the last demand sample.
     """
 
@@ -76,6 +79,9 @@
     endpoints: dict[str, int]
     members: int
     demand_by_pool: dict[str, float] = field(default_factory=dict)
+    live: frozenset[str] = frozenset()
+    attempts: Mapping[str, int] = field(default_factory=dict)
+    statuses: Mapping[str, tuple[str, str]] = field(default_factory=dict)
     leaves: tuple[tuple[str, int], ...] = ()
 
 
@@ -119,6 +125,7 @@
     _pools_from: tuple[object, object] = (None, None)
     _credits: CreditTable = field(init=False)
     _tickets: int = 0
+    _results: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Starts the credits of this instance."""
@@ -378,6 +385,8 @@
         """Frees the slot of an attempt and serves the queue."""
         attempt = self._attempts.pop(message.ticket)
         route = attempt.route
+        result = message.result.value
+        self._results[result] = self._results.get(result, 0) + 1
         self._routing = routing.observe_result(
             self._routing,
             route.endpoint,
@@ -521,16 +530,18 @@
             {},
             self._members.view.size if self._members else 1,
             self._demand_by_pool(),
+            frozenset(self._members.zones if self._members else ())
+            | {self.instance},
+            dict(self._results),
         )
 
-    def endpoint_counts(self) -> dict[str, int]:
-        """Number of endpoints by status; a pass over all of them."""
-        found: dict[str, int] = {}
-        for pool in self._routing.pools.values():
-            for cell in pool.cells.values():
-                status = cell.status.value
-                found[status] = found.get(status, 0) + 1
-        return found
+    def endpoint_statuses(self) -> dict[str, tuple[str, str]]:
+        """Pool and status of each instance; a pass over all endpoints."""
+        return {
+            instance: (name, cell.status.value)
+            for name, pool in self._routing.pools.items()
+            for instance, cell in pool.cells.items()
+        }
 
     def _demand_by_pool(self) -> dict[str, float]:
         demand = {n: float(len(q)) for n, q in self._queues.items() if len(q)}
--- a/acaciawing/entry/scheduler.py
+++ b/acaciawing/entry/scheduler.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import replace
 from functools import singledispatch
@@ -166,8 +166,12 @@
 @handle.register
 def _(message: Query, engine: Engine, now: float) -> None:
     if not message.close_step:
-        endpoints = engine.endpoint_counts()
-        message.reply.put(replace(engine.view(), endpoints=endpoints))
+        statuses = engine.endpoint_statuses()
+        endpoints = Counter(status for _, status in statuses.values())
+        view = replace(
+            engine.view(), endpoints=dict(endpoints), statuses=statuses
+        )
+        message.reply.put(view)
         return
     engine.close_step(now)
     leaves = engine.take_leaves()
--- a/acaciawing/entry/tests/test_engine.py
+++ b/acaciawing/entry/tests/test_engine.py
@@ -346,7 +346,8 @@
             bench.engine.state_changed(StateChanged(state), 4.0)
         # A list from before the record says nothing about the end of it.
         bench.list(4.0, listed("visits-1"))
-        assert bench.engine.endpoint_counts() == {"leaving": 1}
+        statuses = bench.engine.endpoint_statuses()
+        assert [status for _, status in statuses.values()] == ["leaving"]
         bench.list(5.0, listed("visits-1"))
         assert self._endpoints(bench) == {"visits-1"}
 
