--- /dev/null
+++ b/acaciawing/control/tests/test_loan_rounds.py
@@ -0,0 +1,57 @@
+"""Tests of the moves that loans call for."""
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+from immutables import Map
+
+from acaciawing.control import ControlView, begin_moves
+from acaciawing.fold import FleetState
+from acaciawing.leases import Fence, HeldLease
+from acaciawing.lending import Loan, LoanTable
+from acaciawing.maintenance import Down, Place, Stage, WaveStep, WaveTable
+from acaciawing.ownership import (
+    LEAVING,
+    SERVING,
+    MoveBegun,
+    OwnedInstance,
+    Ownership,
+)
+
+FENCE = Fence("pool:portal", 0)
+VIEW = ControlView("e/1", held={"pool:portal": HeldLease(FENCE, 0.0, 10.0)})
+DRAINING = WaveStep("portal", 0, "w", 0, Stage.DRAINING, FENCE)
+
+
+def state(phase: str = SERVING, **changes: object) -> FleetState:
+    place = ("a", "r", "192.0.2.1:80", 1.0)
+    owned = OwnedInstance("w", 1, "portal", *place, epoch=5, phase=phase)
+    loan = Loan("w", 5, "portal", "visits", 0.0, 60.0)
+    lent = FleetState(
+        ownership=Ownership(Map(w=owned), Map(portal=1)),
+        loans=LoanTable(Map(w=loan)),
+    )
+    return replace(lent, **changes)  # type: ignore[arg-type]
+
+
+def moves(fleet: FleetState, view: ControlView = VIEW) -> tuple[object, ...]:
+    return begin_moves(fleet, view, 1.0, Random(1)).records
+
+
+class TestBeginMoves:
+    """Guards against a move begun twice, or while a wave has the instance."""
+
+    def test_accepted_loan_begins_a_move(self) -> None:
+        assert moves(state()) == (MoveBegun("w", 5, "visits", "lent", FENCE),)
+
+    @pytest.mark.parametrize("unread", [frozenset(), frozenset({DRAINING})])
+    def test_waits_for_the_wave(self, unread: frozenset[object]) -> None:
+        down = Map(w=Down("portal", Place("w", 1, "a", "r")))
+        waves = WaveTable() if unread else WaveTable(in_progress=down)
+        view = replace(VIEW, unread=unread)
+        assert not moves(state(waves=waves), view)
+
+    def test_not_twice_and_not_without_the_lease(self) -> None:
+        assert not moves(state(phase=LEAVING))
+        assert not moves(state(), ControlView("e/1"))
--- a/acaciawing/entry/administration.py
+++ b/acaciawing/entry/administration.py
@@ -10,6 +10,7 @@
 
 from acaciawing.configuration import EntrySettings
 from acaciawing.entry.callers import Directory
+from acaciawing.entry.fleet_documents import fleet_documents
 from acaciawing.entry.recorder import Recorder
 from acaciawing.entry.requests import digest_credential
 from acaciawing.entry.scheduler import Scheduler
@@ -135,9 +136,7 @@
             "waiting": view.waiting,
             "endpoints": view.endpoints,
             "plans": plans,
-            "moves": [],
-            "waves": [],
-            "loans": [],
+            **fleet_documents(view.state),
             "members": [
                 asdict(member) for member in view.state.roster.members.values()
             ],
