Tell only openings of a pool that lie ahead

Cause: next_opening returned the end of a rest that had passed, since choose counts it as over without changing the state.

next_opening now takes the time, and observe_result ends rests that are over.

--- a/acaciawing/routing/choice.py
+++ b/acaciawing/routing/choice.py
@@ -60,14 +60,17 @@
     return NoEndpoint(failed)
 
 
-def next_opening(state: RoutingState, pool: str) -> float | None:
-    """Time in seconds at which the next rest or ejection of a pool ends.
+def next_opening(state: RoutingState, pool: str, now: float) -> float | None:
+    """Time in seconds, after `now`, at which a rest or ejection ends next.
 
     A queue that got `NoEndpoint` tries again then, since no release of a slot
-    may come before.
+    may come before. Ends that have passed are left out: `choose` counts them as
+    over already, and a caller that waited for them would never wait.
     """
     known = state.pools.get(pool)
-    return known.timers[0][0] if known is not None and known.timers else None
+    if known is None:
+        return None
+    return next((at for at, _ in known.timers if at > now), None)
 
 
 def _probe(pool: Pool, request: RouteRequest) -> Route | None:
--- a/acaciawing/routing/state.py
+++ b/acaciawing/routing/state.py
@@ -283,8 +283,10 @@
     if found is None:
         return state
     name, cell = found
-    pool = observe(state.pools[name], cell, result, now)
-    return _with_pool(state, name, pool)
+    # Rests that are over end here too; the cell may be one of them.
+    pool = advance(state.pools[name], now)
+    cell = pool.cells[endpoint.instance]
+    return _with_pool(state, name, observe(pool, cell, result, now))
 
 
 def reserve(state: RoutingState, route: Route, now: float) -> RoutingState:
--- a/acaciawing/routing/tests/test_routing.py
+++ b/acaciawing/routing/tests/test_routing.py
@@ -18,6 +18,7 @@
     RoutingState,
     Status,
     choose,
+    next_opening,
     observe_leaving,
     observe_listing,
     observe_result,
@@ -290,6 +291,17 @@
         assert routed(state, REQUEST, 0.06).endpoint == first
         assert state.pools["visits"].answers == 0.0
 
+    def test_the_next_opening_lies_ahead(self) -> None:
+        """A past one would make a waiting queue retry without a pause."""
+        state = fleet(2, zones=1)
+        for number, at in ((0, 0.0), (1, 0.04)):
+            endpoint = state.pools["visits"].cells[f"w{number}"].endpoint
+            state = observe_result(state, endpoint, Result.NOT_RUN, 0.0, at)
+        assert next_opening(state, "visits", 0.04) == 0.05
+        assert next_opening(state, "visits", 0.05) == 0.09
+        assert next_opening(state, "visits", 0.09) is None
+        assert next_opening(state, "portal", 0.0) is None
+
 
 class TestZones:
     """Guards against work that leaves its zone early or waits in it."""
