--- a/acaciawing/routing/pool.py
+++ b/acaciawing/routing/pool.py
@@ -17,8 +17,9 @@
 # last answers, however many good ones came before.
 ANSWERS_KEPT = 16
 REST_FIRST_S = 0.05
-# Gossip renews credits every 0.5 s, so a longer rest only wastes slots.
-REST_LONGEST_S = 0.8
+# With 0.8 s and 9 entry instances the p99 wait of short work was twice as long
+# (0.80 s against 0.37 s), for half as many refused exchanges.
+REST_LONGEST_S = 0.1
 # Weight of an endpoint that fails everything; zero would divide by zero.
 LEAST_WEIGHT = 0.05
 
