Send repeats of a booking to the instance that holds its answer

The claim's owner stands in the log, so a repeat now goes to it, and waits there up to 1 s while the first copy runs. What remains unknown for a repeat no longer counts against the promise.

Second cause: a killed entry instance stayed on the roster until the list changed 30 s after it had joined. A list that had the instance and lacks it later is now enough, and an unchanged list confirms its time.

--- a/acaciawing/entry/credits.py
+++ b/acaciawing/entry/credits.py
@@ -83,6 +83,11 @@
                 for name, home in self._zones.items()
             }
             found |= divide_credits(
-                service.pool, workers, service.slots, self.member, weights
+                service.pool,
+                workers,
+                service.slots,
+                self.member,
+                weights,
+                own_zone=zone == self._zones.get(self.member),
             )
         return found
--- a/acaciawing/entry/dispatcher.py
+++ b/acaciawing/entry/dispatcher.py
@@ -72,6 +72,9 @@
             verdict = "refused" if _is_own_excess(outcome) else "failed"
             code = outcome.code
             self._record(request, code, outcome.detail)
+        if request.forwarded:
+            # The instance that the caller reached counts the answer.
+            verdict = "forwarded"
         self._scheduler.post_deferred(
             Finished(request.request_id, request.plan.name, verdict, code)
         )
@@ -168,6 +171,7 @@
         "already-ran",
         "idempotency-key-reused",
         "claim-in-progress",
+        "already-claimed",
     }
 )
 
--- a/acaciawing/entry/distribution.py
+++ b/acaciawing/entry/distribution.py
@@ -79,6 +79,7 @@
         self._log_up = True
         self._joined = False
         self._listing: Listing | None = None
+        self._listed_at: dict[str, float] = {}
         self._list_up = True
 
     @property
@@ -106,7 +107,7 @@
         if state is None:
             return ()
         return tuple(
-            Member(member.address, member.zone)
+            Member(member.address, member.zone, _name(member))
             for name, member in sorted(state.roster.members.items())
             if name != self._member.instance
         )
@@ -157,9 +158,14 @@
             self._list_up = False
             return
         self._list_up = True
-        if outcome is self._listing:
+        before, self._listing = self._listing, outcome
+        for listed in outcome.instances:
+            if listed.pool == ENTRY_POOL:
+                at = self._listed_at.get(listed.instance, outcome.as_of)
+                self._listed_at[listed.instance] = max(at, outcome.as_of)
+        if before is not None and outcome.instances is before.instances:
+            self._tell_ended()
             return
-        self._listing = outcome
         served = replace(
             outcome,
             instances=tuple(
@@ -216,18 +222,29 @@
     def _is_member(self, state: FleetState) -> bool:
         return state.roster.members.get(self._member.instance) == self._member
 
-    def _tell_roster(self) -> None:
+    def _ended(self) -> tuple[EntryJoined, ...]:
+        """Members on the roster that the platform reports as ended."""
         state, listing = self._state, self._listing
+        if state is None or listing is None:
+            return ()
+        return ended_members(
+            state.roster,
+            {i.instance for i in listing.instances},
+            listing.as_of,
+            self._member.instance,
+            self._listed_at,
+        )
+
+    def _tell_ended(self) -> None:
+        """Repeats what is known of ended members until the log says so too."""
+        if self._ended():
+            self._tell_roster()
+
+    def _tell_roster(self) -> None:
+        state = self._state
         if state is None:
             return
-        ended: tuple[EntryJoined, ...] = ()
-        if listing is not None:
-            ended = ended_members(
-                state.roster,
-                {i.instance for i in listing.instances},
-                listing.as_of,
-                self._member.instance,
-            )
+        ended = self._ended()
         members = {
             _name(member): member.address
             for member in state.roster.members.values()
--- a/acaciawing/entry/engine.py
+++ b/acaciawing/entry/engine.py
@@ -413,6 +413,8 @@
         if message.request_id in self._started:
             self._started.discard(message.request_id)
             self._admission = admission.end(self._admission, message.plan)
+        if message.verdict == "forwarded":
+            return
         counts = self.counts.setdefault(message.plan, PlanCounts())
         if message.verdict == "succeeded":
             counts.succeeded += 1
--- a/acaciawing/entry/forwarding.py
+++ b/acaciawing/entry/forwarding.py
@@ -1,7 +1,8 @@
 """Keyed requests that a peer serves for this entry instance.
 
 An instance that started while the log was away is not on the roster, so it may
-not run keyed requests itself. A member serves them on its behalf.
+not run keyed requests itself. A member serves them on its behalf. A repeat of a
+request that a peer has claimed goes to that peer, which holds the answer.
 """
 
 from collections.abc import Callable
@@ -70,10 +71,12 @@
     Attributes:
         address: ``ip:port`` of its administration listener.
         zone: Its availability zone.
+        name: ``instance/incarnation``.
     """
 
     address: str
     zone: str
+    name: str = ""
 
 
 class Forwarder:
@@ -100,19 +103,22 @@
         self._members = members
 
     def forward(
-        self, request: CallerRequest, left_s: float
+        self, request: CallerRequest, left_s: float, owner: str = ""
     ) -> Answer | Refusal | None:
         """Lets a member serve a request.
 
         Args:
             request: A request with a key.
             left_s: Seconds left for it.
+            owner: The only member to ask, as ``instance/incarnation``; any if
+                empty.
 
         Returns:
             The member's answer or refusal; "unknown" if the member was reached
             and did not answer; None if no member could be reached.
         """
-        for member in self._order()[:_PEERS_TRIED]:
+        members = [m for m in self._order() if owner in ("", m.name)]
+        for member in members[:_PEERS_TRIED]:
             outcome = self._exchanger.send(
                 member.address,
                 EndpointRequest(
--- a/acaciawing/entry/keyed.py
+++ b/acaciawing/entry/keyed.py
@@ -25,8 +25,10 @@
 # Whole answers kept for repeats that reach the same entry instance.
 _KEPT_ANSWERS = 2000
 _KEPT_BYTES = 8 * 1024 * 1024
+# A repeat holds a request thread while it waits for the first copy.
+_WAIT_S = 1.0
 
-Forward = Callable[[CallerRequest, float], Answer | Refusal | None]
+Forward = Callable[[CallerRequest, float, str], Answer | Refusal | None]
 RunRequest = Callable[[CallerRequest, float], Answer | Refusal]
 
 
@@ -49,7 +51,7 @@
 
 
 class KeptAnswers:
-    """Answers by claim digest, bounded in count and bytes."""
+    """Answers by customer and key, bounded in count and bytes."""
 
     def __init__(
         self, count: int = _KEPT_ANSWERS, size: int = _KEPT_BYTES
@@ -58,23 +60,36 @@
         self._count = count
         self._size = size
         self._bytes = 0
-        self._lock = threading.Lock()
+        self._changed = threading.Condition()
+        self._running: set[tuple[str, str]] = set()
         self._answers: OrderedDict[tuple[str, str], Answer] = OrderedDict()
 
+    def begin(self, key: tuple[str, str]) -> None:
+        """Notes that the request of a key runs here."""
+        with self._changed:
+            self._running.add(key)
+
+    def end(self, key: tuple[str, str]) -> None:
+        """Notes that it has ended; wakes the repeats that wait for it."""
+        with self._changed:
+            self._running.discard(key)
+            self._changed.notify_all()
+
+    def wait(self, key: tuple[str, str], timeout_s: float) -> Answer | None:
+        """Waits while the request of a key runs; its answer, if it is kept."""
+        with self._changed:
+            self._changed.wait_for(lambda: key not in self._running, timeout_s)
+            return self._answers.get(key)
+
     def put(self, key: tuple[str, str], answer: Answer) -> None:
         """Keeps an answer and forgets the oldest beyond the bounds."""
-        with self._lock:
+        with self._changed:
             self._answers[key] = answer
             self._bytes += len(answer.body)
             while len(self._answers) > self._count or self._bytes > self._size:
                 _, old = self._answers.popitem(last=False)
                 self._bytes -= len(old.body)
 
-    def get(self, key: tuple[str, str]) -> Answer | None:
-        """The answer kept for a key."""
-        with self._lock:
-            return self._answers.get(key)
-
 
 class Claims:
     """Runs keyed requests at most once; called by the request threads.
@@ -126,25 +141,50 @@
             request.customer.name, request.key, fingerprint, deadline
         )
         self._decided.add((_kind(decision), ""))
-        known = (request.customer.name, request.key)
-        if _needs_member(decision) and not request.forwarded:
-            outcome = self._forward(request, deadline - self._clock())
-            if outcome is not None:
-                return outcome
+        known = _known(request)
         if not isinstance(decision, Run):
-            kept = self._answers.get(known)
-            if kept is not None and isinstance(decision, Finished):
-                return kept
-            return refusal_of(decision)
+            return self._repeat(request, decision, deadline)
+        self._answers.begin(known)
+        try:
+            return self._run_claimed(request, decision, deadline, run)
+        finally:
+            self._answers.end(known)
+
+    def _run_claimed(
+        self,
+        request: CallerRequest,
+        decision: Run,
+        deadline: float,
+        run: RunRequest,
+    ) -> Answer | Refusal:
         ended = run(request, deadline)
         if isinstance(ended, NotRun):
             self._decider.release(decision.claim)
             return ended
         if isinstance(ended, Answer):
-            self._answers.put(known, ended)
+            self._answers.put(_known(request), ended)
         self._decider.finish(decision.claim, ended.status)
         return ended
 
+    def _repeat(
+        self, request: CallerRequest, decision: ClaimDecision, deadline: float
+    ) -> Answer | Refusal:
+        """Finds the answer of the first copy, here or at its owner."""
+        left_s = deadline - self._clock()
+        if isinstance(decision, InProgress | Finished):
+            wait_s = min(left_s, _WAIT_S)
+            answer = self._answers.wait(_known(request), wait_s)
+            if answer is not None:
+                return answer
+        if isinstance(decision, Unknown) and not request.forwarded:
+            needed = decision.reason in _FORWARDED or decision.owner
+            outcome = None
+            if needed:
+                outcome = self._forward(request, left_s, decision.owner)
+            if outcome is not None:
+                return outcome
+        return refusal_of(decision)
+
 
 # Reasons for which this instance can't decide, but a member of the roster can.
 _FORWARDED = frozenset({"not-on-roster", "memory-incomplete"})
@@ -163,8 +203,9 @@
     return _KINDS[type(decision)]
 
 
-def _needs_member(decision: ClaimDecision) -> bool:
-    return isinstance(decision, Unknown) and decision.reason in _FORWARDED
+def _known(request: CallerRequest) -> tuple[str, str]:
+    assert request.key is not None
+    return request.customer.name, request.key
 
 
 @singledispatch
@@ -196,4 +237,7 @@
 
 @refusal_of.register
 def _(decision: Unknown) -> Refusal:
+    if decision.reason in ("claimed", "granted"):
+        detail = "another copy has run, runs or may run"
+        return OutcomeUnknown("already-claimed", detail, 409)
     return OutcomeUnknown("claim-undecided", decision.reason)
--- a/acaciawing/entry/messages.py
+++ b/acaciawing/entry/messages.py
@@ -83,7 +83,8 @@
     Attributes:
         request_id: Id of the request.
         plan: Name of the plan.
-        verdict: ``succeeded``, ``failed`` or ``refused``.
+        verdict: ``succeeded``, ``failed``, ``refused``, or ``forwarded`` if
+            another entry instance counts the request.
         code: Code of the refusal, or an empty string.
     """
 
--- a/acaciawing/idempotency/commit.py
+++ b/acaciawing/idempotency/commit.py
@@ -157,7 +157,9 @@
         if first.claim_id == claim_id:
             state, more = run(state, pending, now)
         else:
-            state, more = settle(state, pending, Unknown("claimed"))
+            state, more = settle(
+                state, pending, Unknown("claimed", first.owner)
+            )
         outputs += more
     if first.claim_id == claim.claim_id and _is_dead(state, holder):
         state = release(state, claim)
--- a/acaciawing/idempotency/events.py
+++ b/acaciawing/idempotency/events.py
@@ -4,7 +4,7 @@
 replacement is never taken for one of its predecessor.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TypeAlias
 
 from acaciawing.idempotency.records import Claim, ClaimBatch
@@ -43,9 +43,11 @@
 
     Attributes:
         reason: Code in kebab case.
+        owner: ``instance/incarnation`` that claimed the key, if it is known.
     """
 
     reason: str
+    owner: str = field(default="", compare=False)
 
 
 ClaimDecision: TypeAlias = Run | InProgress | Finished | KeyReused | Unknown
--- a/acaciawing/idempotency/state.py
+++ b/acaciawing/idempotency/state.py
@@ -231,10 +231,12 @@
         claim, status, decision = run.claim, run.status, InProgress()
     elif holder is not None:
         claim, status = holder.claim, holder.status
-        return _repeat(claim, fingerprint, status, Unknown("claimed"))
+        claimed = Unknown("claimed", claim.owner)
+        return _repeat(claim, fingerprint, status, claimed)
     elif grant is not None:
         claim = grant.claim
-        return _repeat(claim, fingerprint, None, Unknown("granted"))
+        granted = Unknown("granted", claim.owner)
+        return _repeat(claim, fingerprint, None, granted)
     else:
         return None
     return _repeat(claim, fingerprint, status, decision)
--- a/acaciawing/membership/roster.py
+++ b/acaciawing/membership/roster.py
@@ -1,6 +1,6 @@
 """Roster of entry instances, agreed through the log."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, replace
 from functools import singledispatch
 
@@ -95,7 +95,11 @@
 
 
 def ended_members(
-    roster: Roster, listed: Collection[str], as_of: float, own: str
+    roster: Roster,
+    listed: Collection[str],
+    as_of: float,
+    own: str,
+    seen: Mapping[str, float],
 ) -> tuple[EntryJoined, ...]:
     """Members that the platform reports as ended.
 
@@ -105,10 +109,12 @@
         as_of: Time that the list describes, on the platform's clock, seconds.
         own: Id of the instance that asks. If the list lacks it, the list says
             nothing about entry instances.
+        seen: Newest time of a list that had the instance, by id.
 
     Returns:
-        Join records of members that joined well before the list was made and
-        are not on it.
+        Join records of members that are not on the list although an earlier
+        list had them after they joined, or that joined well before the list
+        was made.
     """
     if own not in listed:
         return ()
@@ -116,5 +122,11 @@
         member
         for name, member in sorted(roster.members.items())
         if name not in listed
-        and as_of > roster.joined_at.get(name, as_of) + _LIST_LAG_S
+        and _vanished(roster.joined_at.get(name, as_of), as_of, seen.get(name))
     )
+
+
+def _vanished(joined_at: float, as_of: float, seen_at: float | None) -> bool:
+    if seen_at is not None and joined_at <= seen_at < as_of:
+        return True
+    return as_of > joined_at + _LIST_LAG_S
--- /dev/null
+++ b/acaciawing/membership/tests/test_roster.py
@@ -0,0 +1,68 @@
+"""Tests of the roster and of what the platform's list says of it."""
+
+import pytest
+
+from acaciawing.membership import (
+    EntryJoined,
+    EntryLeft,
+    Roster,
+    ended_members,
+)
+from acaciawing.membership.roster import apply
+from acaciawing.outcomes import Accepted, Ignored
+from acaciawing.records import LogPosition
+
+
+def joined(name: str, incarnation: int = 1) -> EntryJoined:
+    return EntryJoined(name, incarnation, "a", "192.0.2.1:1")
+
+
+def roster(**joined_at: float) -> Roster:
+    table = Roster()
+    for offset, (name, at) in enumerate(joined_at.items()):
+        table, _ = apply(joined(name), table, LogPosition(offset, at))
+    return table
+
+
+class TestRoster:
+    """Guards against a late record that changes a newer incarnation."""
+
+    def test_old_incarnation_neither_joins_nor_leaves(self) -> None:
+        table = roster(a=1.0)
+        table, verdict = apply(joined("a", 2), table, LogPosition(5, 2.0))
+        assert verdict == Accepted()
+        for late in (joined("a", 1), EntryLeft("a", 1)):
+            after, verdict = apply(late, table, LogPosition(6, 3.0))
+            assert after == table
+            assert isinstance(verdict, Ignored)
+
+
+class TestEnded:
+    """Guards against a live member that is taken for ended."""
+
+    @pytest.mark.parametrize(
+        ("listed", "as_of", "seen", "ended"),
+        [
+            ({"a", "b"}, 100.0, {}, False),
+            # Not on the list yet, which lags.
+            ({"a"}, 15.0, {}, False),
+            ({"a"}, 41.0, {}, True),
+            # Seen on a list after it joined, then gone.
+            ({"a"}, 15.0, {"b": 12.0}, True),
+            # Seen as an earlier incarnation only.
+            ({"a"}, 15.0, {"b": 9.0}, False),
+            # An older list than the one that had it.
+            ({"a"}, 11.0, {"b": 12.0}, False),
+            # The list has no entry instances at all.
+            (set(), 100.0, {"b": 12.0}, False),
+        ],
+    )
+    def test_absent_member(
+        self,
+        listed: set[str],
+        as_of: float,
+        seen: dict[str, float],
+        ended: bool,
+    ) -> None:
+        found = ended_members(roster(a=1.0, b=10.0), listed, as_of, "a", seen)
+        assert [m.instance for m in found] == (["b"] if ended else [])
--- a/acaciawing/platform/listing.py
+++ b/acaciawing/platform/listing.py
@@ -1,6 +1,7 @@
 """Client of the platform's lagging list of instances."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
 from typing import Protocol, TypeAlias
 
 import msgspec
@@ -92,7 +93,8 @@
         """Reads the list once.
 
         Returns:
-            The list; the same object as before if it has not changed.
+            The list. If it has not changed, ``instances`` is the same object
+            as before, and only ``as_of`` is newer.
         """
         headers = {"Accept-Encoding": "gzip"}
         if self._tag:
@@ -100,6 +102,7 @@
         try:
             answer = self._http.request("GET", self._url, headers=headers)
             if answer.status == 304 and self._last is not None:
+                self._last = _confirmed(self._last, answer.headers)
                 return self._last
             if answer.status != 200:
                 return ListUnavailable(f"status {answer.status}")
@@ -110,3 +113,16 @@
             return ListUnavailable(str(error))
         except msgspec.DecodeError as error:
             return ListUnavailable(f"answer not understood: {error}")
+
+
+# The platform names the time that its answer describes, also in a 304.
+_AS_OF = "X-As-Of"
+
+
+def _confirmed(known: Listing, headers: Mapping[str, str]) -> Listing:
+    """A known list that was still true at a later time."""
+    try:
+        as_of = float(headers.get(_AS_OF, ""))
+    except ValueError:
+        return known
+    return replace(known, as_of=max(as_of, known.as_of))
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -74,7 +74,11 @@
     cut = cut_by_kill(sent, killed)
     return [
         *plan_rows([s for s in sent if s not in cut], PROMISED),
-        *integrity_rows(sent, runs_by_request(fleet)),
+        *integrity_rows(
+            sent,
+            [entry for caller in callers for entry in caller.repeats],
+            runs_by_request(fleet),
+        ),
         *work.rows(sent, killed),
         *rows,
         _outcomes(sent),
--- a/demo/load.py
+++ b/demo/load.py
@@ -73,6 +73,7 @@
         services: Services to call, by turns.
         period_s: Time between requests, in seconds.
         write_share: Share of requests that are bookings (POST).
+        repeat_share: Share of bookings that are sent twice with one key.
         straggler_share: Share of requests that run longer.
         straggler_ms: Run time of these, in milliseconds.
     """
@@ -83,6 +84,7 @@
     period_s: float
     write_share: float
     straggler_share: float
+    repeat_share: float = 0.2
     straggler_ms: int = 500
 
 
@@ -103,6 +105,7 @@
         )
         self._stopping = threading.Event()
         self.sent: list[Sent] = []
+        self.repeats: list[Sent] = []
 
     def stop(self) -> None:
         """Lets the request in flight end, then stops."""
@@ -118,22 +121,32 @@
     def _send(self, request_id: str) -> Sent:
         profile = self._profile
         write = self._random.random() < profile.write_share
-        sent = Sent(request_id, profile.plan, "POST" if write else "GET")
-        service = self._random.choice(profile.services)
-        sent.entry = self._balancer.choose(self._random)
-        url = f"http://{sent.entry}/{service}/next"
+        target = f"/{self._random.choice(profile.services)}/next"
         if self._random.random() < profile.straggler_share:
-            url += f"?ms={profile.straggler_ms}"
+            target += f"?ms={profile.straggler_ms}"
+        method = "POST" if write else "GET"
+        sent = self._exchange(request_id, method, target)
+        if write and self._random.random() < profile.repeat_share:
+            # The balancer may send a repeat to any entry instance.
+            self.repeats.append(self._exchange(request_id, method, target))
+        return sent
+
+    def _exchange(self, request_id: str, method: str, target: str) -> Sent:
+        sent = Sent(request_id, self._profile.plan, method)
+        sent.entry = self._balancer.choose(self._random)
         headers = {
-            "Authorization": f"Bearer sample-{profile.customer}",
+            "Authorization": f"Bearer sample-{self._profile.customer}",
             "X-Request-Id": request_id,
         }
-        if write:
+        if method == "POST":
             headers["Idempotency-Key"] = request_id
         begun = time.monotonic()
         try:
             answer = self._http.request(
-                sent.method, url, headers=headers, body=b"{}" if write else None
+                method,
+                f"http://{sent.entry}{target}",
+                headers=headers,
+                body=b"{}" if method == "POST" else None,
             )
         except urllib3.exceptions.HTTPError as error:
             sent.outcome = f"broken: {type(error).__name__}"
--- a/demo/report.py
+++ b/demo/report.py
@@ -1,5 +1,6 @@
 """Table of the demonstration and whether its promises held."""
 
+from collections import Counter
 from dataclasses import dataclass
 
 from tabulate import tabulate
@@ -42,16 +43,33 @@
     return rows
 
 
-def integrity_rows(sent: list[Sent], runs: dict[str, int]) -> list[Row]:
+def integrity_rows(
+    sent: list[Sent], repeats: list[Sent], runs: dict[str, int]
+) -> list[Row]:
     """Requests that were lost, doubled, crossed or falsely refused."""
     lost = [s for s in sent if s.outcome == "ok" and not runs.get(s.request_id)]
     doubled = [
         s for s in sent if s.method == "POST" and runs.get(s.request_id, 0) > 1
     ]
-    crossed = [s for s in sent if s.outcome == "crossed"]
+    every = [*sent, *repeats]
+    crossed = [s for s in every if s.outcome == "crossed"]
     false = [
-        s for s in sent if s.outcome == "not-run" and runs.get(s.request_id)
+        s for s in every if s.outcome == "not-run" and runs.get(s.request_id)
     ]
+    told = Counter(repeat.outcome for repeat in repeats)
+    text = ", ".join(f"{count} {name}" for name, count in sorted(told.items()))
+    return [
+        Row(f"repeats of {len(repeats)} bookings answered", "", text, True),
+        *_counted(lost, doubled, crossed, false),
+    ]
+
+
+def _counted(
+    lost: list[Sent],
+    doubled: list[Sent],
+    crossed: list[Sent],
+    false: list[Sent],
+) -> list[Row]:
     return [
         Row(f"requests {name}", "0", str(len(found)), not found)
         for name, found in (
--- a/standins/platform_service.py
+++ b/standins/platform_service.py
@@ -202,7 +202,7 @@
     content = json.dumps(listing["instances"]).encode()
     tag = f'"{zlib.crc32(content):08x}"'
     if environ.get("HTTP_IF_NONE_MATCH") == tag:
-        return 304, {"ETag": tag}, b""
+        return 304, {"ETag": tag, "X-As-Of": str(listing["as_of"])}, b""
     status, headers, body = json_answer(200, listing)
     headers["ETag"] = tag
     if "gzip" in environ.get("HTTP_ACCEPT_ENCODING", ""):
