Tell in the status why a wave waits

Cause: a stuck wave showed its stages and held instances, but not whether a stop, a lease, the budget or a bound kept the next instance from its drain.

The wave's entry names these. The plans show the share of the budget that moves and reboots leave for unplanned failures, without which a budget above zero looked as if nothing stood in their way.

--- a/acaciawing/commandline/documents.py
+++ b/acaciawing/commandline/documents.py
@@ -37,6 +37,8 @@
             first request.
         succeeded: Requests that succeeded in the window.
         failed: Requests that failed in the window.
+        allowed: Failures that the promise allows for these requests.
+        kept: Part of it that moves and reboots leave for unplanned failures.
         burn_rate: Failures a second at present.
         reserved: Failures held by reservations of moves and reboots.
         held_back: Failures that the lagging counts may not show yet.
@@ -50,6 +52,8 @@
     achieved: float | None = None
     succeeded: int = 0
     failed: int = 0
+    allowed: float = 0.0
+    kept: float = 0.0
     burn_rate: float = 0.0
     reserved: float = 0.0
     held_back: float = 0.0
--- a/acaciawing/entry/status.py
+++ b/acaciawing/entry/status.py
@@ -8,16 +8,22 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import asdict, dataclass
+from functools import cached_property
 from typing import Any
 
-from acaciawing.budgets import BudgetSnapshot, budget, counts_age
+from acaciawing.budgets import (
+    KEPT_SHARE,
+    BudgetSnapshot,
+    budget,
+    counts_age,
+)
 from acaciawing.configuration import Plan
 from acaciawing.entry.counts import PlanCounts
 from acaciawing.entry.engine import EngineView
 from acaciawing.entry.paging import PageRequest, page
 from acaciawing.fold import FleetState
 from acaciawing.leases import end_of, is_held, pool_subject
-from acaciawing.maintenance import Wave
+from acaciawing.maintenance import Stage, Wave, exceeded
 from acaciawing.ownership import LEAVING, SERVING, OwnedInstance
 
 Entry = dict[str, Any]
@@ -52,6 +58,10 @@
     def state(self) -> FleetState:
         return self.engine.state
 
+    @cached_property
+    def snapshot(self) -> BudgetSnapshot:
+        return _snapshot(self.own, self.engine)
+
 
 def status(
     own: Own, view: EngineView, now: float, request: PageRequest[str]
@@ -156,7 +166,7 @@
 
 
 def _plan(view: _View, name: str) -> Entry:
-    snapshot = _snapshot(view.own, view.engine)
+    snapshot = view.snapshot
     state = budget(snapshot, snapshot.plans[name], view.now)
     counts = view.engine.plans.get(name, PlanCounts())
     return {
@@ -165,6 +175,8 @@
         "achieved": state.achieved if state.requests else None,
         "succeeded": state.requests - state.failed,
         "failed": state.failed,
+        "allowed": state.allowed,
+        "kept": KEPT_SHARE * state.allowed,
         "burn_rate": state.burn_rate,
         "reserved": state.reserved,
         "held_back": state.held_back,
@@ -239,10 +251,10 @@
         "stopped_at": waves.stopped.get(pool),
     }
     wave = waves.active.get(pool)
-    return entry | (_progress(wave) if wave is not None else {})
+    return entry | (_progress(wave, view) if wave is not None else {})
 
 
-def _progress(wave: Wave) -> Entry:
+def _progress(wave: Wave, view: _View) -> Entry:
     stages = Counter(m.stage.value for m in wave.members.values())
     held = (
         {"instance": name, "stage": member.stage.value, "since": member.since}
@@ -254,7 +266,48 @@
         "bounds": asdict(wave.bounds),
         "stages": dict(sorted(stages.items())),
         "held": list(held),
+        "waits_for": _wave_waits_for(wave, view),
+    }
+
+
+def _wave_waits_for(wave: Wave, view: _View) -> list[str]:
+    """What keeps the wave from draining its next instance.
+
+    Some of ``stopped``, ``log``, ``lease``, ``budget`` (a plan that uses the
+    pool has nothing left for reboots), and the bounds that every waiting
+    instance would pass. Empty if nothing does, or if no instance waits.
+    """
+    waiting = [
+        member.place
+        for member in wave.members.values()
+        if member.stage is Stage.WAITING
+    ]
+    if not waiting:
+        return []
+    waves, leases = view.state.waves, view.state.leases
+    passed = [exceeded(waves, wave.pool, p, wave.bounds) for p in waiting]
+    causes = {
+        "stopped": waves.is_stopped(wave.pool),
+        "log": not view.own.log_up,
+        "lease": not is_held(leases, pool_subject(wave.pool), view.now),
+        "budget": any(_is_spent(view, plan) for plan in _users(view, wave)),
     }
+    bounds = sorted({b for p in passed for b in p}) if all(passed) else []
+    return [code for code, holds in causes.items() if holds] + bounds
+
+
+def _users(view: _View, wave: Wave) -> Iterable[Plan]:
+    """Plans with a service behind the wave's pool."""
+    document = view.state.configuration.configuration
+    names = {s.name for s in document.services if s.pool == wave.pool}
+    return (p for p in document.plans if names.intersection(p.services))
+
+
+def _is_spent(view: _View, plan: Plan) -> bool:
+    """Whether nothing is left for reboots of a plan that has requests."""
+    state = budget(view.snapshot, plan, view.now)
+    left = state.remaining - KEPT_SHARE * state.allowed
+    return state.requests > 0 and left <= 0
 
 
 def _loan_keys(view: _View) -> Iterable[str]:
--- a/acaciawing/entry/tests/test_status.py
+++ b/acaciawing/entry/tests/test_status.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import pytest
+from immutables import Map
 
 from acaciawing.entry.explaining import causes
 from acaciawing.entry.paging import PageRequest
@@ -74,6 +75,27 @@
             {"instance": "visits-1", "stage": "rebooting", "since": 80.0}
         ]
 
+    def test_wave_tells_why_it_waits(self) -> None:
+        view = make_view()
+        # visits-1 is down, so each bound of one is reached; visits-2 waits.
+        assert document()["waves"][1]["waits_for"] == [
+            "stopped",
+            "pool-bound",
+            "rack-bound",
+        ]
+        waves = replace(view.state.waves, stopped=Map(), in_progress=Map())
+        free = replace(view, state=replace(view.state, waves=waves))
+        cut_off = replace(OWN, log_up=False)
+        spent = replace(free.plans["gold"], failed=20)
+        for own, seen, now, codes in (
+            (OWN, free, NOW, []),
+            (cut_off, free, NOW, ["log"]),
+            (OWN, free, NOW + 6, ["lease"]),
+            (OWN, replace(free, plans={"gold": spent}), NOW, ["budget"]),
+        ):
+            part = status_list("waves", own, seen, now, PageRequest())
+            assert part["entries"][0]["waits_for"] == codes
+
     def test_loans_and_leases(self) -> None:
         (loan,) = document()["loans"]
         assert (loan["home"], loan["due_at"]) == ("portal", 400.0)
--- a/acaciawing/entry/tests/views.py
+++ b/acaciawing/entry/tests/views.py
@@ -19,7 +19,15 @@
 from acaciawing.fold import FleetState
 from acaciawing.leases import Lease, LeaseTable, Session
 from acaciawing.lending.loans import Loan, LoanTable
-from acaciawing.maintenance import Bounds, Member, Place, Stage, Wave, WaveTable
+from acaciawing.maintenance import (
+    Bounds,
+    Down,
+    Member,
+    Place,
+    Stage,
+    Wave,
+    WaveTable,
+)
 from acaciawing.membership import EntryJoined, Roster
 from acaciawing.ownership import LEAVING, RETURNING, OwnedInstance, Ownership
 from acaciawing.records import LogPosition
@@ -88,7 +96,11 @@
         ),
         ownership=Ownership(Map({i.instance: i for i in owned})),
         budgets=_ledger(),
-        waves=WaveTable(active=Map({"visits": wave}), stopped=Map({"": 30})),
+        waves=WaveTable(
+            active=Map({"visits": wave}),
+            in_progress=Map({"visits-1": Down("visits", place)}),
+            stopped=Map({"": 30}),
+        ),
         loans=LoanTable(
             Map(
                 {
