--- a/demo/operator.py
+++ b/demo/operator.py
@@ -63,6 +63,8 @@
     path = folder / "plans.toml"
     # The load that borrows an instance comes at once, above the sample's rate.
     text = path.read_text("utf-8").replace('rate = "60/s"', 'rate = "240/s"')
+    # A drain waits for the longest deadline; 20 s would be most of the demo.
+    text = text.replace('deadline = "20s"', 'deadline = "5s"')
     if rate is not None:
         text = re.sub('rate = ".*"', f'rate = "{rate}"', text, count=1)
     path.write_text(text, "utf-8")
