Word the reasons of an endpoint without a pool

In the demonstration an instance that left its pool for a wave was explained as "endpoint of pool as seen here", and one that rebooted as missing on the list, which only this instance's reading of the list says.

--- a/acaciawing/entry/explaining.py
+++ b/acaciawing/entry/explaining.py
@@ -66,11 +66,15 @@
 def _endpoint(name: str, view: EngineView) -> Iterator[Cause]:
     listed = view.statuses.get(name)
     if listed is None:
-        yield Cause("not-listed", "the instance list does not hold it")
+        yield Cause(
+            "not-listed", "the list, as read here, has no endpoint of it"
+        )
         return
     pool, status = listed
     if status != "open":
-        yield Cause(status, f"endpoint of pool {pool} as seen here")
+        # A leaving endpoint may have been taken out of its pool already.
+        place = f" of pool {pool}" if pool else ""
+        yield Cause(status, f"endpoint{place} as seen here")
 
 
 def _ownership(name: str, view: EngineView) -> Iterator[Cause]:
--- a/acaciawing/entry/tests/test_status.py
+++ b/acaciawing/entry/tests/test_status.py
@@ -138,6 +138,11 @@
         assert found is not None
         assert [cause.code for cause in found] == codes
 
+    def test_leaving_endpoint_without_a_pool(self) -> None:
+        view = replace(make_view(), statuses={"portal-2": ("", "leaving")})
+        found = causes("instance", "portal-2", view, NOW)
+        assert found and found[0].detail == "endpoint as seen here"
+
     def test_waiting_and_ended_tasks(self) -> None:
         state = make_state()
         for record in (
