Add task calls to the worker interface and the platform stand-in

Placement decides on tasks, but nothing could start one: the worker interface knew only instances, and the list did not tell their capacity.

The list has optional processors, memory and accelerators; a list without them still decodes. `WorkerClient` starts, checkpoints, throttles, stops and reads tasks, with the tagged outcomes of the other calls. Each answer reports all placements of the worker, so no second call is needed to see what a call did. A stop also ends a placement that was never started, so a start that arrives late runs nothing.

The stand-in can let a worker fail everything and lose answers after their effect. No control decision uses the calls yet.

--- a/acaciawing/control/loop.py
+++ b/acaciawing/control/loop.py
@@ -26,7 +26,13 @@
     observe_move,
 )
 from acaciawing.control.rounds import decide_round
-from acaciawing.control.view import STATUS, Call, ControlView, Round
+from acaciawing.control.view import (
+    STATUS,
+    TASK_OPERATIONS,
+    Call,
+    ControlView,
+    Round,
+)
 from acaciawing.control.wave_rounds import WAVE_PREFIX, is_current
 from acaciawing.fold import FleetState, SnapshotWritten, Step
 from acaciawing.leases import (
@@ -50,6 +56,7 @@
     NotAppended,
     OperationDone,
     OperationNotDone,
+    TasksReported,
 )
 from acaciawing.records import encode
 from acaciawing.snapshots import SNAPSHOT_STREAM, schema_of, split
@@ -326,6 +333,15 @@
                 view = replace(view, finished=finished)
         elif isinstance(outcome, OperationNotDone) and outcome.gone:
             view = replace(view, gone=view.gone | {call.instance})
+        if call.operation in TASK_OPERATIONS:
+            # Without an answer the last report no longer counts; the time is
+            # noted all the same, so that a dead worker is not asked all along.
+            tasks = dict(view.tasks)
+            tasks.pop(call.instance, None)
+            if isinstance(outcome, TasksReported):
+                tasks[call.instance] = outcome.tasks
+            read_at = {**view.tasks_at, call.instance: self._clock()}
+            view = replace(view, tasks=tasks, tasks_at=read_at)
         self._view = view
 
     def _write_snapshot(self, fence: Fence) -> None:
--- a/acaciawing/control/messages.py
+++ b/acaciawing/control/messages.py
@@ -6,7 +6,7 @@
 
 from acaciawing.control.view import Call
 from acaciawing.fold import FleetState, Step
-from acaciawing.platform import Listing, OperationOutcome
+from acaciawing.platform import Listing, OperationOutcome, TasksOutcome
 
 
 @dataclass(frozen=True)
@@ -62,7 +62,7 @@
     """
 
     call: Call
-    outcome: OperationOutcome | None
+    outcome: OperationOutcome | TasksOutcome | None
 
 
 ControlMessage: TypeAlias = (
--- a/acaciawing/control/task.py
+++ b/acaciawing/control/task.py
@@ -14,7 +14,7 @@
 )
 from acaciawing.control.move_times import MOVE_COST_S
 from acaciawing.control.view import Call
-from acaciawing.platform import Log, OperationOutcome, Workers
+from acaciawing.platform import Log, OperationOutcome, TasksOutcome, Workers
 
 ROUND_S = 0.5
 
@@ -73,7 +73,8 @@
     return OperationEnded(timed.call, _operate(timed.call, workers))
 
 
-def _operate(call: Call, workers: Workers) -> OperationOutcome:
+def _operate(call: Call, workers: Workers) -> OperationOutcome | TasksOutcome:
+    name, operation_id = call.instance, call.operation_id
     match call.operation:
         case "drain":
             return workers.drain(call.instance, call.operation_id)
@@ -83,7 +84,17 @@
             return workers.return_to(
                 call.instance, call.pool, call.operation_id
             )
-    return workers.status(call.instance)
+        case "start-task" if call.start is not None:
+            return workers.start_task(name, call.start, operation_id)
+        case "checkpoint-task":
+            return workers.checkpoint_task(name, call.attempts, operation_id)
+        case "throttle-task":
+            return workers.throttle_task(name, call.attempts, operation_id)
+        case "stop-task":
+            return workers.stop_task(name, call.attempts, operation_id)
+        case "tasks":
+            return workers.tasks(name)
+    return workers.status(name)
 
 
 class ControlTask(threading.Thread):
--- /dev/null
+++ b/acaciawing/control/tests/fake_tasks.py
@@ -0,0 +1,92 @@
+"""Tasks on the workers of the fake platform."""
+
+from collections import Counter
+from dataclasses import asdict, dataclass, field
+
+from acaciawing.platform import (
+    Attempts,
+    OperationUnknown,
+    ReportedTask,
+    TasksOutcome,
+    TasksReported,
+    TaskStart,
+)
+from standins.worker_tasks import WorkerTasks
+
+
+@dataclass
+class FakeTasks:
+    """The part of `Workers` about tasks; the clock is set by hand.
+
+    Attributes:
+        time: Time of the calls, in seconds.
+        failing: Workers that fail everything that they start.
+        lose_task_answers: Calls whose answer is lost after their effect.
+        starts: Calls that started a placement, by task and attempt.
+        overlaps: Tasks that were started while another attempt ran.
+    """
+
+    time: float = 0.0
+    failing: set[str] = field(default_factory=set)
+    lose_task_answers: int = 0
+    workers: WorkerTasks = field(default_factory=WorkerTasks)
+    known: set[str] = field(default_factory=set)
+    starts: Counter[tuple[str, int]] = field(default_factory=Counter)
+    overlaps: list[str] = field(default_factory=list)
+
+    def start_task(
+        self, instance: str, start: TaskStart, operation_id: str
+    ) -> TasksOutcome:
+        before = self.running(start.task)
+        fails = instance in self.failing
+        self.workers.start(instance, asdict(start), self.time, fails)
+        self.known.add(instance)
+        after = self.running(start.task)
+        if len(after) > len(before):
+            self.starts[(start.task, start.attempt)] += 1
+            if before:
+                self.overlaps.append(start.task)
+        return self._answer(instance)
+
+    def checkpoint_task(
+        self, instance: str, attempts: Attempts, operation_id: str
+    ) -> TasksOutcome:
+        return self._change_tasks(instance, "checkpoint", attempts)
+
+    def throttle_task(
+        self, instance: str, attempts: Attempts, operation_id: str
+    ) -> TasksOutcome:
+        return self._change_tasks(instance, "throttle", attempts)
+
+    def stop_task(
+        self, instance: str, attempts: Attempts, operation_id: str
+    ) -> TasksOutcome:
+        return self._change_tasks(instance, "stop", attempts)
+
+    def tasks(self, instance: str) -> TasksOutcome:
+        return self.reported(instance)
+
+    def reported(self, instance: str) -> TasksReported:
+        reports = self.workers.report(instance, self.time)
+        return TasksReported(tuple(ReportedTask(**r) for r in reports))
+
+    def running(self, task: str) -> list[tuple[str, int]]:
+        """Worker and attempt of each running placement of a task."""
+        return [
+            (worker, attempt)
+            for worker in sorted(self.known)
+            for name, attempt in self.workers.running(worker, self.time)
+            if name == task
+        ]
+
+    def _change_tasks(
+        self, instance: str, operation: str, attempts: Attempts
+    ) -> TasksOutcome:
+        self.workers.change(instance, operation, list(attempts), self.time)
+        return self._answer(instance)
+
+    def _answer(self, instance: str) -> TasksOutcome:
+        if self.lose_task_answers:
+            self.lose_task_answers -= 1
+            return OperationUnknown("answer lost")
+        return self.reported(instance)
--- a/acaciawing/control/tests/fakes.py
+++ b/acaciawing/control/tests/fakes.py
@@ -17,6 +17,7 @@
     make_call,
 )
 from acaciawing.control.move_times import MOVE_COST_S
+from acaciawing.control.tests.fake_tasks import FakeTasks
 from acaciawing.fold import FleetState, step
 from acaciawing.leases import is_held, pool_subject
 from acaciawing.ownership import MoveBegun
@@ -35,7 +36,7 @@
 
 
 @dataclass
-class FakePlatform:
+class FakePlatform(FakeTasks):
     """Instances that run each operation id once; implements `Workers`."""
 
     instances: dict[str, ListedInstance] = field(default_factory=dict)
@@ -149,7 +150,7 @@
         """Runs rounds of all instances that are not paused."""
         for _ in range(int(seconds * 2)):
             self.time += 0.5
-            self.log.time = 100.0 + self.time
+            self.log.time = self.platform.time = 100.0 + self.time
             running = [
                 loop
                 for number, loop in enumerate(self.loops)
--- a/acaciawing/control/view.py
+++ b/acaciawing/control/view.py
@@ -6,25 +6,43 @@
 from acaciawing.control.move_times import MOVE_COST_S
 from acaciawing.leases import Fence, HeldLease, may_act
 from acaciawing.lending import DemandHistory
-from acaciawing.platform import ListedInstance, Listing
+from acaciawing.platform import (
+    ListedInstance,
+    Listing,
+    ReportedTask,
+    TaskStart,
+)
 
 DRAIN = "drain"
 REBOOT = "reboot"
 RETURN = "return"
 STATUS = "status"
 
+START_TASK = "start-task"
+CHECKPOINT_TASK = "checkpoint-task"
+THROTTLE_TASK = "throttle-task"
+STOP_TASK = "stop-task"
+TASKS = "tasks"
+TASK_OPERATIONS = frozenset(
+    {START_TASK, CHECKPOINT_TASK, THROTTLE_TASK, STOP_TASK, TASKS}
+)
+
 
 @dataclass(frozen=True)
 class Call:
     """A call to the worker interface, made under a lease.
 
     Attributes:
-        operation: `DRAIN`, `REBOOT`, `RETURN` or `STATUS`.
+        operation: `DRAIN`, `REBOOT`, `RETURN`, `STATUS`, or one on tasks:
+            `START_TASK`, `CHECKPOINT_TASK`, `THROTTLE_TASK`, `STOP_TASK` or
+            `TASKS`.
         instance: Id of the instance.
-        operation_id: Id derived from the instance and its ownership epoch; the
-            same for every instance that makes the call, and in each round.
+        operation_id: Id derived from the instance and its ownership epoch, or
+            from the task and its attempt; the same for every instance that makes the call, and in each round.
         fence: Lease that the call is made under.
         pool: Pool to serve in, for `RETURN`.
+        start: Task to start, for `START_TASK`.
+        attempts: Placements that an operation on tasks is about.
     """
 
     operation: str
@@ -32,6 +50,8 @@
     operation_id: str
     fence: Fence
     pool: str = ""
+    start: TaskStart | None = None
+    attempts: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass(frozen=True)
@@ -75,6 +95,8 @@
         finished: Ids of operations that have taken effect.
         statuses: Instances as last reported by the worker interface.
         status_at: Time of that report, by instance.
+        tasks: Placements as last reported, by worker.
+        tasks_at: Time of the last call about them, by worker.
         unread: Records sent lately and not read back yet.
         snapshot_sent_at: Time of the last snapshot attempt, or None.
         demand: Newest demand of all pools; empty before the first.
@@ -100,6 +122,8 @@
     finished: frozenset[str] = frozenset()
     statuses: Mapping[str, ListedInstance] = field(default_factory=dict)
     status_at: Mapping[str, float] = field(default_factory=dict)
+    tasks: Mapping[str, tuple[ReportedTask, ...]] = field(default_factory=dict)
+    tasks_at: Mapping[str, float] = field(default_factory=dict)
     unread: frozenset[object] = frozenset()
     snapshot_sent_at: float | None = None
     demand: Mapping[str, float] = field(default_factory=dict)
--- a/acaciawing/platform/__init__.py
+++ b/acaciawing/platform/__init__.py
@@ -23,19 +23,27 @@
     ReadOutcome,
 )
 from acaciawing.platform.worker import (
+    TASKS_KEPT_S,
+    Attempts,
     OperationDone,
     OperationNotDone,
     OperationOutcome,
     OperationUnknown,
+    ReportedTask,
+    TasksOutcome,
+    TasksReported,
+    TaskStart,
     WorkerClient,
     Workers,
 )
 
 __all__ = [
     "CONTROL_STREAM",
+    "TASKS_KEPT_S",
     "AppendOutcome",
     "AppendUnknown",
     "Appended",
+    "Attempts",
     "Batch",
     "Expired",
     "InstanceList",
@@ -54,6 +62,10 @@
     "OperationOutcome",
     "OperationUnknown",
     "ReadOutcome",
+    "ReportedTask",
+    "TaskStart",
+    "TasksOutcome",
+    "TasksReported",
     "WorkerClient",
     "Workers",
 ]
--- a/acaciawing/platform/listing.py
+++ b/acaciawing/platform/listing.py
@@ -24,6 +24,9 @@
             ``rebooted`` (up again and not yet returned to service).
         in_flight: Requests that it runs, from a status; the list and older
             platforms leave it out.
+        processors: Processor cores for tasks; 0 where it runs none.
+        memory_mb: Memory for tasks, in MB.
+        accelerators: Accelerators for tasks.
     """
 
     instance: str
@@ -34,6 +37,9 @@
     address: str
     state: str
     in_flight: int | None = None
+    processors: float = 0.0
+    memory_mb: int = 0
+    accelerators: int = 0
 
 
 @dataclass(frozen=True)
--- a/acaciawing/platform/tests/test_clients.py
+++ b/acaciawing/platform/tests/test_clients.py
@@ -16,6 +16,12 @@
     LogClient,
     LogUnavailable,
     NotAppended,
+    OperationNotDone,
+    OperationUnknown,
+    ReportedTask,
+    TasksReported,
+    TaskStart,
+    WorkerClient,
 )
 from standins.platform_service import PlatformService
 from standins.platform_state import Instance, PlatformState
@@ -97,3 +103,40 @@
             changed = client.fetch()
             assert isinstance(changed, Listing)
             assert changed.instances[0].state == "leaving"
+
+
+class TestTasks:
+    """Guards against a task that runs twice after a lost answer."""
+
+    START = TaskStart("t", 1, "render", 4.0, 1000, 0, 60.0)
+
+    def test_start_is_repeated_after_a_lost_answer(self) -> None:
+        with platform() as (state, url):
+            state.put_instance(
+                Instance("w", 1, "p", "z", "r", "192.0.2.1:80"), 0.0
+            )
+            state.set_faults({"lose_task_answers": 1})
+            client = WorkerClient(url)
+            lost = client.start_task("w", self.START, "t/1/start")
+            assert isinstance(lost, OperationUnknown)
+            again = client.start_task("w", self.START, "t/1/start")
+            running = TasksReported((ReportedTask("t", 1, "running"),))
+            assert again == client.tasks("w") == running
+            attempts = (("t", 1), ("late", 1))
+            client.stop_task("w", attempts, "stop")
+            late = TaskStart("late", 1, "render", 4.0, 1000, 0, 60.0)
+            found = client.start_task("w", late, "late/1/start")
+            assert isinstance(found, TasksReported)
+            assert {t.state for t in found.tasks} == {"stopped"}
+
+    def test_worker_that_fails_everything(self) -> None:
+        with platform() as (state, url):
+            state.put_instance(
+                Instance("w", 1, "p", "z", "r", "192.0.2.1:80"), 0.0
+            )
+            state.set_faults({"failing_workers": ["w"]})
+            found = WorkerClient(url).start_task("w", self.START, "t/1/start")
+            failed = ReportedTask("t", 1, "failed", "exit-1")
+            assert found == TasksReported((failed,))
+            unknown = WorkerClient(url).tasks("x")
+            assert unknown == OperationNotDone("status 404", gone=True)
--- a/acaciawing/platform/tests/test_worker.py
+++ b/acaciawing/platform/tests/test_worker.py
@@ -13,6 +13,9 @@
     OperationDone,
     OperationNotDone,
     OperationUnknown,
+    ReportedTask,
+    TasksReported,
+    TaskStart,
     WorkerClient,
 )
 
@@ -103,3 +106,54 @@
         outcome = client.drain("worker/1", "worker/1/7/drain")
         assert isinstance(outcome, OperationNotDone)
         assert not outcome.gone
+
+
+class TestTaskCalls:
+    """Guards against a task call whose answer is taken for another one."""
+
+    START = TaskStart("t/1", 2, "render", 4.0, 1000, 0, 60.0)
+
+    @pytest.mark.parametrize(
+        ("status", "body", "outcome"),
+        [
+            (
+                200,
+                b'{"tasks": [{"task": "t", "attempt": 1, "state": "running"}]}',
+                TasksReported((ReportedTask("t", 1, "running"),)),
+            ),
+            (404, b"{}", OperationNotDone("status 404", gone=True)),
+            (429, b"{}", OperationNotDone("status 429")),
+            (500, b"{}", OperationUnknown("status 500")),
+        ],
+    )
+    def test_outcomes(
+        self, server: Any, status: int, body: bytes, outcome: object
+    ) -> None:
+        server.script += [(status, body)] * 5
+        client = WorkerClient(f"http://127.0.0.1:{server.server_port}")
+        attempts = (("t/1", 2),)
+        assert client.start_task("w/1", self.START, "id") == outcome
+        assert client.checkpoint_task("w/1", attempts, "id") == outcome
+        assert client.throttle_task("w/1", attempts, "id") == outcome
+        assert client.stop_task("w/1", attempts, "id") == outcome
+        assert client.tasks("w/1") == outcome
+        base = "/v1/instances/w%2F1/tasks"
+        assert [call[:2] for call in server.calls] == [
+            ("POST", base),
+            ("POST", f"{base}/checkpoint"),
+            ("POST", f"{base}/throttle"),
+            ("POST", f"{base}/stop"),
+            ("GET", base),
+        ]
+        fields = json.loads(server.calls[0][2])
+        assert fields["operation_id"] == "id"
+        assert (fields["task"], fields["attempt"]) == ("t/1", 2)
+
+    @pytest.mark.parametrize("body", [b"[]", b'{"tasks": 1}', None])
+    def test_odd_answer_is_unknown(
+        self, server: Any, body: bytes | None
+    ) -> None:
+        server.script.append((200 if body else None, body))
+        client = WorkerClient(f"http://127.0.0.1:{server.server_port}")
+        outcome = client.start_task("w", self.START, "id")
+        assert isinstance(outcome, OperationUnknown)
--- a/standins/platform_service.py
+++ b/standins/platform_service.py
@@ -17,6 +17,7 @@
 
 from standins.platform_state import Instance, PlatformState
 from standins.server import Answer, json_answer, serve
+from standins.worker_tasks import WorkerTasks
 
 _REBOOT_S = 1.0
 
@@ -27,6 +28,7 @@
     def __init__(self, state: PlatformState) -> None:
         """Serves the given state."""
         self._state = state
+        self._tasks = WorkerTasks()
         self._bytes = 0
         self._http = urllib3.PoolManager(
             timeout=urllib3.Timeout(total=1.0), retries=False
@@ -122,6 +124,8 @@
         now = time.time()
         if not rest:
             return _listing(self._state.listing(now), environ)
+        if rest[1:2] == ["tasks"]:
+            return self._task_call(method, rest[0], rest[2:], body)
         if method == "GET":
             instance = self._state.instance(rest[0])
         else:
@@ -134,6 +138,25 @@
             document["in_flight"] = self._in_flight(instance)
         return json_answer(200, document)
 
+    def _task_call(
+        self, method: str, name: str, operation: list[str], body: bytes
+    ) -> Answer:
+        now = time.time()
+        if self._state.instance(name) is None:
+            return json_answer(404, {"error": "unknown instance"})
+        if method == "POST":
+            arguments = json.loads(body)
+            if operation:
+                self._tasks.change(
+                    name, operation[0], arguments["attempts"], now
+                )
+            else:
+                fails = name in self._state.faults.failing_workers
+                self._tasks.start(name, arguments, now, fails)
+            if self._state.loses_task_answer():
+                return json_answer(500, {"error": "answer lost"})
+        return json_answer(200, {"tasks": self._tasks.report(name, now)})
+
     def _in_flight(self, instance: Instance) -> int | None:
         """Requests that an endpoint runs, or None if it does not answer."""
         try:
@@ -175,6 +198,7 @@
 
     def _rebooted(self, before: Instance) -> None:
         incarnation = before.incarnation + 1
+        self._tasks.restarted(before.instance)
         self._signal(
             before.address, {"leaving": False, "incarnation": incarnation}
         )
--- a/standins/platform_state.py
+++ b/standins/platform_state.py
@@ -31,6 +31,9 @@
     rack: str
     address: str
     state: str = "live"
+    processors: float = 0.0
+    memory_mb: int = 0
+    accelerators: int = 0
 
 
 @dataclass(frozen=True)
@@ -44,6 +47,9 @@
         delay_s: Delay of each log call, in seconds.
         list_lag_s: Age of the instance list, in seconds.
         retention: Records that a stream keeps.
+        failing_workers: Instances that fail every task that they start.
+        lose_task_answers: Number of calls that change tasks whose answer is
+            lost after effect.
     """
 
     outage: bool = False
@@ -52,6 +58,8 @@
     delay_s: float = 0.0
     list_lag_s: float = 0.0
     retention: int = 1_000_000
+    failing_workers: tuple[str, ...] = ()
+    lose_task_answers: int = 0
 
 
 @dataclass
@@ -157,6 +165,14 @@
         with self._lock:
             return self._streams.get(stream, Stream()).first_offset
 
+    def loses_task_answer(self) -> bool:
+        """Whether the answer of this call is to be lost; counts it."""
+        with self._lock:
+            left = self.faults.lose_task_answers
+            if left > 0:
+                self.faults = replace(self.faults, lose_task_answers=left - 1)
+            return left > 0
+
     def put_instance(self, instance: Instance, now: float) -> None:
         """Adds or replaces an instance."""
         with self._lock:
