Place tasks in the control rounds

The decisions on tasks were pure functions that nothing called. The holder of the placement lease now places, refuses, preempts and renews, and turns what workers report into records. Calls follow from the accepted state alone and name the task and its attempt, so the next holder repeats them.

--- a/acaciawing/control/__init__.py
+++ b/acaciawing/control/__init__.py
@@ -14,6 +14,7 @@
 )
 from acaciawing.control.rounds import decide_round
 from acaciawing.control.task import ControlTask, WorkerTask, make_call
+from acaciawing.control.task_rounds import place_tasks
 from acaciawing.control.view import Call, ControlView, Round
 from acaciawing.control.wave_rounds import maintain
 
@@ -39,4 +40,5 @@
     "lend",
     "maintain",
     "make_call",
+    "place_tasks",
 ]
--- a/acaciawing/control/decisions.py
+++ b/acaciawing/control/decisions.py
@@ -8,8 +8,9 @@
 
 from acaciawing.control.loan_rounds import begin_moves, lend
 from acaciawing.control.proposals import Decide, Proposal
+from acaciawing.control.task_rounds import place_tasks
 from acaciawing.control.wave_rounds import maintain
 
 __all__ = ["DECISIONS", "Decide", "Proposal"]
 
-DECISIONS: tuple[Decide, ...] = (maintain, lend, begin_moves)
+DECISIONS: tuple[Decide, ...] = (maintain, lend, begin_moves, place_tasks)
--- a/acaciawing/control/tests/fake_tasks.py
+++ b/acaciawing/control/tests/fake_tasks.py
@@ -21,6 +21,7 @@
     Attributes:
         time: Time of the calls, in seconds.
         failing: Workers that fail everything that they start.
+        cut_off: Workers that no call reaches.
         lose_task_answers: Calls whose answer is lost after their effect.
         starts: Calls that started a placement, by task and attempt.
         overlaps: Tasks that were started while another attempt ran.
@@ -28,6 +29,7 @@
 
     time: float = 0.0
     failing: set[str] = field(default_factory=set)
+    cut_off: set[str] = field(default_factory=set)
     lose_task_answers: int = 0
     workers: WorkerTasks = field(default_factory=WorkerTasks)
     known: set[str] = field(default_factory=set)
@@ -37,6 +39,8 @@
     def start_task(
         self, instance: str, start: TaskStart, operation_id: str
     ) -> TasksOutcome:
+        if instance in self.cut_off:
+            return OperationUnknown("cut off")
         before = self.running(start.task)
         fails = instance in self.failing
         self.workers.start(instance, asdict(start), self.time, fails)
@@ -64,6 +68,8 @@
         return self._change_tasks(instance, "stop", attempts)
 
     def tasks(self, instance: str) -> TasksOutcome:
+        if instance in self.cut_off:
+            return OperationUnknown("cut off")
         return self.reported(instance)
 
     def reported(self, instance: str) -> TasksReported:
@@ -82,6 +88,8 @@
     def _change_tasks(
         self, instance: str, operation: str, attempts: Attempts
     ) -> TasksOutcome:
+        if instance in self.cut_off:
+            return OperationUnknown("cut off")
         self.workers.change(instance, operation, list(attempts), self.time)
         return self._answer(instance)
 
