Take, list and cancel tasks on the administration listener

Tasks could be placed, but nobody could submit one. `POST /v1/tasks` takes up to 100 tasks, each idempotent by its id, and `DELETE /v1/tasks` writes one record for up to 500. `GET /v1/tasks` pages through those that have not ended. `explain` left out lists, and with them the reasons of a refused task; it now tells them.

The answer comes after the append, not after the read-back: the fold accepts every new id, so waiting would tell nothing more. Cancelled ids that this instance has not read are named in the record as well, since another instance may have just taken them.

--- a/acaciawing/entry/administration.py
+++ b/acaciawing/entry/administration.py
@@ -20,11 +20,13 @@
 from acaciawing.entry.requests import digest_credential
 from acaciawing.entry.scheduler import Scheduler
 from acaciawing.entry.status import LISTS, Own, status, status_list
+from acaciawing.entry.tasking import TaskDesk, task_page
 from acaciawing.snapshots import encode_state
 from acaciawing.telemetry import Metrics
 
 _REASONS = {
     200: "OK",
+    202: "Accepted",
     400: "Bad Request",
     401: "Unauthorized",
     404: "Not Found",
@@ -67,6 +69,7 @@
         scheduler: Task asked for its view.
         recorder: Task asked for decisions and changes.
         publisher: Publishes configurations.
+        tasks: Takes and cancels tasks.
         log_up: Whether the last read of the log was answered.
         tallies: Counts kept outside the scheduler.
         clock: Time on the log's clock, in seconds.
@@ -76,6 +79,7 @@
     scheduler: Scheduler
     recorder: Recorder
     publisher: Publisher
+    tasks: TaskDesk
     log_up: Callable[[], bool]
     tallies: Callable[[], Tallies]
     clock: Callable[[], float]
@@ -135,7 +139,8 @@
     ) -> Answer:
         if not self._authorized(route, environ):
             return _error(401, "credential", "credential missing or unknown")
-        body = _read_body(environ) if route.method == "POST" else b""
+        with_body = route.method in ("POST", "DELETE")
+        body = _read_body(environ) if with_body else b""
         if not isinstance(body, bytes):
             return body
         exchange = Exchange(
@@ -250,6 +255,22 @@
         """Publishes a configuration."""
         return self._sources.publisher.publish(exchange.body)
 
+    def submit_tasks(self, exchange: Exchange) -> Answer:
+        """Takes tasks."""
+        return self._sources.tasks.submit(exchange.body)
+
+    def list_tasks(self, exchange: Exchange) -> Answer:
+        """Answers with one page of the tasks that have not ended."""
+        request = read_query(exchange.query, str)
+        if isinstance(request, str):
+            return _error(400, "bad-query", request)
+        return 200, task_page(self._view().state.tasks, request)
+
+    def cancel_tasks(self, exchange: Exchange) -> Answer:
+        """Cancels tasks."""
+        table = self._view().state.tasks
+        return self._sources.tasks.cancel(exchange.body, table)
+
     # Answers to peers.
 
     def peer_state(self, _: Exchange) -> Answer:
@@ -295,6 +316,9 @@
     Route("GET", "/v1/explain/{kind}/{id}", Administration.explain),
     Route("GET", "/v1/audit", Administration.audit),
     Route("POST", "/v1/configuration", Administration.configure),
+    Route("POST", "/v1/tasks", Administration.submit_tasks),
+    Route("GET", "/v1/tasks", Administration.list_tasks),
+    Route("DELETE", "/v1/tasks", Administration.cancel_tasks),
     Route("GET", "/v1/peer/state", Administration.peer_state, "peer"),
     Route("POST", "/v1/peer/{message}", Administration.peer_message, "peer"),
 )
--- a/acaciawing/entry/daemon.py
+++ b/acaciawing/entry/daemon.py
@@ -31,6 +31,7 @@
 from acaciawing.entry.readings import Tallies
 from acaciawing.entry.recorder import Decision, Recorder
 from acaciawing.entry.scheduler import Scheduler
+from acaciawing.entry.tasking import TaskDesk
 from acaciawing.exchange import Exchanger
 from acaciawing.fold import FleetState
 from acaciawing.idempotency.task import ClaimTask
@@ -189,6 +190,7 @@
                 self._scheduler,
                 self._recorder,
                 Publisher(LogClient(settings.log)),
+                TaskDesk(LogClient(settings.log)),
                 lambda: self._distribution.log_up,
                 lambda: Tallies(self._distribution.verdicts, claims.decided),
                 self._distribution.log_now,
--- a/acaciawing/entry/history.py
+++ b/acaciawing/entry/history.py
@@ -21,7 +21,7 @@
     WaveStopped,
 )
 from acaciawing.outcomes import Ignored
-from acaciawing.placement import TaskLeasesRenewed, TasksCancelled
+from acaciawing.placement import TaskLeasesRenewed, TaskRefused, TasksCancelled
 from acaciawing.records import name_of
 from acaciawing.telemetry import Event
 
@@ -122,6 +122,8 @@
             "reason": step.verdict.reason,
             "detail": step.verdict.detail,
         }
+    if isinstance(record, TaskRefused):
+        reasons["reasons"] = "; ".join(record.reasons)
     for name, value in msgspec.to_builtins(record).items():
         if name == "fence" and isinstance(record.fence, Fence):
             reasons["token"] = record.fence.token
--- a/acaciawing/entry/tests/test_administration.py
+++ b/acaciawing/entry/tests/test_administration.py
@@ -21,6 +21,7 @@
 from acaciawing.entry.readings import Tallies
 from acaciawing.entry.recorder import Change, Decision
 from acaciawing.entry.status import LISTS
+from acaciawing.entry.tasking import TaskDesk
 from acaciawing.entry.tests.views import NOW, make_view
 from acaciawing.telemetry import Event
 
@@ -65,6 +66,7 @@
         FakeScheduler(),  # type: ignore[arg-type]
         FakeRecorder(),  # type: ignore[arg-type]
         Publisher(log, lambda: log.now, log.sleep),
+        TaskDesk(log),
         lambda: True,
         lambda: Tallies({}, {}),
         lambda: NOW,
@@ -277,12 +279,35 @@
         assert publisher.publish(publication())[0] == 200
 
 
+class TestTasks:
+    """Guards against task calls that the listener does not pass on."""
+
+    def test_submit_list_and_cancel(self, client: Client) -> None:
+        task = {
+            "task": "t1",
+            "team": "red",
+            "kind": "render",
+            "processors": 1,
+            "memory_mb": 10,
+            "expected_s": 5,
+        }
+        body = json.dumps({"tasks": [task]}).encode()
+        accepted = {"tasks": [{"task": "t1", "status": "accepted"}]}
+        assert client.call("POST", "/v1/tasks", body) == (202, accepted)
+        listed: Any = (200, {"entries": [], "next": None})
+        assert client.call("GET", "/v1/tasks?limit=5&after=a") == listed
+        assert client.call("GET", "/v1/tasks?limit=0")[0] == 400
+        names = json.dumps({"tasks": ["t1"]}).encode()
+        assert client.call("DELETE", "/v1/tasks", names) == (202, accepted)
+        assert client.call("DELETE", "/v1/tasks")[0] == 411
+
+
 class TestPage:
     """Guards against an interface that differs from its page."""
 
     def test_paths(self) -> None:
         listed = re.findall(
-            r"^### (GET|POST) (/\S*) \((open|operator|peer)", PAGE, re.M
+            r"^### (GET|POST|DELETE) (/\S*) \((open|operator|peer)", PAGE, re.M
         )
         routes = [(r.method, r.path, r.access) for r in ROUTES]
         assert sorted(listed) == sorted(routes)
--- a/acaciawing/entry/tests/test_history.py
+++ b/acaciawing/entry/tests/test_history.py
@@ -21,7 +21,7 @@
 )
 from acaciawing.membership import EntryJoined
 from acaciawing.outcomes import Ignored
-from acaciawing.placement import TasksCancelled
+from acaciawing.placement import TaskRefused, TasksCancelled
 from acaciawing.records import LogPosition, encode
 from acaciawing.telemetry import Event
 
@@ -55,6 +55,13 @@
         decisions = decisions_of(fold(TasksCancelled(("t1", "t2"))), "b/1")
         assert [d.subject for d in decisions[1:]] == ["t1", "t2"]
 
+    def test_refused_task_tells_all_reasons(self) -> None:
+        refused = TaskRefused("t1", ("memory: 2 workers", "zone: 1 workers"))
+        task = decisions_of(fold(refused), "b/1")[1]
+        assert (task.kind, task.subject) == ("task", "t1")
+        told = "memory: 2 workers; zone: 1 workers"
+        assert task.reasons["reasons"] == told
+
     def test_one_log_line_for_an_accepted_own_record(self) -> None:
         """A line of each reader would multiply the logs by the fleet."""
         stopped = fold(WaveStopped("visits", "ana", "fair"))
--- /dev/null
+++ b/acaciawing/entry/tests/test_tasking.py
@@ -0,0 +1,142 @@
+"""Tests of the calls on tasks."""
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from acaciawing.entry.paging import PageRequest
+from acaciawing.entry.tasking import TaskDesk, task_page
+from acaciawing.fold import FleetState, step
+from acaciawing.platform import CONTROL_STREAM, AppendOutcome, AppendUnknown
+from acaciawing.platform import NotAppended as NotDone
+from acaciawing.snapshots.tests.fake_log import FakeLog
+
+
+def submission(*names: str, **changes: Any) -> bytes:
+    task = {
+        "team": "red",
+        "kind": "render",
+        "processors": 2,
+        "memory_mb": 100,
+        "expected_s": 5,
+        **changes,
+    }
+    return json.dumps({"tasks": [{"task": n, **task} for n in names]}).encode()
+
+
+def cancellation(*names: str) -> bytes:
+    return json.dumps({"tasks": names}).encode()
+
+
+@dataclass
+class Refusing(FakeLog):
+    """Refuses the append of this number."""
+
+    answers: list[AppendOutcome | None] = field(default_factory=list)
+
+    def append(self, stream: str, payload: bytes) -> AppendOutcome:
+        refusal = self.answers.pop(0) if self.answers else None
+        if refusal is not None:
+            return refusal
+        return super().append(stream, payload)
+
+
+def folded(log: FakeLog) -> FleetState:
+    state = FleetState()
+    for entry in log.entries(CONTROL_STREAM):
+        state = step(state, entry.payload, entry.position).state
+    return state
+
+
+class TestSubmit:
+    """Guards against a task that runs twice or is lost without a word."""
+
+    def test_repeat_changes_nothing(self) -> None:
+        log = FakeLog()
+        desk = TaskDesk(log)
+        status, document = desk.submit(submission("a", "b"))
+        assert status == 202
+        assert [t["status"] for t in document["tasks"]] == ["accepted"] * 2
+        before = folded(log).tasks
+        assert desk.submit(submission("a", "b", urgent=True))[0] == 202
+        assert folded(log).tasks == before
+
+    @pytest.mark.parametrize(
+        ("outcome", "code", "status"),
+        [
+            (NotDone("x"), "log-away", "not-accepted"),
+            (AppendUnknown("x"), "outcome-unknown", "unknown"),
+        ],
+    )
+    def test_each_task_has_its_status(
+        self, outcome: AppendOutcome, code: str, status: str
+    ) -> None:
+        log = Refusing(answers=[None, outcome])
+        got, document = TaskDesk(log).submit(submission("a", "b", "c"))
+        assert (got, document["code"]) == (503, code)
+        found = [t["status"] for t in document["tasks"]]
+        assert found == ["accepted", status, "not-accepted"]
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"{",
+            b"\xff",
+            submission(),
+            submission("a/b"),
+            submission("a", "a"),
+            submission("a", processors=-1),
+            submission("a", expected_s=0),
+            submission("a", colour="red"),
+            submission(*(f"t{n}" for n in range(101))),
+        ],
+    )
+    def test_bad_body_appends_nothing(self, body: bytes) -> None:
+        log = FakeLog()
+        status, document = TaskDesk(log).submit(body)
+        assert (status, document["code"]) == (400, "bad-request")
+        assert not log.head(CONTROL_STREAM)
+
+
+class TestCancel:
+    """Guards against a burst that costs one record for each task."""
+
+    def test_one_record_for_all(self) -> None:
+        log = FakeLog()
+        desk = TaskDesk(log)
+        names = [f"t{n}" for n in range(50)]
+        desk.submit(submission(*names))
+        table = folded(log).tasks
+        status, document = desk.cancel(cancellation(*names, "late"), table)
+        assert status == 202
+        assert {t["status"] for t in document["tasks"]} == {"accepted"}
+        assert log.head(CONTROL_STREAM) == len(names) + 1
+        table = folded(log).tasks
+        assert not table.tasks
+        _, document = desk.cancel(cancellation(*names), table)
+        assert {t["status"] for t in document["tasks"]} == {"ended"}
+        assert log.head(CONTROL_STREAM) == len(names) + 1
+
+    def test_log_away(self) -> None:
+        log = Refusing(answers=[NotDone("x")])
+        status, document = TaskDesk(log).cancel(
+            cancellation("a", "b"), FleetState().tasks
+        )
+        assert (status, document["code"]) == (503, "log-away")
+        assert {t["status"] for t in document["tasks"]} == {"not-accepted"}
+
+
+def test_pages() -> None:
+    """Guards against a task that no page shows."""
+    log = FakeLog()
+    TaskDesk(log).submit(submission("c", "a", "b"))
+    table = folded(log).tasks
+    first = task_page(table, PageRequest(2))
+    assert [e["task"] for e in first["entries"]] == ["a", "b"]
+    rest = task_page(table, PageRequest(2, first["next"]))
+    assert [e["task"] for e in rest["entries"]] == ["c"]
+    assert rest["next"] is None
+    assert rest["entries"][0]["state"] == "waiting"
+    assert rest["entries"][0]["worker"] is None
