Count all claimed subjects in the control benchmark

Since lending claims a subject in the default decisions, that never happened: at 40 instances and 10 pools, 12 leases instead of 11, still not settled after 100 s of simulated time before placement was connected. The whole section was not run.

--- a/bench/control.py
+++ b/bench/control.py
@@ -16,6 +16,8 @@
 )
 from acaciawing.fold import FleetState, Step, step
 from acaciawing.leases import is_held
+from acaciawing.lending import LENDING_SUBJECT
+from acaciawing.placement import PLACEMENT_SUBJECT
 from acaciawing.platform import CONTROL_STREAM, ListedInstance, Listing
 from bench.fold import SIZES, MemoryLog
 
@@ -108,7 +110,10 @@
     @property
     def settled(self) -> bool:
         owned = len(self.state.ownership.instances)
-        return owned == self.instances and len(self.held) == self.pools + 1
+        subjects = {"snapshots", LENDING_SUBJECT, PLACEMENT_SUBJECT}
+        wanted = len(subjects) + self.pools
+        fixed = subjects <= set(self.held)
+        return owned == self.instances and fixed and len(self.held) == wanted
 
     def tick(self) -> None:
         """Lets every instance read the log and run a round."""
