--- a/acaciawing/entry/administration.py
+++ b/acaciawing/entry/administration.py
@@ -11,7 +11,7 @@
 from acaciawing.configuration import EntrySettings
 from acaciawing.entry.callers import Directory
 from acaciawing.entry.configuring import Publisher
-from acaciawing.entry.engine import EngineView
+from acaciawing.entry.engine_view import EngineView
 from acaciawing.entry.explaining import causes
 from acaciawing.entry.framing import MAX_BODY_BYTES
 from acaciawing.entry.paging import PageRequest, page, read_query
--- a/acaciawing/entry/explaining.py
+++ b/acaciawing/entry/explaining.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from acaciawing.entry.engine import EngineView
+from acaciawing.entry.engine_view import EngineView
 from acaciawing.leases import is_held
 from acaciawing.ownership import SERVING
 from acaciawing.placement import PLACEMENT_SUBJECT, TaskState
--- a/acaciawing/entry/gossip.py
+++ b/acaciawing/entry/gossip.py
@@ -11,7 +11,7 @@
 
 from acaciawing import membership
 from acaciawing.admission import EntryView
-from acaciawing.entry.engine import EngineView
+from acaciawing.entry.engine_view import EngineView
 from acaciawing.entry.messages import LeavingSeen, MembersSeen
 from acaciawing.membership import EntryJoined, Gossip, Membership, Publication
 
--- a/acaciawing/entry/readings.py
+++ b/acaciawing/entry/readings.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from acaciawing.entry.engine import EngineView
+from acaciawing.entry.engine_view import EngineView
 from acaciawing.entry.paging import PageRequest
 from acaciawing.entry.status import Own, status_list
 from acaciawing.leases import is_held
--- a/acaciawing/entry/scheduler.py
+++ b/acaciawing/entry/scheduler.py
@@ -8,7 +8,8 @@
 from functools import singledispatch
 from queue import Empty, SimpleQueue
 
-from acaciawing.entry.engine import Engine, EngineView
+from acaciawing.entry.engine import Engine
+from acaciawing.entry.engine_view import EngineView
 from acaciawing.entry.messages import (
     Completed,
     Finished,
--- a/acaciawing/entry/status.py
+++ b/acaciawing/entry/status.py
@@ -19,7 +19,7 @@
 )
 from acaciawing.configuration import Plan
 from acaciawing.entry.counts import PlanCounts
-from acaciawing.entry.engine import EngineView
+from acaciawing.entry.engine_view import EngineView
 from acaciawing.entry.paging import PageRequest, page
 from acaciawing.fold import FleetState
 from acaciawing.leases import end_of, is_held, pool_subject
--- a/acaciawing/entry/tests/test_administration.py
+++ b/acaciawing/entry/tests/test_administration.py
@@ -16,7 +16,7 @@
 from acaciawing.entry.administration import ROUTES, Administration, Sources
 from acaciawing.entry.callers import Directory
 from acaciawing.entry.configuring import Publisher
-from acaciawing.entry.engine import EngineView
+from acaciawing.entry.engine_view import EngineView
 from acaciawing.entry.framing import MAX_BODY_BYTES
 from acaciawing.entry.readings import Tallies
 from acaciawing.entry.recorder import Change, Decision
--- a/acaciawing/entry/tests/views.py
+++ b/acaciawing/entry/tests/views.py
@@ -14,7 +14,7 @@
     Service,
 )
 from acaciawing.entry.counts import PlanCounts as OwnCounts
-from acaciawing.entry.engine import EngineView
+from acaciawing.entry.engine_view import EngineView
 from acaciawing.entry.status import Own
 from acaciawing.fold import FleetState
 from acaciawing.leases import Lease, LeaseTable, Session
--- a/acaciawing/telemetry/events.py
+++ b/acaciawing/telemetry/events.py
@@ -22,7 +22,6 @@
     PUBLICATION_ENDED = ("AW1107", "publication through the API ended")
     REQUEST_ROUTED = ("AW2001", "request routed")
     REQUEST_REFUSED = ("AW2002", "request refused")
-    REQUEST_ENDED = ("AW2003", "request ended")
 
     @property
     def number(self) -> str:
