--- a/demo/fleet_work.py
+++ b/demo/fleet_work.py
@@ -30,7 +30,7 @@
 _POOL = "portal"
 _BORROWER = "accounts"
 _AT_ONCE = 3
-_LIMIT_S = 70.0
+_LIMIT_S = 45.0
 
 # Requests at a time that need more than nine tenths of the 48 slots of the
 # borrower, and with those of the other callers no more than that of 56.
