--- /dev/null
+++ b/acaciawing/jobs/choice.py
@@ -0,0 +1,97 @@
+"""Choice of a worker for a subtask, and of workers for a whole gang."""
+
+from collections.abc import Iterable
+
+from acaciawing.jobs.model import Resources, Step, SubtaskId
+from acaciawing.jobs.workers import WorkerView
+
+
+def fits(view: WorkerView, step: Step, subtask: SubtaskId) -> bool:
+    """Whether a worker meets the step's conditions and has room."""
+    if step.required_label and step.required_label not in view.listed.labels:
+        return False
+    if not view.free.covers(step.charged):
+        return False
+    limit = step.max_per_worker
+    return not limit or view.per_step.get(subtask[:3], 0) < limit
+
+
+def choose_worker(
+    views: Iterable[WorkerView], step: Step, subtask: SubtaskId
+) -> WorkerView | None:
+    """Chooses the worker for one subtask.
+
+    Workers near its data come first, then those with the smallest share of
+    cpu in use, so that the loss of one worker costs few runs.
+    """
+    best: WorkerView | None = None
+    best_key: tuple[bool, float, int] | None = None
+    for view in views:
+        if not fits(view, step, subtask):
+            continue
+        key = (
+            bool(step.data_rack) and view.rack != step.data_rack,
+            view.used.cpu / max(1, view.listed.capacity.cpu),
+            len(view.runs),
+        )
+        if best_key is None or key < best_key:
+            best, best_key = view, key
+    return best
+
+
+def choose_gang(
+    views: Iterable[WorkerView],
+    step: Step,
+    subtasks: list[SubtaskId],
+    *,
+    racks_apart: bool,
+) -> list[WorkerView] | None:
+    """Chooses a worker for each member of a gang.
+
+    Args:
+        views: Workers that may be used.
+        step: The gang's step.
+        subtasks: Its members.
+        racks_apart: Whether members may be placed on more than one rack.
+
+    Returns:
+        A worker for each member, or None where not all have room at once.
+    """
+    usable = [v for v in views if fits(v, step, subtasks[0])]
+    racks: list[list[WorkerView]] = []
+    if step.same_rack:
+        for rack in sorted({v.rack for v in usable}):
+            racks.append([v for v in usable if v.rack == rack])
+    if racks_apart or not step.same_rack:
+        racks.append(usable)
+    for group in racks:
+        chosen = _pack(group, step, len(subtasks))
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def _pack(
+    group: list[WorkerView], step: Step, members: int
+) -> list[WorkerView] | None:
+    free: dict[int, Resources] = {i: v.free for i, v in enumerate(group)}
+    limit = step.max_per_worker or members
+    chosen: list[WorkerView] = []
+    order = sorted(
+        free,
+        key=lambda i: (
+            bool(step.data_rack) and group[i].rack != step.data_rack,
+            -free[i].cpu,
+        ),
+    )
+    for index in order:
+        taken = 0
+        while (
+            len(chosen) < members
+            and taken < limit
+            and free[index].covers(step.charged)
+        ):
+            free[index] = free[index] - step.charged
+            chosen.append(group[index])
+            taken += 1
+    return chosen if len(chosen) == members else None
--- /dev/null
+++ b/acaciawing/jobs/model.py
@@ -0,0 +1,274 @@
+"""Jobs as customers submit them, and the queues and workers they meet.
+
+A job is a graph of steps; a step is a number of equal subtasks. All types are
+immutable and platform-free; `acaciawing.platform` decodes the wire into them.
+"""
+
+from typing import NamedTuple
+
+import msgspec
+
+
+class SubtaskId(NamedTuple):
+    """Name of one subtask.
+
+    Attributes:
+        job: Id of its job.
+        occurrence: Repetition of a scheduled job, from 0.
+        step: Number of its step, from 0.
+        index: Number within the step, from 0.
+
+    >>> str(SubtaskId("5c0e7a21d94b36f8", 0, 1, 17))
+    '5c0e7a21d94b36f8.0.1.17'
+    """
+
+    job: str
+    occurrence: int
+    step: int
+    index: int  # type: ignore[assignment]  # Hides a tuple method not used.
+
+    def __str__(self) -> str:
+        """Returns the parts joined by dots."""
+        return f"{self.job}.{self.occurrence}.{self.step}.{self.index}"
+
+
+def parse_subtask_id(text: str) -> SubtaskId | None:
+    """Parses the dotted form.
+
+    Returns:
+        None where the text is not a subtask's name.
+
+    >>> parse_subtask_id("5c0e.0.1.17")
+    SubtaskId(job='5c0e', occurrence=0, step=1, index=17)
+    >>> parse_subtask_id("5c0e.x.1.17") is None
+    True
+    """
+    parts = text.split(".")
+    if len(parts) != 4 or not all(p.isdecimal() for p in parts[1:]):
+        return None
+    return SubtaskId(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+
+
+class Resources(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Amounts of a worker's capacity.
+
+    Attributes:
+        cpu: Thousandths of a core.
+        memory_mb: Memory in MiB.
+        accelerators: Whole accelerators.
+
+    >>> Resources(500, 256) + Resources(1000, 256, 1)
+    Resources(cpu=1500, memory_mb=512, accelerators=1)
+    """
+
+    cpu: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        """Returns the sum of each amount."""
+        return Resources(
+            self.cpu + other.cpu,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        """Returns the difference of each amount."""
+        return Resources(
+            self.cpu - other.cpu,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def covers(self, other: "Resources") -> bool:
+        """Whether `other` fits into these amounts."""
+        return (
+            self.cpu >= other.cpu
+            and self.memory_mb >= other.memory_mb
+            and self.accelerators >= other.accelerators
+        )
+
+
+class Step(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Equal subtasks of a job.
+
+    Attributes:
+        count: Number of subtasks.
+        request: Amounts that each subtask asks for.
+        estimated_ms: Rough estimate of a subtask's run time.
+        depends_on: Earlier steps whose subtasks must all be done first.
+        saves_progress: Whether subtasks write checkpoints.
+        gang: Whether the subtasks work only all together.
+        same_rack: Whether a gang runs faster on a single rack.
+        required_label: Label that the worker must have; empty for none.
+        data_rack: Rack on which a subtask runs faster; empty for any.
+        max_per_worker: Most subtasks of this step on a worker; 0 for no limit.
+        speculative: Whether copies of a subtask may run at the same time.
+        lasting: Whether subtasks run until the job is cancelled.
+        image: What the subtasks run; equal images behave alike.
+        target_ms: Latency objective of a lasting subtask's own users; 0 for
+            none.
+        fills: Whether the subtasks use only cpu that others leave.
+        may_miss: Subtasks that may be away at the same time by our orders.
+    """
+
+    count: int
+    request: Resources = Resources()
+    estimated_ms: int = 0
+    depends_on: tuple[int, ...] = ()
+    saves_progress: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_worker: int = 0
+    speculative: bool = False
+    lasting: bool = False
+    image: str = ""
+    target_ms: int = 0
+    fills: bool = False
+    may_miss: int = 0
+
+    @property
+    def charged(self) -> Resources:
+        """Amounts that count against a worker's capacity."""
+        if not self.fills:
+            return self.request
+        return Resources(0, self.request.memory_mb, self.request.accelerators)
+
+
+class Schedule(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Repetitions of a job; `repeat_count` 0 means that it runs once, now.
+
+    Attributes:
+        repeat_count: Number of occurrences.
+        first_ms: Unix time at which occurrence 0 is due, in milliseconds.
+        interval_ms: Time between occurrences, in milliseconds.
+    """
+
+    repeat_count: int = 0
+    first_ms: int = 0
+    interval_ms: int = 0
+
+
+class Job(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A submitted job.
+
+    Attributes:
+        id: Chosen by the client; a repeated submission has the same id.
+        queue: Name of the queue that took it.
+        payload: Passed to each subtask unchanged.
+        steps: The steps, in the client's order.
+        schedule: Repetitions.
+    """
+
+    id: str
+    queue: str
+    payload: str
+    steps: tuple[Step, ...]
+    schedule: Schedule = Schedule()
+
+
+class Queue(msgspec.Struct, frozen=True):
+    """What the operators' configuration says of a queue.
+
+    Attributes:
+        name: Its name.
+        host: Host name of the callers' requests.
+        path_prefix: Prefix of the callers' paths.
+        service: Pool of workers that run its subtasks.
+        priority: 0 is the most urgent.
+        max_attempts: Failed runs after which a subtask fails for good.
+        stretch: Allowed factor on a job's longest chain of work.
+        objective_ms: Allowed time on top of that.
+        timeout_ms: Longest time for a call of a client.
+        advice: Whether starts need a ticket of the advice service.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    objective_ms: int = 0
+    timeout_ms: int = 3000
+    advice: bool = False
+
+
+class Pool(msgspec.Struct, frozen=True):
+    """A service's workers as a whole.
+
+    Attributes:
+        service: Its name.
+        rejects_overload: Whether workers refuse what does not fit.
+        spare: Whether its machines are off until they move to another pool.
+    """
+
+    service: str
+    rejects_overload: bool = True
+    spare: bool = False
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """A version of the operators' configuration.
+
+    Attributes:
+        version: Rises with each change.
+        queues: Queues by name.
+        pools: Pools by service.
+    """
+
+    version: int
+    queues: dict[str, Queue]
+    pools: dict[str, Pool]
+
+    def route(self, host: str, path: str) -> Queue | None:
+        """Returns the queue with the longest prefix of `path` on `host`."""
+        best: Queue | None = None
+        for queue in self.queues.values():
+            if queue.host != host or not path.startswith(queue.path_prefix):
+                continue
+            if best is None or len(queue.path_prefix) > len(best.path_prefix):
+                best = queue
+        return best
+
+
+class Incarnation(NamedTuple):
+    """One life of a worker.
+
+    Attributes:
+        worker: Id of the worker; a restarted worker may keep it.
+        born_ms: Unix time of its start, in milliseconds.
+    """
+
+    worker: str
+    born_ms: int
+
+
+class Worker(msgspec.Struct, frozen=True):
+    """A worker as the platform lists it.
+
+    Attributes:
+        incarnation: Its id and start.
+        service: Pool it belongs to.
+        address: ``ip:port`` of its interface.
+        zone: Availability zone.
+        draining: Whether it takes no new work.
+        capacity: Amounts it has in all.
+        labels: Its kind and its rack.
+        rack: The label that names its rack; empty without one.
+        cold_ms: How much longer it stays slow after its start.
+    """
+
+    incarnation: Incarnation
+    service: str
+    address: str
+    zone: str
+    draining: bool
+    capacity: Resources
+    labels: frozenset[str]
+    rack: str = ""
+    cold_ms: int = 0
--- /dev/null
+++ b/acaciawing/jobs/progress.py
@@ -0,0 +1,289 @@
+"""Fold of a cell's records to the progress of its jobs."""
+
+from collections.abc import Iterator
+
+from acaciawing.jobs.model import (
+    Incarnation,
+    Job,
+    Step,
+    SubtaskId,
+    parse_subtask_id,
+)
+from acaciawing.jobs.records import (
+    CancelRequested,
+    JobCarried,
+    JobFailed,
+    JobSubmitted,
+    Record,
+    RunFailed,
+    SubtaskDone,
+    WorkerEngaged,
+    WorkerReleased,
+)
+
+
+class Occurrence:
+    """Progress of one run through a job's steps.
+
+    Attributes:
+        number: 0 for a job without a schedule.
+        done: Indexes of done subtasks, by step.
+        released: Steps whose subtasks were handed to the scheduler.
+    """
+
+    __slots__ = ("done", "number", "released")
+
+    def __init__(self, number: int, steps: int) -> None:
+        """Starts with nothing done."""
+        self.number = number
+        self.done: list[set[int]] = [set() for _ in range(steps)]
+        self.released: set[int] = set()
+
+
+class JobProgress:
+    """What is known of a job.
+
+    Attributes:
+        job: The job.
+        at_ms: When it was handed in, Unix time in milliseconds.
+        cancelled: Whether its cancelling was requested.
+        failed: Whether a subtask has used up its attempts.
+        started: Whether any subtask has been started.
+        completed: Whether all subtasks have ended as done.
+        occurrences: Occurrences that are due or have progress.
+        failed_runs: Failed runs of each subtask.
+        finished_at_ms: When it was seen finished; 0 before.
+    """
+
+    __slots__ = (
+        "at_ms",
+        "cancelled",
+        "completed",
+        "failed",
+        "failed_runs",
+        "finished_at_ms",
+        "job",
+        "occurrences",
+        "started",
+    )
+
+    def __init__(self, job: Job, at_ms: int) -> None:
+        """Starts with no progress."""
+        self.job = job
+        self.at_ms = at_ms
+        self.cancelled = False
+        self.failed = False
+        self.started = False
+        self.completed = False
+        self.occurrences: dict[int, Occurrence] = {}
+        self.failed_runs: dict[SubtaskId, set[int]] = {}
+        self.finished_at_ms = 0
+
+    @property
+    def finished(self) -> bool:
+        """Whether nothing of it may start any more."""
+        return self.cancelled or self.failed or self.completed
+
+    @property
+    def state(self) -> str:
+        """State as clients see it."""
+        if self.completed:
+            return "completed"
+        if self.cancelled:
+            return "cancelled"
+        if self.failed:
+            return "failed"
+        return "running" if self.started else "pending"
+
+    @property
+    def times(self) -> int:
+        """Number of occurrences in all."""
+        return max(1, self.job.schedule.repeat_count)
+
+    def due_ms(self, number: int) -> int:
+        """Returns the Unix time at which an occurrence is due, in ms."""
+        schedule = self.job.schedule
+        if schedule.repeat_count == 0:
+            return 0
+        return schedule.first_ms + number * schedule.interval_ms
+
+    def occurrence(self, number: int) -> Occurrence:
+        """Returns an occurrence, made on first use."""
+        found = self.occurrences.get(number)
+        if found is None:
+            found = Occurrence(number, len(self.job.steps))
+            self.occurrences[number] = found
+        return found
+
+    def is_done(self, subtask: SubtaskId) -> bool:
+        """Whether a subtask has ended as done."""
+        found = self.occurrences.get(subtask.occurrence)
+        return found is not None and subtask.index in found.done[subtask.step]
+
+    def step_done(self, number: int, step: int) -> bool:
+        """Whether all subtasks of a step have ended as done."""
+        found = self.occurrences.get(number)
+        count = self.job.steps[step].count
+        return found is not None and len(found.done[step]) >= count
+
+    def mark_done(self, subtask: SubtaskId) -> None:
+        """Notes a subtask as done; with a gang, all its members."""
+        step = self.job.steps[subtask.step]
+        done = self.occurrence(subtask.occurrence).done[subtask.step]
+        if step.gang:
+            done.update(range(step.count))
+        else:
+            done.add(subtask.index)
+        self.started = True
+        self.completed = self._all_done()
+
+    def _all_done(self) -> bool:
+        if any(step.lasting for step in self.job.steps):
+            return False
+        return all(
+            self.step_done(number, step)
+            for number in range(self.times)
+            for step in range(len(self.job.steps))
+        )
+
+    def attempts(self, subtask: SubtaskId) -> int:
+        """Returns the failed runs of a subtask, or of its whole gang."""
+        if not self.job.steps[subtask.step].gang:
+            return len(self.failed_runs.get(subtask, ()))
+        runs: set[int] = set()
+        for failed, numbers in self.failed_runs.items():
+            if failed[:3] == subtask[:3]:
+                runs |= numbers
+        return len(runs)
+
+    def next_steps(self, number: int) -> Iterator[int]:
+        """Yields steps that may start and were not released yet."""
+        found = self.occurrence(number)
+        for index, step in enumerate(self.job.steps):
+            if index in found.released:
+                continue
+            if all(self.step_done(number, d) for d in step.depends_on):
+                yield index
+
+
+class JobTable:
+    """All jobs of a cell, and the workers that may hold their runs.
+
+    Attributes:
+        jobs: Progress by id of the job.
+        cancelled_early: Cancelled ids whose submission was not read yet.
+        engaged: Address of each worker on which runs may have been started.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.jobs: dict[str, JobProgress] = {}
+        self.cancelled_early: set[str] = set()
+        self.engaged: dict[Incarnation, str] = {}
+
+    def step_of(self, subtask: SubtaskId) -> Step | None:
+        """Returns the step of a subtask, or None where no job has it."""
+        progress = self.jobs.get(subtask.job)
+        if progress is None or subtask.step >= len(progress.job.steps):
+            return None
+        step = progress.job.steps[subtask.step]
+        if subtask.index >= step.count or subtask.occurrence >= progress.times:
+            return None
+        return step
+
+    def apply(self, record: Record) -> JobProgress | None:
+        """Folds one record.
+
+        Returns:
+            The job that the record concerns, or None.
+        """
+        match record:
+            case JobSubmitted():
+                return self._submit(record.job, record.at_ms)
+            case CancelRequested():
+                return self._cancel(record.job)
+            case SubtaskDone():
+                return self._done(record.subtask)
+            case RunFailed():
+                return self._run_failed(record.subtask, record.run)
+            case JobFailed():
+                return self._failed(record.job)
+            case JobCarried():
+                return self._carried(record)
+            case WorkerEngaged():
+                life = Incarnation(record.worker, record.born_ms)
+                self.engaged[life] = record.address
+            case WorkerReleased():
+                life = Incarnation(record.worker, record.born_ms)
+                self.engaged.pop(life, None)
+        return None
+
+    def _submit(self, job: Job, at_ms: int) -> JobProgress:
+        known = self.jobs.get(job.id)
+        if known is not None:
+            return known
+        progress = JobProgress(job, at_ms)
+        progress.cancelled = job.id in self.cancelled_early
+        self.jobs[job.id] = progress
+        return progress
+
+    def _cancel(self, job: str) -> JobProgress | None:
+        known = self.jobs.get(job)
+        if known is None:
+            self.cancelled_early.add(job)
+            return None
+        if not known.finished:
+            known.cancelled = True
+        return known
+
+    def _done(self, name: str) -> JobProgress | None:
+        subtask = parse_subtask_id(name)
+        if subtask is None or self.step_of(subtask) is None:
+            return None
+        progress = self.jobs[subtask.job]
+        progress.mark_done(subtask)
+        return progress
+
+    def _run_failed(self, name: str, run: int) -> JobProgress | None:
+        subtask = parse_subtask_id(name)
+        if subtask is None or self.step_of(subtask) is None:
+            return None
+        progress = self.jobs[subtask.job]
+        progress.failed_runs.setdefault(subtask, set()).add(run)
+        progress.started = True
+        return progress
+
+    def _failed(self, job: str) -> JobProgress | None:
+        progress = self.jobs.get(job)
+        if progress is not None:
+            progress.failed = True
+        return progress
+
+    def _carried(self, record: JobCarried) -> JobProgress:
+        progress = self._submit(record.job, record.at_ms)
+        for name in record.done:
+            self._done(name)
+        for name, runs in record.failed_runs.items():
+            for run in runs:
+                self._run_failed(name, run)
+        progress.cancelled = progress.cancelled or record.cancelled
+        progress.failed = progress.failed or record.failed
+        return progress
+
+
+def carried(progress: JobProgress) -> JobCarried:
+    """Returns the record that stands for all earlier ones of a job."""
+    job = progress.job
+    return JobCarried(
+        job,
+        progress.at_ms,
+        tuple(
+            str(SubtaskId(job.id, number, step, index))
+            for number, found in sorted(progress.occurrences.items())
+            for step, indexes in enumerate(found.done)
+            for index in sorted(indexes)
+        ),
+        {str(s): tuple(sorted(r)) for s, r in progress.failed_runs.items()},
+        progress.cancelled,
+        progress.failed,
+    )
--- /dev/null
+++ b/acaciawing/jobs/workers.py
@@ -0,0 +1,174 @@
+"""What a cell knows of its workers and of the runs on them."""
+
+from collections import deque
+from enum import Enum
+
+from acaciawing.jobs.model import (
+    Incarnation,
+    Resources,
+    Step,
+    SubtaskId,
+    Worker,
+)
+
+# A worker that has not answered for this time gets no new runs, in seconds;
+# twice the longest wait of a lease renewal.
+CONTACT_S = 2.0
+
+
+class Phase(Enum):
+    """Where a run stands, as far as its holder knows."""
+
+    ORDERED = "ordered"
+    UNCONFIRMED = "unconfirmed"
+    CLOSING = "closing"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class Run:
+    """A run that uses capacity, or may use it.
+
+    Attributes:
+        subtask: What runs.
+        number: Its run number.
+        step: Its step.
+        phase: Where it stands.
+        since: When that phase began, in seconds.
+        ordered_at: When its start was ordered, in seconds.
+        settled_at: When the last order was answered; None while unanswered.
+        percent: Work as the worker reports it.
+        reading: Tail latency or cpu as the worker reports it.
+        pace: Share of its speed that was ordered, in percent.
+    """
+
+    __slots__ = (
+        "number",
+        "ordered_at",
+        "pace",
+        "percent",
+        "phase",
+        "reading",
+        "settled_at",
+        "since",
+        "step",
+        "subtask",
+    )
+
+    def __init__(
+        self, subtask: SubtaskId, number: int, step: Step, now: float
+    ) -> None:
+        """Starts as ordered."""
+        self.subtask = subtask
+        self.number = number
+        self.step = step
+        self.phase = Phase.ORDERED
+        self.since = now
+        self.ordered_at = now
+        self.settled_at: float | None = None
+        self.percent = 0
+        self.reading = 0.0
+        self.pace = 100
+
+    def enter(self, phase: Phase, now: float, settled_at: float | None) -> None:
+        """Moves to another phase."""
+        self.phase = phase
+        self.since = now
+        self.settled_at = settled_at
+
+
+class WorkerView:
+    """A worker, its runs and its free capacity.
+
+    Attributes:
+        listed: Newest entry in the platform's list.
+        life: Its incarnation.
+        present: Whether the platform lists it.
+        contacted: Whether it has answered under this holder's fence.
+        engaged: Whether the record that names it as ours is durable.
+        contact_at: When it was last asked with success, in seconds.
+        lease_until: When all leases granted to it have surely lapsed.
+        runs: Runs by subtask.
+        used: Sum of what they are charged.
+        newest_end: Highest number of an end that was read.
+        unacknowledged: Pairs of an end's number and the record that notes it.
+        evacuating: Whether it is to be emptied for a move or for upkeep.
+        held_back_until: Gets no new runs before this time, in seconds.
+        faults: Times of runs that failed here, newest last.
+        successes: Runs that were done here since the last fault.
+    """
+
+    __slots__ = (
+        "contact_at",
+        "contacted",
+        "engaged",
+        "evacuating",
+        "faults",
+        "held_back_until",
+        "lease_until",
+        "life",
+        "listed",
+        "newest_end",
+        "per_step",
+        "present",
+        "rack",
+        "runs",
+        "successes",
+        "unacknowledged",
+        "used",
+    )
+
+    def __init__(self, worker: Worker) -> None:
+        """Starts uncontacted."""
+        self.listed = worker
+        self.life: Incarnation = worker.incarnation
+        self.present = True
+        self.contacted = False
+        self.engaged = False
+        self.contact_at = 0.0
+        self.lease_until = 0.0
+        self.runs: dict[SubtaskId, Run] = {}
+        self.used = Resources()
+        self.newest_end = 0
+        self.unacknowledged: deque[tuple[int, int]] = deque()
+        self.evacuating = False
+        self.held_back_until = 0.0
+        self.faults: deque[float] = deque(maxlen=8)
+        self.successes = 0
+        self.rack = worker.rack
+        self.per_step: dict[tuple[str, int, int], int] = {}
+
+    @property
+    def free(self) -> Resources:
+        """Capacity that no run is charged for."""
+        return self.listed.capacity - self.used
+
+    def add(self, run: Run) -> None:
+        """Charges a run."""
+        self.runs[run.subtask] = run
+        self.used = self.used + run.step.charged
+        key = run.subtask[:3]
+        self.per_step[key] = self.per_step.get(key, 0) + 1
+
+    def remove(self, subtask: SubtaskId) -> Run | None:
+        """Frees what a run was charged."""
+        run = self.runs.pop(subtask, None)
+        if run is not None:
+            self.used = self.used - run.step.charged
+            key = subtask[:3]
+            self.per_step[key] -= 1
+            if not self.per_step[key]:
+                del self.per_step[key]
+        return run
+
+    def usable(self, now: float) -> bool:
+        """Whether new runs may be ordered."""
+        return (
+            self.present
+            and self.contacted
+            and self.engaged
+            and not self.listed.draining
+            and not self.evacuating
+            and now - self.contact_at < CONTACT_S
+            and now >= self.held_back_until
+        )
--- /dev/null
+++ b/acaciawing/jobserver/__init__.py
@@ -0,0 +1,1 @@
+"""The job server: tasks that run the cells of an entry instance."""
--- /dev/null
+++ b/acaciawing/jobserver/appending.py
@@ -0,0 +1,55 @@
+"""Appends of clients' records, with a few connections to the store."""
+
+from queue import Empty, SimpleQueue
+
+from acaciawing.jobserver.celllog import TOPIC
+from acaciawing.jobserver.clock import steady_s
+from acaciawing.jobserver.membership import Contact
+from acaciawing.platform.store import (
+    WRITE_TIMEOUT_S,
+    AppendResult,
+    MaybeStored,
+    NotStored,
+    Store,
+)
+
+
+class Appender:
+    """Appends records; for any thread.
+
+    Args:
+        address: ``ip:port`` of the store.
+        contact: Receives whether the store answers.
+    """
+
+    def __init__(self, address: str, contact: Contact) -> None:
+        """Keeps the arguments; connects on first use."""
+        self._address = address
+        self._contact = contact
+        self._idle: SimpleQueue[Store] = SimpleQueue()
+
+    def append(
+        self, partition: int, payload: bytes, within_s: float
+    ) -> AppendResult:
+        """Appends a record to a cell.
+
+        Args:
+            partition: The cell.
+            payload: The encoded record.
+            within_s: Longest time for an answer, in seconds.
+        """
+        if within_s <= 0:
+            return NotStored("no time left")
+        try:
+            store = self._idle.get_nowait()
+        except Empty:
+            store = Store(self._address)
+        result = store.append(
+            TOPIC, partition, (payload,), None, min(WRITE_TIMEOUT_S, within_s)
+        )
+        self._idle.put(store)
+        if isinstance(result, MaybeStored | NotStored):
+            self._contact.failed(steady_s(), result.detail)
+        else:
+            self._contact.answered(steady_s())
+        return result
--- /dev/null
+++ b/acaciawing/jobserver/callers.py
@@ -0,0 +1,238 @@
+"""WSGI application of the clients' listener: jobs and queues."""
+
+import random
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from acaciawing.jobs import (
+    CancelRequested,
+    JobSubmitted,
+    Queue,
+    Record,
+    encode_record,
+)
+from acaciawing.jobserver.appending import Appender
+from acaciawing.jobserver.clock import steady_s, unix_ms
+from acaciawing.jobserver.directory import OrdersFollower
+from acaciawing.jobserver.limits import (
+    ANSWER_MARGIN_S,
+    LONGEST_PAUSE_S,
+    PAUSE_S,
+    RETRY_AFTER_S,
+)
+from acaciawing.jobserver.lookups import Lookups
+from acaciawing.jobserver.membership import cell_of
+from acaciawing.platform.store import AppendResult, NotStored, Stored
+from acaciawing.platform.wire import Finding, decode_job, is_job_id
+from acaciawing.telemetry import Event, log_event
+
+_REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    410: "Gone",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+# Longest time for which a refused append is repeated, in seconds: a store that
+# refuses for longer is down, and the client may find another instance.
+_REFUSED_FOR_S = 0.4
+
+
+@dataclass(frozen=True)
+class Reply:
+    """Answer to a client."""
+
+    status: int
+    body: dict[str, Any]
+
+
+class Callers:
+    """Serves clients.
+
+    Args:
+        orders: Configuration in force.
+        lookups: Answers questions about jobs.
+        appender: Appends records of clients.
+        partitions: Number of cells.
+        visible_s: Age up to which a holder's records count as current.
+    """
+
+    def __init__(
+        self,
+        orders: OrdersFollower,
+        lookups: Lookups,
+        appender: Appender,
+        partitions: int,
+        visible_s: float,
+    ) -> None:
+        """Keeps the arguments."""
+        self._orders = orders
+        self._lookups = lookups
+        self._appender = appender
+        self._partitions = partitions
+        self._visible_s = visible_s
+        self._random = random.Random()
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Serves one request (PEP 3333)."""
+        began_at = steady_s()
+        reply = self._reply(environ, began_at)
+        body = msgspec.json.encode(reply.body)
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        if reply.status in (429, 503):
+            headers.append(("Retry-After", str(RETRY_AFTER_S)))
+        start_response(
+            f"{reply.status} {_REASONS.get(reply.status, 'Status')}", headers
+        )
+        return [body]
+
+    def _reply(self, environ: dict[str, Any], began_at: float) -> Reply:
+        body = _read_body(environ)
+        configuration = self._orders.configuration
+        if configuration is None:
+            return Reply(503, {"error": "no configuration yet"})
+        host = environ.get("HTTP_HOST", "").partition(":")[0]
+        path = environ["PATH_INFO"]
+        queue = configuration.route(host, path)
+        if queue is None:
+            return Reply(404, {"error": "no such queue"})
+        job = path[len(queue.path_prefix) :]
+        method = environ["REQUEST_METHOD"]
+        if not job and method == "GET":
+            return self._count(queue)
+        if not is_job_id(job):
+            return Reply(400, {"error": "not an id of a job"})
+        deadline = began_at + _time_budget_s(environ, queue)
+        if method == "POST":
+            return self._submit(queue, job, body, deadline)
+        if method == "DELETE":
+            return self._cancel(queue, job, deadline)
+        if method == "GET":
+            return self._tell_state(queue, job)
+        return Reply(405, {"error": "method not allowed"})
+
+    def _count(self, queue: Queue) -> Reply:
+        answer = self._lookups.ask(self._cell(queue), queue.name, "")
+        if not answer.holder:
+            return Reply(503, {"error": "holder not reachable"})
+        return Reply(200, {"Waiting": answer.waiting})
+
+    def _tell_state(self, queue: Queue, job: str) -> Reply:
+        answer = self._lookups.ask(self._cell(queue), queue.name, job)
+        log_event(
+            Event.JOB_STATE_TOLD,
+            {
+                "job": job,
+                "state": answer.state,
+                "holder": answer.holder,
+                "age_s": round(answer.age_s, 3),
+            },
+        )
+        if not answer.holder:
+            return Reply(503, {"error": "holder not reachable"})
+        if answer.state:
+            return Reply(200, {"State": answer.state})
+        if answer.age_s > self._visible_s:
+            return Reply(503, {"error": "records are not current"})
+        return Reply(410, {"error": "no such job"})
+
+    def _submit(
+        self, queue: Queue, job_id: str, body: bytes, deadline: float
+    ) -> Reply:
+        job = decode_job(body, job_id, queue.name)
+        if isinstance(job, Finding):
+            log_event(
+                Event.JOB_REFUSED,
+                {"job": job_id, "place": job.place, "reason": job.fault},
+            )
+            return Reply(400, {"error": job.fault, "place": job.place})
+        record = JobSubmitted(job, unix_ms())
+        result = self._append(queue, record, deadline)
+        if isinstance(result, Stored):
+            log_event(
+                Event.JOB_ACCEPTED,
+                {"job": job_id, "queue": queue.name, "offset": result.offset},
+            )
+            return Reply(200, {})
+        if isinstance(result, NotStored):
+            log_event(
+                Event.JOB_REFUSED, {"job": job_id, "reason": result.detail}
+            )
+            return Reply(503, {"error": "not run: the store refused the job"})
+        log_event(Event.JOB_UNDECIDED, {"job": job_id, "reason": str(result)})
+        return Reply(504, {"error": "not known whether the job is stored"})
+
+    def _cancel(self, queue: Queue, job: str, deadline: float) -> Reply:
+        result = self._append(queue, CancelRequested(job, unix_ms()), deadline)
+        log_event(
+            Event.JOB_CANCELLED,
+            {"job": job, "stored": isinstance(result, Stored)},
+        )
+        if isinstance(result, Stored):
+            return Reply(200, {})
+        if isinstance(result, NotStored):
+            return Reply(503, {"error": "the store refused the call"})
+        return Reply(504, {"error": "not known whether the call is stored"})
+
+    def _append(
+        self, queue: Queue, record: Record, deadline: float
+    ) -> AppendResult:
+        """Appends a record; repeats while the client's time allows.
+
+        A repeated record changes nothing in the fold, so an append without an
+        answer may be repeated. Once one has stayed unanswered, the result is
+        never `NotStored`.
+        """
+        payload = encode_record(record)
+        partition = self._cell(queue)
+        began_at = steady_s()
+        unknown: AppendResult | None = None
+        pause = PAUSE_S
+        while True:
+            left = deadline - steady_s()
+            result = self._appender.append(partition, payload, left)
+            if isinstance(result, Stored):
+                return result
+            if not isinstance(result, NotStored):
+                unknown = result
+            now = steady_s()
+            patience = (
+                deadline
+                if unknown is not None
+                else min(deadline, began_at + _REFUSED_FOR_S)
+            )
+            if now + pause >= patience:
+                return unknown if unknown is not None else result
+            time.sleep(pause * self._random.uniform(0.5, 1.0))
+            pause = min(2 * pause, LONGEST_PAUSE_S)
+
+    def _cell(self, queue: Queue) -> int:
+        return cell_of(queue.service, self._partitions)
+
+
+def _read_body(environ: dict[str, Any]) -> bytes:
+    if environ.get("CONTENT_LENGTH") or environ.get("HTTP_TRANSFER_ENCODING"):
+        body: bytes = environ["wsgi.input"].read()
+        return body
+    return b""
+
+
+def _time_budget_s(environ: dict[str, Any], queue: Queue) -> float:
+    """Returns how long the client waits, less the way back, in seconds."""
+    text = environ.get("HTTP_TIME_BUDGET", "")
+    budget_ms = float(text) if text.replace(".", "", 1).isdecimal() else 0.0
+    if budget_ms <= 0:
+        budget_ms = float(queue.timeout_ms)
+    return max(0.1, budget_ms / 1000 - ANSWER_MARGIN_S)
--- /dev/null
+++ b/acaciawing/jobserver/celllog.py
@@ -0,0 +1,215 @@
+"""Tasks that read and write the records of one cell."""
+
+import threading
+from collections.abc import Callable
+from queue import Empty, SimpleQueue
+
+from acaciawing.jobs import SaveRecord, decode_record, encode_record
+from acaciawing.jobserver.clock import steady_s
+from acaciawing.jobserver.limits import (
+    LONGEST_PAUSE_S,
+    PAUSE_S,
+    READ_WAIT_MS,
+)
+from acaciawing.jobserver.messages import (
+    CellFenced,
+    CellKey,
+    Message,
+    RecordsCurrent,
+    RecordsRead,
+    RecordsSaved,
+)
+from acaciawing.platform.store import (
+    Expired,
+    OutOfSequence,
+    Producer,
+    Read,
+    Store,
+    Stored,
+    Superseded,
+)
+from acaciawing.telemetry import Event, log_event
+
+# Submissions and cancels, by any instance; its partitions are the cells.
+TOPIC = "jobs"
+
+# What a cell's holder has noted; read only by the next holder.
+PROGRESS_TOPIC = "progress"
+
+# Name of the producer; its epoch is the holder's fence.
+_PRODUCER = "holder"
+
+# Most records of one append.
+_BATCH = 500
+
+
+class CellReader:
+    """Fences earlier holders, reads all records, then follows new ones.
+
+    Args:
+        key: The cell.
+        address: ``ip:port`` of the store.
+        send: Puts a message into the engine's inbox.
+    """
+
+    def __init__(
+        self, key: CellKey, address: str, send: Callable[[Message], None]
+    ) -> None:
+        """Keeps the arguments; `start` starts the thread."""
+        self._key = key
+        self._send = send
+        self._store = Store(address)
+        self._closed = threading.Event()
+        self._wait_ms = 0
+
+    def start(self) -> None:
+        """Starts the thread."""
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def close(self) -> None:
+        """Ends the thread after its present call."""
+        self._closed.set()
+
+    def _run(self) -> None:
+        if self._fence():
+            end = self._read_on(TOPIC, 0)
+            self._read_on(PROGRESS_TOPIC, 0)
+            self._follow(end)
+
+    def _read_on(self, topic: str, offset: int) -> int:
+        """Reads a topic up to its end; returns the end."""
+        pause = PAUSE_S
+        while not self._closed.is_set():
+            result = self._store.read(topic, self._key.partition, offset, 0)
+            if isinstance(result, Read):
+                self._take(result, topic, offset)
+                offset = result.next_offset
+                if offset >= result.end:
+                    return offset
+            elif isinstance(result, Expired):
+                offset = max(offset + 1, result.first)
+            else:
+                self._closed.wait(pause)
+                pause = min(2 * pause, LONGEST_PAUSE_S)
+        return offset
+
+    def _fence(self) -> bool:
+        """Makes appends of earlier holders impossible."""
+        producer = Producer(_PRODUCER, self._key.fence, 0)
+        while not self._closed.is_set():
+            result = self._store.append(
+                PROGRESS_TOPIC, self._key.partition, (), producer
+            )
+            if isinstance(result, Stored):
+                return True
+            if isinstance(result, Superseded):
+                self._send(CellFenced(self._key))
+                return False
+            self._closed.wait(PAUSE_S)
+        return False
+
+    def _follow(self, offset: int) -> None:
+        """Reads on from the submissions that were read for recovery."""
+        while not self._closed.is_set():
+            asked_at = steady_s()
+            result = self._store.read(
+                TOPIC, self._key.partition, offset, self._wait_ms
+            )
+            if isinstance(result, Read):
+                self._take(result, TOPIC, offset)
+                offset = result.next_offset
+                if offset >= result.end:
+                    self._send(RecordsCurrent(self._key, asked_at))
+                    self._wait_ms = READ_WAIT_MS
+            elif isinstance(result, Expired):
+                offset = max(offset + 1, result.first)
+            else:
+                self._closed.wait(PAUSE_S)
+
+    def _take(self, read: Read, topic: str, offset: int) -> None:
+        records = []
+        for place, payload in enumerate(read.records, offset):
+            record = decode_record(payload)
+            if record is None:
+                log_event(
+                    Event.FINDING,
+                    {
+                        "place": f"{topic}/{self._key.partition}/{place}",
+                        "fault": "no record of a known type",
+                    },
+                )
+                continue
+            records.append(record)
+        if records:
+            self._send(RecordsRead(self._key, tuple(records)))
+
+
+class CellWriter:
+    """Appends the holder's records in order, many to a call.
+
+    Args:
+        key: The cell.
+        address: ``ip:port`` of the store.
+        send: Puts a message into the engine's inbox.
+    """
+
+    def __init__(
+        self, key: CellKey, address: str, send: Callable[[Message], None]
+    ) -> None:
+        """Keeps the arguments; `start` starts the thread."""
+        self._key = key
+        self._send = send
+        self._store = Store(address)
+        self._queue: SimpleQueue[SaveRecord | None] = SimpleQueue()
+        self._closed = threading.Event()
+        self._sequence = 1
+
+    def start(self) -> None:
+        """Starts the thread."""
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def close(self) -> None:
+        """Ends the thread; what was not appended stays so."""
+        self._closed.set()
+        self._queue.put(None)
+
+    def save(self, order: SaveRecord) -> None:
+        """Queues a record."""
+        self._queue.put(order)
+
+    def _run(self) -> None:
+        while (first := self._queue.get()) is not None:
+            batch = [first]
+            while len(batch) < _BATCH:
+                try:
+                    following = self._queue.get_nowait()
+                except Empty:
+                    break
+                if following is None:
+                    return
+                batch.append(following)
+            if not self._append(batch):
+                return
+            self._send(RecordsSaved(self._key, batch[-1].number))
+
+    def _append(self, batch: list[SaveRecord]) -> bool:
+        """Appends a batch; repeats it until the store has decided."""
+        payloads = [encode_record(order.record) for order in batch]
+        pause = PAUSE_S
+        while not self._closed.is_set():
+            producer = Producer(_PRODUCER, self._key.fence, self._sequence)
+            result = self._store.append(
+                PROGRESS_TOPIC, self._key.partition, payloads, producer
+            )
+            if isinstance(result, Stored):
+                self._sequence += 1
+                return True
+            if isinstance(result, Superseded):
+                self._send(CellFenced(self._key))
+                return False
+            if isinstance(result, OutOfSequence):
+                self._sequence = result.expected
+                continue
+            self._closed.wait(pause)
+            pause = min(2 * pause, LONGEST_PAUSE_S)
+        return False
--- /dev/null
+++ b/acaciawing/jobserver/daemon.py
@@ -0,0 +1,136 @@
+"""The job server: one role on every entry instance of the platform."""
+
+import signal
+import sys
+import threading
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+
+from acaciawing.jobserver.appending import Appender
+from acaciawing.jobserver.callers import Callers
+from acaciawing.jobserver.clock import steady_s
+from acaciawing.jobserver.directory import OrdersFollower, WorkersFollower
+from acaciawing.jobserver.engine import Engine
+from acaciawing.jobserver.limits import CALLER_THREADS, PEER_THREADS
+from acaciawing.jobserver.listeners import peers, readiness, serve
+from acaciawing.jobserver.lookups import Lookups
+from acaciawing.jobserver.membership import (
+    Contact,
+    Holders,
+    MembershipTask,
+)
+from acaciawing.jobserver.messages import Release
+from acaciawing.platform.node import (
+    NodeSettings,
+    NodeSettingsError,
+    read_node_settings,
+)
+from acaciawing.telemetry import Event, configure_logs, log_event
+
+# An instance is ready while the store has answered it within this time, in
+# seconds: two misses of a check a second take it out of rotation.
+READY_CONTACT_S = 2.0
+
+# After SIGTERM requests go on for this time, in seconds, so that the balancer
+# has seen two failed checks before the listeners close.
+_LINGER_S = 3.0
+
+# Longest wait for the release of cells and of the membership, in seconds.
+_RELEASE_S = 0.5
+
+
+class Daemon:
+    """Tasks of one instance.
+
+    Args:
+        settings: What the platform says of this instance.
+    """
+
+    def __init__(self, settings: NodeSettings) -> None:
+        """Builds the tasks; `run` starts them."""
+        self._settings = settings
+        store = settings.store
+        self._address = f"{settings.ip}:{settings.first_internal_port}"
+        self._contact = Contact()
+        self._engine = Engine(store, settings.partitions)
+        self._orders = OrdersFollower(store, self._engine.send)
+        self._workers = WorkersFollower(store, self._engine.send)
+        self._membership = MembershipTask(
+            store, self._address, self._contact, self._engine.send
+        )
+        self._holders = Holders(store)
+        self._lookups = Lookups(self._engine, self._holders, self._address)
+        self._callers = Callers(
+            self._orders,
+            self._lookups,
+            Appender(store, self._contact),
+            settings.partitions,
+            settings.visible_ms / 1000,
+        )
+        self._stopping = threading.Event()
+
+    def run(self) -> None:
+        """Serves until SIGTERM."""
+        settings = self._settings
+        signal.signal(signal.SIGTERM, lambda *_: self._stopping.set())
+        signal.signal(signal.SIGINT, lambda *_: self._stopping.set())
+        signal.signal(signal.SIGHUP, self._reread)
+        serve(settings.readiness, readiness(self._is_ready), 1)
+        serve(self._address, peers(self._lookups), PEER_THREADS)
+        callers = serve(settings.callers, self._callers, CALLER_THREADS)
+        self._engine.start()
+        self._orders.start()
+        self._workers.start()
+        self._membership.start()
+        self._holders.start()
+        log_event(
+            Event.INSTANCE_STARTED,
+            {"listen": settings.callers, "store": settings.store},
+        )
+        self._stopping.wait()
+        self._stop()
+        callers.stop()
+        log_event(Event.INSTANCE_STOPPED, {})
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._stopping.is_set()
+            and self._orders.configuration is not None
+            and steady_s() - self._contact.answered_at < READY_CONTACT_S
+        )
+
+    def _stop(self) -> None:
+        """Hands all cells to other instances, then lingers for clients."""
+        log_event(Event.INSTANCE_STOPPING, {})
+        released: Future[None] = Future()
+        self._engine.send(Release(released))
+        try:
+            released.result(_RELEASE_S)
+        except FutureTimeoutError:
+            log_event(Event.FINDING, {"place": "release", "fault": "timed out"})
+        self._membership.leave(_RELEASE_S)
+        threading.Event().wait(_LINGER_S)
+
+    def _reread(self, *_: object) -> None:
+        try:
+            settings = read_node_settings()
+        except NodeSettingsError as error:
+            log_event(Event.FINDING, {"place": "settings", "fault": str(error)})
+            return
+        changed = settings != self._settings
+        log_event(Event.SETTINGS_REREAD, {"changed": changed})
+
+
+def main() -> int:
+    """Runs the job server on a machine of the platform."""
+    try:
+        settings = read_node_settings()
+    except NodeSettingsError as error:
+        for finding in error.findings:
+            print(f"{finding.place}: {finding.fault}", file=sys.stderr)
+        return 2
+    configure_logs(
+        "json", sys.stdout, entry=settings.name, entry_zone=settings.zone
+    )
+    Daemon(settings).run()
+    return 0
--- /dev/null
+++ b/acaciawing/jobserver/engine.py
@@ -0,0 +1,323 @@
+"""The task that owns all cells of this instance."""
+
+import threading
+from collections.abc import Callable
+from functools import singledispatchmethod
+from queue import Empty, SimpleQueue
+from typing import Any
+
+from acaciawing.jobs import (
+    Acknowledge,
+    Action,
+    Cell,
+    CloseWorker,
+    Configuration,
+    Incarnation,
+    OpenWorker,
+    PaceRun,
+    SaveRecord,
+    StartRun,
+    StopRun,
+    Worker,
+)
+from acaciawing.jobserver.celllog import CellReader, CellWriter
+from acaciawing.jobserver.clock import steady_s, unix_ms
+from acaciawing.jobserver.limits import AUTHORITY_S, TICK_S, UNCERTAIN_S
+from acaciawing.jobserver.membership import cell_of
+from acaciawing.jobserver.messages import (
+    CellFenced,
+    CellKey,
+    ConfigurationRead,
+    JobAnswer,
+    JobAsked,
+    Joined,
+    Message,
+    RecordsCurrent,
+    RecordsRead,
+    RecordsSaved,
+    Release,
+    WorkerSaid,
+    WorkersRead,
+)
+from acaciawing.jobserver.sessions import WorkerSession
+from acaciawing.telemetry import Event, log_event
+
+# Most messages taken before actions are carried out.
+_BURST = 200
+
+
+class HeldCell:
+    """A cell with the tasks that work for it.
+
+    Args:
+        key: The cell.
+        store: ``ip:port`` of the store.
+        send: Puts a message into the engine's inbox.
+        may_act: Whether this instance may still give orders.
+        now: Present time in seconds.
+    """
+
+    def __init__(
+        self,
+        key: CellKey,
+        store: str,
+        send: Callable[[Message], None],
+        may_act: Callable[[], bool],
+        now: float,
+    ) -> None:
+        """Starts to read the cell's records."""
+        self.key = key
+        self.cell = Cell(key.fence, self._log)
+        self.acquired_at = now
+        self.current_at = float("-inf")
+        self._send = send
+        self._may_act = may_act
+        self._sessions: dict[Incarnation, WorkerSession] = {}
+        self._reader = CellReader(key, store, send)
+        self._writer = CellWriter(key, store, send)
+        self._reader.start()
+        self._writer.start()
+
+    def close(self) -> None:
+        """Ends all tasks of the cell."""
+        self._reader.close()
+        self._writer.close()
+        for session in self._sessions.values():
+            session.close()
+        self._sessions.clear()
+
+    def act(self, actions: list[Action]) -> None:
+        """Hands actions to the tasks that carry them out."""
+        for action in actions:
+            match action:
+                case SaveRecord():
+                    self._writer.save(action)
+                case OpenWorker():
+                    self._open(action)
+                case CloseWorker():
+                    session = self._sessions.pop(action.worker, None)
+                    if session is not None:
+                        session.close()
+                case StartRun() | StopRun() | PaceRun():
+                    session = self._sessions.get(action.worker)
+                    if session is not None:
+                        session.order(action)
+                case Acknowledge():
+                    session = self._sessions.get(action.worker)
+                    if session is not None:
+                        session.acknowledge(action.end_number)
+
+    def _open(self, action: OpenWorker) -> None:
+        if action.worker in self._sessions:
+            return
+        session = WorkerSession(
+            self.key,
+            action.worker,
+            action.address,
+            self._send,
+            self._may_act,
+        )
+        self._sessions[action.worker] = session
+        session.start()
+
+    def _log(self, event: str, **values: Any) -> None:
+        log_event(
+            Event[event],
+            {"cell": self.key.partition, "fence": self.key.fence, **values},
+        )
+
+
+class Engine:
+    """Takes messages one by one and owns the state of all held cells.
+
+    Args:
+        store: ``ip:port`` of the store.
+        partitions: Number of cells.
+    """
+
+    def __init__(self, store: str, partitions: int) -> None:
+        """Keeps the arguments; `start` starts the thread."""
+        self._store = store
+        self._partitions = partitions
+        self._inbox: SimpleQueue[Message] = SimpleQueue()
+        self._cells: dict[int, HeldCell] = {}
+        self._configuration: Configuration | None = None
+        self._workers: tuple[Worker, ...] | None = None
+        self._confirmed_at = float("-inf")
+        self._released = False
+
+    def start(self) -> None:
+        """Starts the thread."""
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def send(self, message: Message) -> None:
+        """Puts a message into the inbox; for any thread."""
+        self._inbox.put(message)
+
+    def may_act(self) -> bool:
+        """Whether the group's confirmation is recent enough for orders."""
+        return steady_s() - self._confirmed_at < AUTHORITY_S
+
+    def _run(self) -> None:
+        ticked_at = steady_s()
+        while True:
+            self._take_messages()
+            now = steady_s()
+            if now - ticked_at >= TICK_S:
+                ticked_at = now
+                for held in self._cells.values():
+                    held.cell.tick(now, unix_ms())
+            for partition, held in list(self._cells.items()):
+                if held.cell.fenced:
+                    self._drop(partition, "fenced")
+                elif self.may_act():
+                    held.act(held.cell.take_actions(now))
+
+    def _take_messages(self) -> None:
+        try:
+            message = self._inbox.get(timeout=TICK_S)
+            for _ in range(_BURST):
+                self._receive(message, steady_s())
+                message = self._inbox.get_nowait()
+            self._receive(message, steady_s())
+        except Empty:
+            return
+
+    def _held(self, key: CellKey) -> HeldCell | None:
+        held = self._cells.get(key.partition)
+        return held if held is not None and held.key == key else None
+
+    @singledispatchmethod
+    def _receive(self, message: Any, now: float) -> None:
+        raise TypeError(f"unknown message {message!r}")
+
+    @_receive.register
+    def _(self, message: WorkerSaid, now: float) -> None:
+        held = self._held(message.key)
+        if held is not None:
+            held.cell.receive(message.message, now)
+
+    @_receive.register
+    def _(self, message: RecordsRead, now: float) -> None:
+        held = self._held(message.key)
+        if held is not None:
+            held.cell.fold(message.records, now, unix_ms())
+
+    @_receive.register
+    def _(self, message: RecordsCurrent, now: float) -> None:
+        held = self._held(message.key)
+        if held is None:
+            return
+        held.current_at = message.asked_at
+        if not held.cell.recovered and self._workers is not None:
+            held.cell.tick(now, unix_ms())
+            held.cell.finish_recovery(now, UNCERTAIN_S)
+            log_event(
+                Event.CELL_RECOVERED,
+                {
+                    "cell": message.key.partition,
+                    "fence": message.key.fence,
+                    "jobs": len(held.cell.table.jobs),
+                    "took_s": round(now - held.acquired_at, 3),
+                },
+            )
+
+    @_receive.register
+    def _(self, message: RecordsSaved, now: float) -> None:
+        held = self._held(message.key)
+        if held is not None:
+            held.cell.saved(message.number, now)
+
+    @_receive.register
+    def _(self, message: CellFenced, now: float) -> None:
+        if self._held(message.key) is not None:
+            self._drop(message.key.partition, "fenced")
+
+    @_receive.register
+    def _(self, message: Joined, now: float) -> None:
+        self._confirmed_at = message.asked_at
+        for partition in list(self._cells):
+            if partition not in message.partitions:
+                self._drop(partition, "dealt to another instance")
+        if self._released or self._configuration is None:
+            return
+        for partition in message.partitions & self._used():
+            if partition not in self._cells:
+                self._acquire(CellKey(partition, message.generation), now)
+
+    @_receive.register
+    def _(self, message: ConfigurationRead, now: float) -> None:
+        self._configuration = message.configuration
+        for held in self._cells.values():
+            held.cell.configure(message.configuration)
+
+    @_receive.register
+    def _(self, message: WorkersRead, now: float) -> None:
+        self._workers = message.workers
+        for held in self._cells.values():
+            self._list_workers(held, now)
+
+    @_receive.register
+    def _(self, message: JobAsked, now: float) -> None:
+        message.reply.set_result(self._answer(message, now))
+
+    @_receive.register
+    def _(self, message: Release, now: float) -> None:
+        self._released = True
+        for partition in list(self._cells):
+            self._drop(partition, "instance stops")
+        message.reply.set_result(None)
+
+    def _answer(self, asked: JobAsked, now: float) -> JobAnswer:
+        held = self._cells.get(asked.partition)
+        if held is None or not held.cell.recovered:
+            return JobAnswer(False)
+        age_s = now - held.current_at
+        if asked.job:
+            state = held.cell.state(asked.job) or ""
+            return JobAnswer(True, state, 0, age_s)
+        waiting = held.cell.waiting_jobs(asked.queue)
+        return JobAnswer(True, "", waiting, age_s)
+
+    def _used(self) -> frozenset[int]:
+        if self._configuration is None:
+            return frozenset()
+        return frozenset(
+            cell_of(service, self._partitions)
+            for service in self._configuration.pools
+        )
+
+    def _acquire(self, key: CellKey, now: float) -> None:
+        held = HeldCell(key, self._store, self.send, self.may_act, now)
+        self._cells[key.partition] = held
+        if self._configuration is not None:
+            held.cell.configure(self._configuration)
+        self._list_workers(held, now)
+        log_event(
+            Event.CELL_ACQUIRED,
+            {"cell": key.partition, "fence": key.fence},
+        )
+
+    def _list_workers(self, held: HeldCell, now: float) -> None:
+        if self._workers is None:
+            return
+        held.cell.list_workers(
+            [
+                w
+                for w in self._workers
+                if cell_of(w.service, self._partitions) == held.key.partition
+            ],
+            now,
+        )
+
+    def _drop(self, partition: int, reason: str) -> None:
+        held = self._cells.pop(partition)
+        held.close()
+        log_event(
+            Event.CELL_LOST,
+            {
+                "cell": partition,
+                "fence": held.key.fence,
+                "reason": reason,
+            },
+        )
--- /dev/null
+++ b/acaciawing/jobserver/limits.py
@@ -0,0 +1,51 @@
+"""Times and limits of the job server."""
+
+# Leases granted to workers, in seconds: longer than a frozen holder's takeover
+# and than most cuts, short enough that work on a lost worker restarts in time.
+LEASE_S = 5.0
+
+# A worker's clock may be this much slower than ours.
+CLOCK_RATE_MIN = 0.98
+
+# A holder that the store's group has not confirmed for this time gives no more
+# orders and grants no leases, in seconds.
+AUTHORITY_S = 6.0
+
+# Runs of an earlier holder may go on for this time after a takeover on a
+# worker that can't be reached, in seconds.
+UNCERTAIN_S = AUTHORITY_S + LEASE_S / CLOCK_RATE_MIN
+
+# Lifetime of a group member without a call, in milliseconds; the store's
+# minimum is 1 s, and one slow call must not end a membership.
+MEMBER_TTL_MS = 1500
+
+# Time between two calls that keep the membership, in seconds.
+JOIN_INTERVAL_S = 0.3
+
+# How long a worker may wait for an end in a renewal, in milliseconds.
+HOLD_WAIT_MS = 800
+
+# How long the store may wait for a record in a read, in milliseconds; bounds
+# the time for which a connection that went silent goes unnoticed.
+READ_WAIT_MS = 700
+
+# Shortest time between two reads of the workers' list, in seconds: entries
+# change with each heartbeat, and every read has its price.
+WORKER_READ_INTERVAL_S = 0.25
+
+# Time between two steps of the engine without a message, in seconds.
+TICK_S = 0.05
+
+# Pause after a failed call, in seconds; doubled up to the longest one.
+PAUSE_S = 0.05
+LONGEST_PAUSE_S = 0.4
+
+# Part of a client's time that is kept for the answer's way back, in seconds.
+ANSWER_MARGIN_S = 0.15
+
+# A client whose request was not run may come back after this time, in seconds.
+RETRY_AFTER_S = 1
+
+# Threads that serve clients, and threads that serve other instances.
+CALLER_THREADS = 16
+PEER_THREADS = 6
--- /dev/null
+++ b/acaciawing/jobserver/membership.py
@@ -0,0 +1,161 @@
+"""Membership in the store's group, which deals cells to instances."""
+
+import threading
+from collections.abc import Callable
+
+from xxhash import xxh32_intdigest
+
+from acaciawing.jobserver.celllog import TOPIC
+from acaciawing.jobserver.clock import steady_s
+from acaciawing.jobserver.limits import JOIN_INTERVAL_S, MEMBER_TTL_MS
+from acaciawing.jobserver.messages import Joined
+from acaciawing.platform.store import Membership, Store, Unavailable
+from acaciawing.telemetry import Event, log_event
+
+GROUP = "cells"
+
+# Time between two reads of the cells' holders, in seconds.
+_OWNERS_INTERVAL_S = 1.0
+
+
+def cell_of(service: str, partitions: int) -> int:
+    """Returns the cell of a service.
+
+    The last partition is kept for work of the fleet as a whole.
+    """
+    return xxh32_intdigest(service.encode()) % max(1, partitions - 1)
+
+
+def fleet_cell(partitions: int) -> int:
+    """Returns the cell of waves and of moves between pools."""
+    return partitions - 1
+
+
+class Contact:
+    """When the store last answered this instance, as any of its tasks saw."""
+
+    def __init__(self) -> None:
+        """Starts without contact."""
+        self._answered_at = float("-inf")
+        self._lost = False
+
+    @property
+    def answered_at(self) -> float:
+        """Time of the last answer, in seconds."""
+        return self._answered_at
+
+    def answered(self, now: float) -> None:
+        """Notes an answer."""
+        self._answered_at = now
+        if self._lost:
+            self._lost = False
+            log_event(Event.STORE_REGAINED, {})
+
+    def failed(self, now: float, detail: str) -> None:
+        """Notes a call without a usable answer."""
+        if not self._lost:
+            self._lost = True
+            age_s = round(now - self._answered_at, 3)
+            log_event(Event.STORE_LOST, {"detail": detail, "age_s": age_s})
+
+
+class MembershipTask:
+    """Keeps the membership and tells the engine which cells are ours.
+
+    Args:
+        address: ``ip:port`` of the store.
+        member: Name in the group: the address for other instances.
+        contact: Receives whether the store answers.
+        send: Puts a message into the engine's inbox.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        member: str,
+        contact: Contact,
+        send: Callable[[Joined], None],
+    ) -> None:
+        """Keeps the arguments; `start` starts the thread."""
+        self._store = Store(address)
+        self._member = member
+        self._contact = contact
+        self._send = send
+        self._closed = threading.Event()
+        self._ended = threading.Event()
+
+    def start(self) -> None:
+        """Starts the thread."""
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def leave(self, timeout_s: float) -> None:
+        """Leaves the group, so that others take over at once."""
+        self._closed.set()
+        self._ended.wait(timeout_s)
+
+    def _run(self) -> None:
+        # An earlier process of the same address may still be a member; its
+        # cells must come to us with a new generation, which fences it.
+        while not self._closed.is_set():
+            if self._store.leave(GROUP, self._member):
+                break
+            self._contact.failed(steady_s(), "no answer to leave")
+            self._closed.wait(JOIN_INTERVAL_S)
+        generation = 0
+        while not self._closed.is_set():
+            generation = self._join(generation)
+            self._closed.wait(JOIN_INTERVAL_S)
+        self._store.leave(GROUP, self._member)
+        self._ended.set()
+
+    def _join(self, generation: int) -> int:
+        asked_at = steady_s()
+        result = self._store.join(
+            GROUP, self._member, TOPIC, MEMBER_TTL_MS, generation
+        )
+        if isinstance(result, Membership):
+            self._contact.answered(steady_s())
+            self._send(Joined(result.partitions, result.generation, asked_at))
+            return result.generation
+        self._contact.failed(steady_s(), result.detail)
+        return generation
+
+
+class Holders:
+    """Which instance holds each cell; refreshed by a thread of its own.
+
+    Args:
+        address: ``ip:port`` of the store.
+    """
+
+    def __init__(self, address: str) -> None:
+        """Keeps the address; `start` starts the thread."""
+        self._store = Store(address)
+        self._members: dict[int, str] = {}
+        self._stale = threading.Event()
+
+    def start(self) -> None:
+        """Starts the thread."""
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def member(self, partition: int) -> str:
+        """Returns the address of a cell's holder, or an empty text."""
+        return self._members.get(partition, "")
+
+    def mark_stale(self) -> None:
+        """Asks for an early refresh."""
+        self._stale.set()
+
+    def _run(self) -> None:
+        while True:
+            result = self._store.owners(GROUP, TOPIC)
+            if isinstance(result, Unavailable):
+                log_event(
+                    Event.FINDING, {"place": "owners", "fault": result.detail}
+                )
+            else:
+                self._members = result
+            self._stale.wait(_OWNERS_INTERVAL_S)
+            self._stale.clear()
+            # Several requests may ask for the same refresh.
+            threading.Event().wait(0.05)
--- /dev/null
+++ b/acaciawing/jobserver/messages.py
@@ -0,0 +1,148 @@
+"""Messages to the engine."""
+
+from concurrent.futures import Future
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from acaciawing.jobs import (
+    Configuration,
+    Record,
+    Worker,
+    WorkerMessage,
+)
+
+
+@dataclass(frozen=True)
+class CellKey:
+    """A cell under one holder's fence."""
+
+    partition: int
+    fence: int
+
+
+@dataclass(frozen=True)
+class RecordsRead:
+    """Records of a cell, in order."""
+
+    key: CellKey
+    records: tuple[Record, ...]
+
+
+@dataclass(frozen=True)
+class RecordsCurrent:
+    """A read has reached the end of the cell's records.
+
+    Attributes:
+        key: The cell.
+        asked_at: When the read was sent, in seconds.
+    """
+
+    key: CellKey
+    asked_at: float
+
+
+@dataclass(frozen=True)
+class RecordsSaved:
+    """The cell's records up to a number are durable."""
+
+    key: CellKey
+    number: int
+
+
+@dataclass(frozen=True)
+class WorkerSaid:
+    """A message of a worker's session."""
+
+    key: CellKey
+    message: WorkerMessage
+
+
+@dataclass(frozen=True)
+class CellFenced:
+    """A later holder has taken the cell."""
+
+    key: CellKey
+
+
+@dataclass(frozen=True)
+class Joined:
+    """The group has confirmed this instance's partitions.
+
+    Attributes:
+        partitions: Partitions that belong to it.
+        generation: Generation of the group.
+        asked_at: When the call was sent, in seconds.
+    """
+
+    partitions: frozenset[int]
+    generation: int
+    asked_at: float
+
+
+@dataclass(frozen=True)
+class ConfigurationRead:
+    """A version of the operators' configuration."""
+
+    configuration: Configuration
+
+
+@dataclass(frozen=True)
+class WorkersRead:
+    """The platform's list of workers."""
+
+    workers: tuple[Worker, ...]
+
+
+@dataclass(frozen=True)
+class JobAsked:
+    """Asks for the state of a job, or for the length of its queue.
+
+    Attributes:
+        partition: Cell of the job.
+        queue: Name of the queue.
+        job: Id of the job; empty to ask for the queue.
+        reply: Receives a `JobAnswer`.
+    """
+
+    partition: int
+    queue: str
+    job: str
+    reply: "Future[JobAnswer]"
+
+
+@dataclass(frozen=True)
+class JobAnswer:
+    """What a holder knows of a job or queue.
+
+    Attributes:
+        holder: Whether this instance holds the cell and has read its records.
+        state: State of the job; empty if it is unknown or was not asked for.
+        waiting: Accepted jobs of the queue of which nothing has started.
+        age_s: Time since the records were last known to be complete.
+    """
+
+    holder: bool
+    state: str = ""
+    waiting: int = 0
+    age_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class Release:
+    """Gives up all cells in order; sets the reply when they are released."""
+
+    reply: "Future[None]"
+
+
+Message: TypeAlias = (
+    RecordsRead
+    | RecordsCurrent
+    | RecordsSaved
+    | WorkerSaid
+    | CellFenced
+    | Joined
+    | ConfigurationRead
+    | WorkersRead
+    | JobAsked
+    | Release
+)
