Carry out waves and lend machines between pools

Change: the holder of the last cell reads the machines, asks each cell's holder for its load, empties machines and orders upkeep and moves under its fence. Progress of a wave is kept in the store.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -7,7 +7,7 @@
 or output of its own.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 from functools import singledispatchmethod
 from typing import NamedTuple
 
@@ -31,10 +31,12 @@
     WorkerMessage,
 )
 from acaciawing.jobs.choice import choose_gang, choose_worker
+from acaciawing.jobs.fleet import CellReport, PoolLoad, WorkerLoad
 from acaciawing.jobs.model import (
     Configuration,
     Incarnation,
     Queue,
+    Resources,
     Step,
     SubtaskId,
     Worker,
@@ -74,6 +76,17 @@
 GANG_START_S = 1.5
 
 
+# Runs on a worker that is to be emptied are waited for this long, in seconds:
+# most end by then, and stragglers lose little by their checkpoints.
+EVACUATION_PATIENCE_S = 2.0
+
+# Percent that a run at full work is listed with.
+FULL_WORK = 100
+
+# A lasting run counts as at work this long after it was seen so, in seconds.
+SETTLED_S = 1.0
+
+
 class Takeover(NamedTuple):
     """What is not known yet of workers that an earlier holder used.
 
@@ -320,8 +333,88 @@
         """Subtasks whose turn has come and that do not run."""
         return self._waiting
 
+    def evacuate(self, workers: Set[str], now: float) -> None:
+        """Empties workers for an order of the fleet; all others are released.
+
+        Runs that end soon are waited for. A lasting run moves when its step
+        can miss it and another worker has room.
+        """
+        for view in self.views.values():
+            wanted = view.life.worker in workers
+            if wanted and not view.evacuating:
+                view.evacuating_since = now
+            view.evacuating = wanted
+            if wanted:
+                self._empty(view, now)
+
+    def report(self, now: float) -> CellReport:
+        """Returns the load of the cell's pools and workers."""
+        used: dict[str, Resources] = {}
+        capacity: dict[str, Resources] = {}
+        waiting: dict[str, Resources] = {}
+        none = Resources()
+        for view in self.views.values():
+            service = view.listed.service
+            used[service] = used.get(service, none) + view.used
+            if view.usable(now):
+                known = capacity.get(service, none)
+                capacity[service] = known + view.listed.capacity
+        for subtask, entry in self._waiting.items():
+            queue = self._queue_of(subtask)
+            if queue is not None:
+                known = waiting.get(queue.service, none)
+                waiting[queue.service] = known + entry.step.charged
+        pools = {
+            service: PoolLoad(
+                waiting.get(service, none),
+                used.get(service, none),
+                capacity.get(service, none),
+            )
+            for service in {*used, *waiting}
+        }
+        return CellReport(
+            self.recovered,
+            pools,
+            {v.life.worker: _load_of(v) for v in self.views.values()},
+            tuple(v.life.worker for v in self.views.values() if v.evacuating),
+        )
+
     # Workers.
 
+    def _empty(self, view: WorkerView, now: float) -> None:
+        waited = now - view.evacuating_since
+        for run in view.runs.values():
+            if run.phase is not Phase.RUNNING:
+                continue
+            if run.step.lasting:
+                if self._can_miss(run, now) and self._has_room_elsewhere(
+                    view, run, now
+                ):
+                    self._stop(view, run, now)
+            elif waited > EVACUATION_PATIENCE_S:
+                self._stop(view, run, now)
+
+    def _can_miss(self, run: Run, now: float) -> bool:
+        """Whether a lasting run may be stopped by our own order."""
+        away = 0
+        for member in self._members(run.subtask):
+            view = self._active.get(member)
+            other = view.runs.get(member) if view is not None else None
+            if other is None or not _at_work(other, now):
+                away += 1
+        return away < max(1, run.step.may_miss)
+
+    def _has_room_elsewhere(
+        self, view: WorkerView, run: Run, now: float
+    ) -> bool:
+        service = view.listed.service
+        others = [
+            v
+            for v in self.views.values()
+            if v is not view and v.usable(now) and v.listed.service == service
+        ]
+        return choose_worker(others, run.step, run.subtask) is not None
+
     def _open(self, worker: Worker, now: float) -> None:
         view = WorkerView(worker)
         view.engaged = self.recovered and (
@@ -716,3 +809,17 @@
     def _gang_checkpoint(self, subtask: SubtaskId) -> str:
         saved = [self._checkpoints.get(m, "") for m in self._members(subtask)]
         return max(saved)
+
+
+def _at_work(run: Run, now: float) -> bool:
+    """Whether a lasting run serves its users, and has for a moment."""
+    return (
+        run.phase is Phase.RUNNING
+        and run.percent >= FULL_WORK
+        and now - run.since > SETTLED_S
+    )
+
+
+def _load_of(view: WorkerView) -> WorkerLoad:
+    lasting = sum(1 for run in view.runs.values() if run.step.lasting)
+    return WorkerLoad(len(view.runs), lasting, view.used.cpu)
--- a/acaciawing/jobs/workers.py
+++ b/acaciawing/jobs/workers.py
@@ -93,6 +93,7 @@
         newest_end: Highest number of an end that was read.
         unacknowledged: Pairs of an end's number and the record that notes it.
         evacuating: Whether it is to be emptied for a move or for upkeep.
+        evacuating_since: When that began, in seconds.
         held_back_until: Gets no new runs before this time, in seconds.
         faults: Times of runs that failed here, newest last.
         successes: Runs that were done here since the last fault.
@@ -103,6 +104,7 @@
         "contacted",
         "engaged",
         "evacuating",
+        "evacuating_since",
         "faults",
         "held_back_until",
         "lease_until",
@@ -132,6 +134,7 @@
         self.newest_end = 0
         self.unacknowledged: deque[tuple[int, int]] = deque()
         self.evacuating = False
+        self.evacuating_since = 0.0
         self.held_back_until = 0.0
         self.faults: deque[float] = deque(maxlen=8)
         self.successes = 0
--- a/acaciawing/jobserver/callers.py
+++ b/acaciawing/jobserver/callers.py
@@ -24,8 +24,8 @@
     PAUSE_S,
     RETRY_AFTER_S,
 )
-from acaciawing.jobserver.lookups import Lookups
 from acaciawing.jobserver.membership import cell_of
+from acaciawing.jobserver.peers import Peers
 from acaciawing.platform.store import AppendResult, NotStored, Stored
 from acaciawing.platform.wire import Finding, decode_job, is_job_id
 from acaciawing.telemetry import Event, log_event
@@ -58,7 +58,7 @@
 
     Args:
         orders: Configuration in force.
-        lookups: Answers questions about jobs.
+        peers: Answers questions about jobs.
         appender: Appends records of clients.
         partitions: Number of cells.
         visible_s: Age up to which a holder's records count as current.
@@ -67,14 +67,14 @@
     def __init__(
         self,
         orders: OrdersFollower,
-        lookups: Lookups,
+        peers: Peers,
         appender: Appender,
         partitions: int,
         visible_s: float,
     ) -> None:
         """Keeps the arguments."""
         self._orders = orders
-        self._lookups = lookups
+        self._peers = peers
         self._appender = appender
         self._partitions = partitions
         self._visible_s = visible_s
@@ -124,13 +124,13 @@
         return Reply(405, {"error": "method not allowed"})
 
     def _count(self, queue: Queue) -> Reply:
-        answer = self._lookups.ask(self._cell(queue), queue.name, "")
+        answer = self._peers.ask(self._cell(queue), queue.name, "")
         if not answer.holder:
             return Reply(503, {"error": "holder not reachable"})
         return Reply(200, {"Waiting": answer.waiting})
 
     def _tell_state(self, queue: Queue, job: str) -> Reply:
-        answer = self._lookups.ask(self._cell(queue), queue.name, job)
+        answer = self._peers.ask(self._cell(queue), queue.name, job)
         log_event(
             Event.JOB_STATE_TOLD,
             {
--- a/acaciawing/jobserver/daemon.py
+++ b/acaciawing/jobserver/daemon.py
@@ -11,15 +11,16 @@
 from acaciawing.jobserver.clock import steady_s
 from acaciawing.jobserver.directory import OrdersFollower, WorkersFollower
 from acaciawing.jobserver.engine import Engine
+from acaciawing.jobserver.fleet import FleetTask
 from acaciawing.jobserver.limits import CALLER_THREADS, PEER_THREADS
-from acaciawing.jobserver.listeners import peers, readiness, serve
-from acaciawing.jobserver.lookups import Lookups
+from acaciawing.jobserver.listeners import peer_calls, readiness, serve
 from acaciawing.jobserver.membership import (
     Contact,
     Holders,
     MembershipTask,
 )
 from acaciawing.jobserver.messages import Release
+from acaciawing.jobserver.peers import Peers
 from acaciawing.platform.node import (
     NodeSettings,
     NodeSettingsError,
@@ -59,14 +60,17 @@
             store, self._address, self._contact, self._engine.send
         )
         self._holders = Holders(store)
-        self._lookups = Lookups(self._engine, self._holders, self._address)
+        self._peers = Peers(self._engine, self._holders, self._address)
         self._callers = Callers(
             self._orders,
-            self._lookups,
+            self._peers,
             Appender(store, self._contact),
             settings.partitions,
             settings.visible_ms / 1000,
         )
+        self._fleet = FleetTask(
+            settings, self._orders, self._peers, self._engine.tenure
+        )
         self._stopping = threading.Event()
 
     def run(self) -> None:
@@ -76,13 +80,15 @@
         signal.signal(signal.SIGINT, lambda *_: self._stopping.set())
         signal.signal(signal.SIGHUP, self._reread)
         serve(settings.readiness, readiness(self._is_ready), 1)
-        serve(self._address, peers(self._lookups), PEER_THREADS)
+        serve(self._address, peer_calls(self._peers), PEER_THREADS)
         callers = serve(settings.callers, self._callers, CALLER_THREADS)
         self._engine.start()
         self._orders.start()
         self._workers.start()
         self._membership.start()
         self._holders.start()
+        if settings.machines:
+            self._fleet.start()
         log_event(
             Event.INSTANCE_STARTED,
             {"listen": settings.callers, "store": settings.store},
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -20,14 +20,21 @@
     StopRun,
     Worker,
 )
+from acaciawing.jobs.fleet import CellReport
 from acaciawing.jobserver.celllog import CellReader, CellWriter
 from acaciawing.jobserver.clock import steady_s, unix_ms
-from acaciawing.jobserver.limits import AUTHORITY_S, TICK_S, UNCERTAIN_S
-from acaciawing.jobserver.membership import cell_of
+from acaciawing.jobserver.limits import (
+    AUTHORITY_S,
+    EVACUATION_KEPT_S,
+    TICK_S,
+    UNCERTAIN_S,
+)
+from acaciawing.jobserver.membership import cell_of, fleet_cell
 from acaciawing.jobserver.messages import (
     CellFenced,
     CellKey,
     ConfigurationRead,
+    FleetTenure,
     JobAnswer,
     JobAsked,
     Joined,
@@ -36,6 +43,7 @@
     RecordsRead,
     RecordsSaved,
     Release,
+    ReportAsked,
     WorkerSaid,
     WorkersRead,
 )
@@ -70,6 +78,7 @@
         self.cell = Cell(key.fence, self._log)
         self.acquired_at = now
         self.current_at = float("-inf")
+        self.evacuation_at = now
         self._send = send
         self._may_act = may_act
         self._sessions: dict[Incarnation, WorkerSession] = {}
@@ -86,6 +95,13 @@
             session.close()
         self._sessions.clear()
 
+    def tick(self, now: float) -> None:
+        """Lets time pass."""
+        if now - self.evacuation_at > EVACUATION_KEPT_S:
+            self.evacuation_at = now
+            self.cell.evacuate(frozenset(), now)
+        self.cell.tick(now, unix_ms())
+
     def act(self, actions: list[Action]) -> None:
         """Hands actions to the tasks that carry them out."""
         for action in actions:
@@ -145,6 +161,7 @@
         self._workers: tuple[Worker, ...] | None = None
         self._confirmed_at = float("-inf")
         self._released = False
+        self._tenure: FleetTenure | None = None
 
     def start(self) -> None:
         """Starts the thread."""
@@ -154,6 +171,10 @@
         """Puts a message into the inbox; for any thread."""
         self._inbox.put(message)
 
+    def tenure(self) -> FleetTenure | None:
+        """Returns the tenure of the fleet's cell, if it is held now."""
+        return self._tenure if self.may_act() else None
+
     def may_act(self) -> bool:
         """Whether the group's confirmation is recent enough for orders."""
         return steady_s() - self._confirmed_at < AUTHORITY_S
@@ -166,7 +187,7 @@
             if now - ticked_at >= TICK_S:
                 ticked_at = now
                 for held in self._cells.values():
-                    held.cell.tick(now, unix_ms())
+                    held.tick(now)
             for partition, held in list(self._cells.items()):
                 if held.cell.fenced:
                     self._drop(partition, "fenced")
@@ -239,6 +260,7 @@
         for partition in list(self._cells):
             if partition not in message.partitions:
                 self._drop(partition, "dealt to another instance")
+        self._hold_fleet(message, now)
         if self._released or self._configuration is None:
             return
         for partition in message.partitions & self._used():
@@ -261,9 +283,20 @@
     def _(self, message: JobAsked, now: float) -> None:
         message.reply.set_result(self._answer(message, now))
 
+    @_receive.register
+    def _(self, message: ReportAsked, now: float) -> None:
+        held = self._cells.get(message.partition)
+        if held is None or not held.cell.recovered or not self.may_act():
+            message.reply.set_result(CellReport(False))
+            return
+        held.evacuation_at = now
+        held.cell.evacuate(message.evacuate, now)
+        message.reply.set_result(held.cell.report(now))
+
     @_receive.register
     def _(self, message: Release, now: float) -> None:
         self._released = True
+        self._tenure = None
         for partition in list(self._cells):
             self._drop(partition, "instance stops")
         message.reply.set_result(None)
@@ -287,6 +320,12 @@
             for service in self._configuration.pools
         )
 
+    def _hold_fleet(self, joined: Joined, now: float) -> None:
+        if fleet_cell(self._partitions) not in joined.partitions:
+            self._tenure = None
+        elif self._tenure is None and not self._released:
+            self._tenure = FleetTenure(joined.generation, now)
+
     def _acquire(self, key: CellKey, now: float) -> None:
         held = HeldCell(key, self._store, self.send, self.may_act, now)
         self._cells[key.partition] = held
--- /dev/null
+++ b/acaciawing/jobserver/fleet.py
@@ -0,0 +1,203 @@
+"""The task that maintains and lends machines while it holds the fleet's cell."""
+
+import threading
+from collections.abc import Callable
+
+from acaciawing.jobs.fleet import (
+    CellReport,
+    FleetOrder,
+    FleetPlan,
+    FleetSnapshot,
+    MachineState,
+    Maintain,
+    Move,
+    PoolLoad,
+    WaveOrder,
+    WorkerLoad,
+)
+from acaciawing.jobserver.clock import steady_s
+from acaciawing.jobserver.directory import OrdersFollower
+from acaciawing.jobserver.membership import cell_of
+from acaciawing.jobserver.messages import FleetTenure
+from acaciawing.jobserver.peers import Peers
+from acaciawing.platform.machines import (
+    MachineClient,
+    MachineOrder,
+    MachinesListed,
+)
+from acaciawing.platform.node import NodeSettings
+from acaciawing.platform.statuses import WaveStatuses
+from acaciawing.platform.wire import Machine, Wave
+from acaciawing.telemetry import Event, log_event
+
+# Time between two rounds while machines are under way, and otherwise, in
+# seconds; each reading of the machines has its price.
+_ROUND_S = 0.2
+
+# Waits this much longer than a lease for the orders of an earlier holder, in
+# seconds: it may not know yet that it is no longer the holder.
+_HANDOVER_MARGIN_S = 1.0
+
+
+class FleetTask:
+    """Rounds of observe, decide, act.
+
+    Args:
+        settings: What the platform says of this instance.
+        orders: Configuration and waves.
+        peers: Reports of the cells' holders.
+        tenure: Returns the present tenure, or None.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        orders: OrdersFollower,
+        peers: Peers,
+        tenure: Callable[[], FleetTenure | None],
+    ) -> None:
+        """Keeps the arguments; `start` starts the thread."""
+        self._settings = settings
+        self._orders = orders
+        self._peers = peers
+        self._tenure = tenure
+        self._client = MachineClient(settings.machines, settings.name)
+        self._statuses = WaveStatuses(settings.store)
+        self._plan = FleetPlan()
+        self._seen: dict[int, float] = {}
+        self._held: FleetTenure | None = None
+        self._pause = threading.Event()
+
+    def start(self) -> None:
+        """Starts the thread."""
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        while True:
+            tenure = self._tenure()
+            if tenure is None or self._orders.configuration is None:
+                self._held = None
+            else:
+                if tenure != self._held:
+                    self._held = tenure
+                    self._plan = FleetPlan()
+                self._note_waves(steady_s())
+                handover = self._settings.order_lease_ms / 1000
+                handover += _HANDOVER_MARGIN_S
+                if steady_s() - tenure.since > handover:
+                    self._round(tenure)
+            self._pause.wait(_ROUND_S)
+
+    def _note_waves(self, now: float) -> None:
+        for number in self._orders.waves:
+            self._seen.setdefault(number, now)
+
+    def _round(self, tenure: FleetTenure) -> None:
+        progress = self._statuses.read(set(self._orders.waves))
+        if progress is None:
+            return
+        listed = self._client.list()
+        if not isinstance(listed, MachinesListed):
+            log_event(
+                Event.FINDING, {"place": "machines", "fault": listed.detail}
+            )
+            return
+        waves = self._open_waves(listed.machines)
+        snapshot = self._snapshot(listed.machines, waves)
+        if snapshot is None:
+            return
+        for order in self._plan.decide(snapshot, steady_s()):
+            if self._tenure() != tenure:
+                return
+            self._carry_out(order, tenure)
+
+    def _open_waves(self, machines: tuple[Machine, ...]) -> list[WaveOrder]:
+        """Returns waves with machines left; writes the state of each."""
+        known = {m.id for m in machines}
+        waves = []
+        for number, wave in sorted(self._orders.waves.items()):
+            if self._statuses.completed(number):
+                continue
+            done = self._statuses.done(number)
+            left = tuple(
+                m for m in wave.machines if m in known and m not in done
+            )
+            self._statuses.write(number, completed=not left)
+            if left:
+                waves.append(self._wave_order(wave, left))
+            else:
+                log_event(
+                    Event.WAVE_STATE,
+                    {"wave": number, "state": "completed", "left": 0},
+                )
+        return waves
+
+    def _wave_order(self, wave: Wave, left: tuple[str, ...]) -> WaveOrder:
+        due_at = self._seen[wave.number] + wave.duration_s
+        return WaveOrder(wave.number, left, wave.max_down, due_at)
+
+    def _snapshot(
+        self, machines: tuple[Machine, ...], waves: list[WaveOrder]
+    ) -> FleetSnapshot | None:
+        configuration = self._orders.configuration
+        if configuration is None:
+            return None
+        states = tuple(
+            MachineState(m.id, m.service, m.state == "up", m.worker, m.capacity)
+            for m in machines
+        )
+        spare = frozenset(
+            p.service for p in configuration.pools.values() if p.spare
+        )
+        snapshot = FleetSnapshot(
+            states, {}, {}, frozenset(), tuple(waves), spare
+        )
+        evacuate = self._plan.evacuate(snapshot)
+        cells = {
+            cell_of(service, self._settings.partitions)
+            for service in configuration.pools
+        }
+        reports = [self._peers.report(cell, evacuate) for cell in sorted(cells)]
+        return _with_reports(snapshot, reports)
+
+    def _carry_out(self, order: FleetOrder, tenure: FleetTenure) -> None:
+        if isinstance(order, Maintain):
+            outcome = self._client.maintain(
+                order.machine, order.wave, tenure.fence
+            )
+            if outcome in (MachineOrder.DONE, MachineOrder.NOT_OF_WAVE):
+                self._statuses.note_done(order.wave, order.machine)
+            target = f"wave {order.wave}"
+        else:
+            assert isinstance(order, Move)
+            outcome = self._client.move(
+                order.machine, order.service, tenure.fence
+            )
+            target = order.service
+        log_event(
+            Event.MACHINE_ORDERED,
+            {
+                "machine": order.machine,
+                "order": type(order).__name__.lower(),
+                "target": target,
+                "fence": tenure.fence,
+                "outcome": outcome.value,
+            },
+        )
+        if outcome is not MachineOrder.NOT_DONE:
+            self._plan.abandon(order.machine)
+
+
+def _with_reports(
+    snapshot: FleetSnapshot, reports: list[CellReport]
+) -> FleetSnapshot:
+    pools: dict[str, PoolLoad] = {}
+    workers: dict[str, WorkerLoad] = {}
+    evacuating: set[str] = set()
+    for report in reports:
+        pools.update(report.pools)
+        workers.update(report.workers)
+        evacuating.update(report.evacuating)
+    return snapshot._replace(
+        pools=pools, workers=workers, evacuating=frozenset(evacuating)
+    )
--- a/acaciawing/jobserver/limits.py
+++ b/acaciawing/jobserver/limits.py
@@ -40,6 +40,10 @@
 PAUSE_S = 0.05
 LONGEST_PAUSE_S = 0.4
 
+# Workers go back to work when the fleet's holder has not named them for this
+# time, in seconds: several of its rounds.
+EVACUATION_KEPT_S = 2.0
+
 # Part of a client's time that is kept for the answer's way back, in seconds.
 ANSWER_MARGIN_S = 0.15
 
--- a/acaciawing/jobserver/listeners.py
+++ b/acaciawing/jobserver/listeners.py
@@ -3,11 +3,17 @@
 import threading
 from collections.abc import Callable, Iterable
 from typing import Any
-from urllib.parse import parse_qs
 
+import msgspec
 from cheroot import wsgi
 
-from acaciawing.jobserver.lookups import PATH, Lookups, encode_answer
+from acaciawing.jobserver.peers import (
+    JOBS_PATH,
+    REPORT_PATH,
+    JobQuestion,
+    Peers,
+    ReportQuestion,
+)
 
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -46,31 +52,32 @@
     return application
 
 
-def peers(lookups: Lookups) -> Application:
+def peer_calls(peers: Peers) -> Application:
     """Returns the application for other instances."""
 
     def application(
         environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        query = {
-            name: values[0]
-            for name, values in parse_qs(environ["QUERY_STRING"]).items()
-        }
-        cell = query.get("cell", "")
-        if environ["PATH_INFO"] != PATH or not cell.isdecimal():
-            start_response("404 Not Found", [("Content-Length", "0")])
-            return []
-        answer = lookups.ask_here(
-            int(cell), query.get("queue", ""), query.get("job", "")
-        )
-        body = encode_answer(answer)
+        body = environ["wsgi.input"].read()
+        status, answer = "200 OK", b""
+        try:
+            if environ["PATH_INFO"] == JOBS_PATH:
+                job = msgspec.json.decode(body, type=JobQuestion)
+                answer = msgspec.json.encode(peers.ask_here(job))
+            elif environ["PATH_INFO"] == REPORT_PATH:
+                report = msgspec.json.decode(body, type=ReportQuestion)
+                answer = msgspec.json.encode(peers.report_here(report))
+            else:
+                status = "404 Not Found"
+        except msgspec.DecodeError:
+            status = "400 Bad Request"
         start_response(
-            "200 OK",
+            status,
             [
                 ("Content-Type", "application/json"),
-                ("Content-Length", str(len(body))),
+                ("Content-Length", str(len(answer))),
             ],
         )
-        return [body]
+        return [answer]
 
     return application
--- a/acaciawing/jobserver/messages.py
+++ b/acaciawing/jobserver/messages.py
@@ -10,6 +10,7 @@
     Worker,
     WorkerMessage,
 )
+from acaciawing.jobs.fleet import CellReport
 
 
 @dataclass(frozen=True)
@@ -79,6 +80,19 @@
     asked_at: float
 
 
+@dataclass(frozen=True)
+class FleetTenure:
+    """The time for which this instance holds the fleet's cell.
+
+    Attributes:
+        fence: Its fencing token for machines.
+        since: When it began, in seconds.
+    """
+
+    fence: int
+    since: float
+
+
 @dataclass(frozen=True)
 class ConfigurationRead:
     """A version of the operators' configuration."""
@@ -127,6 +141,21 @@
     age_s: float = 0.0
 
 
+@dataclass(frozen=True)
+class ReportAsked:
+    """Asks for the load of a cell.
+
+    Attributes:
+        partition: The cell.
+        evacuate: Workers that are to be emptied.
+        reply: Receives the report.
+    """
+
+    partition: int
+    evacuate: frozenset[str]
+    reply: "Future[CellReport]"
+
+
 @dataclass(frozen=True)
 class Release:
     """Gives up all cells in order; sets the reply when they are released."""
@@ -144,5 +173,6 @@
     | ConfigurationRead
     | WorkersRead
     | JobAsked
+    | ReportAsked
     | Release
 )
