Read a cell's records before its workers' reports; act only on confirmed authority

Change: lapses count only once the group has confirmed the holder after them; an unconfirmed holder starts only while every engaged worker answers it; reports wait for the records. Tests fail first without each change.

Ruled out: late orders of workers (applied_late ended 20 s before).

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -50,7 +50,7 @@
     WorkerEngaged,
     WorkerReleased,
 )
-from acaciawing.jobs.workers import Phase, Run, WorkerView
+from acaciawing.jobs.workers import CONTACT_S, Phase, Run, WorkerView
 
 # Run numbers of a fence start at this multiple of it, so that every run of a
 # later holder is higher than all runs of earlier ones.
@@ -80,6 +80,11 @@
 # most end by then, and stragglers lose little by their checkpoints.
 EVACUATION_PATIENCE_S = 2.0
 
+# Runs are started without a further condition for this time after the group
+# has confirmed the holder, in seconds; below the 1.5 s after which the cell may
+# be dealt to another instance.
+CONFIRMED_S = 1.2
+
 # Percent that a run at full work is listed with.
 FULL_WORK = 100
 
@@ -138,6 +143,8 @@
         self._job_saves: dict[str, int] = {}
         self._engaging: dict[int, Incarnation] = {}
         self._unix_ms = 0
+        self._confirmed_at = float("-inf")
+        self._early: dict[Incarnation, Report] = {}
 
     # Messages of the other tasks.
 
@@ -146,6 +153,10 @@
         # Jobs of a removed queue go on as their queue last said.
         self._queues.update(configuration.queues)
 
+    def confirm(self, confirmed_at: float) -> None:
+        """Takes note that no other holder existed at a time, in seconds."""
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
+
     def fold(self, records: Iterable[Record], now: float, unix_ms: int) -> None:
         """Folds records that were read from the store."""
         self._unix_ms = unix_ms
@@ -178,6 +189,9 @@
         for progress in self.table.jobs.values():
             if not progress.finished:
                 self._release(progress, now)
+        early, self._early = self._early, {}
+        for report in early.values():
+            self.receive(report, now)
 
     def list_workers(self, workers: Iterable[Worker], now: float) -> None:
         """Takes the platform's list of this cell's workers."""
@@ -221,6 +235,10 @@
 
     @receive.register
     def _(self, message: Report, now: float) -> None:
+        if not self.recovered:
+            # Without the records, every run and end there looks unknown.
+            self._early[message.worker] = message
+            return
         self._takeover.until.pop(message.worker, None)
         view = self.views.get(message.worker)
         if view is None:
@@ -289,7 +307,7 @@
         """Lets time pass: lapsed leases, due occurrences, repeated stops."""
         self._unix_ms = unix_ms
         for life, until in list(self._takeover.until.items()):
-            if now >= until:
+            if self._confirmed_at >= until:
                 self._depart(life, now)
         for view in list(self.views.values()):
             self._check_view(view, now)
@@ -300,11 +318,26 @@
 
     def take_actions(self, now: float) -> list[Action]:
         """Places what waits, and returns all actions since the last call."""
-        if self.recovered and not self.fenced:
+        if self.recovered and not self.fenced and self._may_start(now):
             self._place(now)
         actions, self._actions = self._actions, []
         return actions
 
+    def _may_start(self, now: float) -> bool:
+        """Whether no later holder can have started the same subtasks.
+
+        Past the confirmed time a later holder may exist. It starts nothing of
+        ours before it has fenced each worker that we use, which we see at all
+        workers only as long as all of them answer us.
+        """
+        if now - self._confirmed_at < CONFIRMED_S:
+            return True
+        return all(
+            now - view.contact_at < CONTACT_S
+            for view in self.views.values()
+            if view.engaged
+        )
+
     # Questions of the callers' side.
 
     def state(self, job: str) -> str | None:
@@ -457,7 +490,12 @@
         self._log("WORKER_GONE", worker=life.worker, born_ms=life.born_ms)
 
     def _check_view(self, view: WorkerView, now: float) -> None:
-        lapsed = now >= view.lease_until and now - view.contact_at > 2.0
+        # A later holder may have renewed the leases of a worker that only we
+        # can't reach, so the lapse needs a confirmation from after it.
+        lapsed = (
+            now - view.contact_at > CONTACT_S
+            and self._confirmed_at >= view.lease_until
+        )
         if lapsed and view.runs and view.contacted:
             self._log(
                 "LEASES_LAPSED",
--- /dev/null
+++ b/acaciawing/jobs/tests/builders.py
@@ -0,0 +1,139 @@
+"""Builders for tests of cells."""
+
+from acaciawing.jobs import (
+    Cell,
+    Configuration,
+    EndedRow,
+    Incarnation,
+    Job,
+    JobSubmitted,
+    Pool,
+    Queue,
+    Record,
+    Report,
+    Resources,
+    RunningRow,
+    SaveRecord,
+    StartAnswered,
+    StartOutcome,
+    StartRun,
+    Step,
+    Worker,
+)
+from acaciawing.jobs.actions import Action
+
+SERVICE = "visits"
+QUEUE = "next-visit"
+UNCERTAIN_S = 11.0
+LEASE_S = 5.0
+
+
+def a_worker(name: str, *, born_ms: int = 1, cores: int = 32) -> Worker:
+    return Worker(
+        incarnation=Incarnation(name, born_ms),
+        service=SERVICE,
+        address="192.0.2.1:80",
+        zone="a",
+        draining=False,
+        capacity=Resources(cores * 1000, 131072),
+        labels=frozenset({"a", "r1-1"}),
+        rack="r1-1",
+    )
+
+
+def a_job(name: str, *steps: Step) -> Job:
+    return Job(name, QUEUE, "payload", steps or (Step(1, Resources(1000)),))
+
+
+def a_configuration(max_attempts: int = 2) -> Configuration:
+    queue = Queue(QUEUE, "h", "/p/", SERVICE, max_attempts=max_attempts)
+    return Configuration(1, {QUEUE: queue}, {SERVICE: Pool(SERVICE)})
+
+
+class CellRig:
+    """A cell whose workers and store answer at once unless a test says not.
+
+    Attributes:
+        cell: The cell under test.
+        now: Present time in seconds.
+        log: All records that the cell has saved.
+        starts: All starts that it has ordered.
+        actions: All actions.
+    """
+
+    def __init__(  # noqa: D107
+        self, fence: int = 1, max_attempts: int = 2
+    ) -> None:
+        self.cell = Cell(fence)
+        self.cell.configure(a_configuration(max_attempts))
+        self.now = 100.0
+        self.log: list[Record] = []
+        self.starts: list[StartRun] = []
+        self.actions: list[Action] = []
+        self.cell.confirm(self.now)
+
+    def recover(self, *records: Record) -> None:
+        self.cell.fold(records, self.now, 0)
+        self.cell.finish_recovery(self.now, UNCERTAIN_S)
+
+    def submit(self, job: Job) -> None:
+        self.cell.fold([JobSubmitted(job, 0)], self.now, 0)
+
+    def list_workers(self, *workers: Worker) -> None:
+        self.cell.list_workers(workers, self.now)
+
+    def report(
+        self,
+        worker: Worker,
+        running: tuple[RunningRow, ...] | None = None,
+        ended: tuple[EndedRow, ...] = (),
+    ) -> None:
+        """Reports a worker; by default with all runs that it should have."""
+        if running is None:
+            over = {row.subtask for row in ended}
+            view = self.cell.views[worker.incarnation]
+            running = tuple(
+                RunningRow(run.subtask, run.number, "", 50, 0)
+                for run in view.runs.values()
+                if run.subtask not in over
+            )
+        self.cell.receive(
+            Report(
+                worker.incarnation,
+                self.now,
+                self.now + LEASE_S,
+                running,
+                ended,
+            ),
+            self.now,
+        )
+
+    def step(self, *, answer: bool = True, save: bool = True) -> list[Action]:
+        """Takes the actions; stores records and answers starts."""
+        actions = self.cell.take_actions(self.now)
+        self.actions += actions
+        for action in actions:
+            if isinstance(action, SaveRecord):
+                self.log.append(action.record)
+                if save:
+                    self.cell.saved(action.number, self.now)
+            elif isinstance(action, StartRun):
+                self.starts.append(action)
+                if answer:
+                    self.cell.receive(
+                        StartAnswered(action, StartOutcome.STARTED), self.now
+                    )
+        return actions
+
+    def settle(self) -> None:
+        """Lets saved records and answers lead to further actions."""
+        for _ in range(4):
+            self.now += 0.01
+            self.step()
+
+    def wait(self, seconds: float, *, confirmed: bool = True) -> None:
+        """Lets time pass."""
+        self.now += seconds
+        if confirmed:
+            self.cell.confirm(self.now)
+        self.cell.tick(self.now, 0)
--- /dev/null
+++ b/acaciawing/jobs/tests/test_cell.py
@@ -0,0 +1,242 @@
+"""Tests of a cell's decisions under failure."""
+
+from acaciawing.jobs import (
+    Acknowledge,
+    EndedRow,
+    EndKind,
+    JobSubmitted,
+    Resources,
+    RunningRow,
+    StartAnswered,
+    StartOutcome,
+    Step,
+    StopAnswered,
+    StopRun,
+    SubtaskId,
+    Unreachable,
+    WorkerEngaged,
+)
+from acaciawing.jobs.tests.builders import LEASE_S, CellRig, a_job, a_worker
+
+
+def _first(job: str = "j") -> SubtaskId:
+    return SubtaskId(job, 0, 0, 0)
+
+
+def _done(start_run: int, number: int = 1, job: str = "j") -> EndedRow:
+    return EndedRow(number, _first(job), start_run, EndKind.DONE, "")
+
+
+class TestTakeover:
+    """Guards against work doubled or ended when a cell changes its holder."""
+
+    def test_ends_that_come_before_the_records_are_kept(self) -> None:
+        # The end was acknowledged unread, so that the subtask ran again.
+        rig = CellRig(fence=2)
+        worker = a_worker("w")
+        rig.list_workers(worker)
+        rig.report(worker, ended=(_done(100_001),))
+        assert not [
+            a
+            for a in rig.cell.take_actions(rig.now)
+            if isinstance(a, Acknowledge)
+        ]
+        rig.recover(
+            JobSubmitted(a_job("j"), 0), WorkerEngaged("w", 1, "192.0.2.1:80")
+        )
+        rig.settle()
+        assert rig.cell.state("j") == "completed"
+        assert not rig.starts
+
+    def test_runs_that_are_seen_before_the_records_go_on(self) -> None:
+        rig = CellRig(fence=2)
+        worker = a_worker("w")
+        rig.list_workers(worker)
+        rig.report(worker, running=(RunningRow(_first(), 100_001, "", 5, 0),))
+        rig.recover(JobSubmitted(a_job("j"), 0))
+        rig.settle()
+        assert not rig.starts
+        assert not [a for a in rig.actions if isinstance(a, StopRun)]
+
+    def test_nothing_old_starts_while_an_engaged_worker_is_silent(
+        self,
+    ) -> None:
+        rig = CellRig(fence=2)
+        worker = a_worker("w")
+        rig.list_workers(worker)
+        rig.recover(
+            JobSubmitted(a_job("j"), 0),
+            WorkerEngaged("gone", 1, "192.0.2.9:80"),
+        )
+        rig.report(worker)
+        rig.settle()
+        assert not rig.starts
+        rig.submit(a_job("new"))
+        rig.settle()
+        assert [s.subtask.job for s in rig.starts] == ["new"]
+        rig.wait(12.0)
+        rig.report(worker)
+        rig.settle()
+        assert [s.subtask.job for s in rig.starts] == ["new", "j"]
+
+    def test_run_numbers_are_above_those_of_earlier_holders(self) -> None:
+        rig = CellRig(fence=7)
+        worker = a_worker("w")
+        rig.list_workers(worker)
+        rig.recover(JobSubmitted(a_job("j"), 0))
+        rig.report(worker)
+        rig.settle()
+        assert rig.starts[0].run > 699_999
+
+
+class TestIsolation:
+    """Guards against a holder that acts on what it can't know any more."""
+
+    def test_lapse_without_confirmation_frees_nothing(self) -> None:
+        # A later holder had renewed the lease; the run was doubled.
+        rig = CellRig()
+        near, far = a_worker("near"), a_worker("far", cores=64)
+        rig.list_workers(near, far)
+        rig.recover(JobSubmitted(a_job("j"), 0))
+        rig.report(near)
+        rig.report(far)
+        rig.settle()
+        assert rig.starts[0].worker.worker == "near"
+        rig.cell.receive(
+            Unreachable(near.incarnation, rig.now + LEASE_S), rig.now
+        )
+        for _ in range(8):
+            rig.wait(1.0, confirmed=False)
+            rig.report(far)
+            rig.settle()
+        assert len(rig.starts) == 1
+        rig.wait(0.1)
+        rig.report(far)
+        rig.settle()
+        assert len(rig.starts) == 2
+
+    def test_unconfirmed_holder_starts_only_while_all_workers_answer(
+        self,
+    ) -> None:
+        rig = CellRig()
+        near, far = a_worker("near"), a_worker("far")
+        rig.list_workers(near, far)
+        rig.recover()
+        rig.report(near)
+        rig.report(far)
+        rig.settle()
+        for _ in range(3):
+            rig.wait(1.0, confirmed=False)
+            rig.report(near)
+        rig.submit(a_job("j"))
+        rig.settle()
+        assert not rig.starts
+        rig.report(far)
+        rig.settle()
+        assert len(rig.starts) == 1
+
+
+class TestUnansweredStart:
+    """Guards against a start that is carried out after it was given up."""
+
+    def test_run_is_closed_by_a_stop_before_another_start(self) -> None:
+        rig = CellRig()
+        worker = a_worker("w")
+        rig.list_workers(worker)
+        rig.recover(JobSubmitted(a_job("j"), 0))
+        rig.report(worker)
+        for _ in range(3):
+            rig.step(answer=False)
+        order = rig.starts[0]
+        rig.cell.receive(StartAnswered(order, StartOutcome.UNANSWERED), rig.now)
+        rig.now += 0.1
+        rig.report(worker, running=())
+        rig.step(answer=False)
+        stops = [a for a in rig.actions if isinstance(a, StopRun)]
+        assert [s.run for s in stops] == [order.run]
+        assert len(rig.starts) == 1
+        rig.cell.receive(StopAnswered(stops[0], True), rig.now)
+        rig.now += 0.1
+        rig.report(worker, running=())
+        rig.settle()
+        assert len(rig.starts) == 2
+        assert rig.starts[1].run > order.run
+
+    def test_run_that_is_listed_goes_on(self) -> None:
+        rig = CellRig()
+        worker = a_worker("w")
+        rig.list_workers(worker)
+        rig.recover(JobSubmitted(a_job("j"), 0))
+        rig.report(worker)
+        for _ in range(3):
+            rig.step(answer=False)
+        order = rig.starts[0]
+        rig.cell.receive(StartAnswered(order, StartOutcome.UNANSWERED), rig.now)
+        rig.now += 0.1
+        rig.report(
+            worker, running=(RunningRow(order.subtask, order.run, "", 1, 0),)
+        )
+        rig.settle()
+        assert not [a for a in rig.actions if isinstance(a, StopRun)]
+
+
+class TestEnds:
+    """Guards against ends that are acknowledged before they are durable."""
+
+    def test_end_is_acknowledged_after_its_record(self) -> None:
+        rig = CellRig()
+        worker = a_worker("w")
+        rig.list_workers(worker)
+        rig.recover(JobSubmitted(a_job("j"), 0))
+        rig.report(worker)
+        rig.settle()
+        rig.report(worker, ended=(_done(rig.starts[0].run),))
+        actions = rig.step(save=False)
+        assert not [a for a in actions if isinstance(a, Acknowledge)]
+        assert rig.cell.state("j") == "running"
+        rig.cell.saved(99, rig.now)
+        assert rig.cell.state("j") == "completed"
+        actions = rig.step()
+        assert [a.end_number for a in actions if isinstance(a, Acknowledge)]
+
+    def test_job_fails_after_its_attempts(self) -> None:
+        rig = CellRig(max_attempts=2)
+        worker = a_worker("w")
+        rig.list_workers(worker)
+        rig.recover(JobSubmitted(a_job("j"), 0))
+        rig.report(worker)
+        for number in (1, 2, 3):
+            rig.settle()
+            if len(rig.starts) < number:
+                break
+            row = EndedRow(
+                number, _first(), rig.starts[-1].run, EndKind.FAILED, ""
+            )
+            rig.report(worker, ended=(row,))
+        assert len(rig.starts) == 2
+        rig.settle()
+        assert rig.cell.state("j") == "failed"
+
+    def test_next_step_starts_only_after_all_of_the_step_before(self) -> None:
+        rig = CellRig()
+        worker = a_worker("w")
+        rig.list_workers(worker)
+        job = a_job(
+            "j",
+            Step(2, Resources(1000)),
+            Step(1, Resources(1000), depends_on=(0,)),
+        )
+        rig.recover(JobSubmitted(job, 0))
+        rig.report(worker)
+        rig.settle()
+        assert {s.subtask.step for s in rig.starts} == {0}
+        rows = tuple(
+            EndedRow(n, s.subtask, s.run, EndKind.DONE, "")
+            for n, s in enumerate(rig.starts, 1)
+        )
+        rig.report(worker, ended=rows[:1])
+        rig.settle()
+        assert len(rig.starts) == 2
+        rig.report(worker, ended=rows)
+        rig.settle()
+        assert rig.starts[-1].subtask.step == 1
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -257,6 +257,8 @@
     @_receive.register
     def _(self, message: Joined, now: float) -> None:
         self._confirmed_at = message.asked_at
+        for partition in message.partitions & self._cells.keys():
+            self._cells[partition].cell.confirm(message.asked_at)
         for partition in list(self._cells):
             if partition not in message.partitions:
                 self._drop(partition, "dealt to another instance")
@@ -329,6 +331,7 @@
     def _acquire(self, key: CellKey, now: float) -> None:
         held = HeldCell(key, self._store, self.send, self.may_act, now)
         self._cells[key.partition] = held
+        held.cell.confirm(self._confirmed_at)
         if self._configuration is not None:
             held.cell.configure(self._configuration)
         self._list_workers(held, now)
