Keep an unlisted, uncontacted worker in doubt until its leases have lapsed

Change: such a worker departs only when the time of doubt has passed. Test fails first.

Ruled out: the cut holder, which was fenced and started nothing after the takeover.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -505,7 +505,8 @@
             )
             for subtask in list(view.runs):
                 self._free(view, subtask, now)
-        if not view.present and lapsed and not view.runs:
+        unknown = view.life in self._takeover.until
+        if not view.present and lapsed and not view.runs and not unknown:
             self._depart(view.life, now)
             return
         for run in view.runs.values():
--- a/acaciawing/jobs/tests/test_cell.py
+++ b/acaciawing/jobs/tests/test_cell.py
@@ -74,11 +74,30 @@
         rig.submit(a_job("new"))
         rig.settle()
         assert [s.subtask.job for s in rig.starts] == ["new"]
-        rig.wait(12.0)
-        rig.report(worker)
-        rig.settle()
+        for _ in range(12):
+            rig.wait(1.0)
+            rig.report(worker)
+            rig.settle()
         assert [s.subtask.job for s in rig.starts] == ["new", "j"]
 
+    def test_silent_worker_that_is_no_longer_listed_still_counts(
+        self,
+    ) -> None:
+        # Its entry had lapsed behind a cut, while its runs went on.
+        rig = CellRig(fence=2)
+        worker, silent = a_worker("w"), a_worker("silent")
+        rig.list_workers(worker, silent)
+        rig.recover(
+            JobSubmitted(a_job("j"), 0),
+            WorkerEngaged("silent", 1, "192.0.2.9:80"),
+        )
+        rig.list_workers(worker)
+        for _ in range(5):
+            rig.report(worker)
+            rig.settle()
+            rig.wait(1.0)
+        assert not rig.starts
+
     def test_run_numbers_are_above_those_of_earlier_holders(self) -> None:
         rig = CellRig(fence=7)
         worker = a_worker("w")
