Resolve doubt about silent workers by the platform's list of machines

Change: while workers are in doubt, the holder reads the machines; a machine that no longer runs a worker ends the doubt, and frees the runs of a crashed worker at once. Test fails first.

Ruled out: the refused connection as proof (cuts may reset connections); the removed entry as proof (entries lapse behind cuts).

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -80,6 +80,10 @@
 # most end by then, and stragglers lose little by their checkpoints.
 EVACUATION_PATIENCE_S = 2.0
 
+# A worker that has not answered for this time may be gone, in seconds; above
+# the longest wait of a renewal.
+SILENT_S = 1.0
+
 # Runs are started without a further condition for this time after the group
 # has confirmed the holder, in seconds; below the 1.5 s after which the cell may
 # be dealt to another instance.
@@ -218,6 +222,34 @@
             if newest.get(life.worker, 0) > life.born_ms:
                 self._depart(life, now)
 
+    def in_doubt(self, now: float) -> bool:
+        """Whether runs may be on workers that do not answer."""
+        return bool(self._takeover.until) or any(
+            view.runs and now - view.contact_at > SILENT_S
+            for view in self.views.values()
+        )
+
+    def list_machines(
+        self, workers: Set[str], asked_at: float, now: float
+    ) -> None:
+        """Takes the platform's list of which worker each machine runs.
+
+        The list knows what a silent worker can't tell: a machine that moved,
+        was maintained, crashed or left no longer runs it.
+
+        Args:
+            workers: Ids of the workers that run.
+            asked_at: When the list was asked for, in seconds.
+            now: Present time in seconds.
+        """
+        for life in list(self._takeover.until):
+            if life.worker not in workers:
+                self._depart(life, now)
+        for view in list(self.views.values()):
+            silent = asked_at - view.contact_at > SILENT_S
+            if view.contacted and silent and view.life.worker not in workers:
+                self._depart(view.life, now)
+
     def saved(self, number: int, now: float) -> None:
         """Takes note that records up to `number` are durable."""
         self._saved = max(self._saved, number)
--- a/acaciawing/jobs/tests/test_cell.py
+++ b/acaciawing/jobs/tests/test_cell.py
@@ -107,6 +107,23 @@
         rig.settle()
         assert rig.starts[0].run > 699_999
 
+    def test_machine_list_ends_the_doubt(self) -> None:
+        # Machines had moved; each takeover then waited for 11 s.
+        rig = CellRig(fence=2)
+        worker = a_worker("w")
+        rig.list_workers(worker)
+        rig.recover(
+            JobSubmitted(a_job("j"), 0),
+            WorkerEngaged("moved", 1, "192.0.2.9:80"),
+        )
+        rig.report(worker)
+        rig.settle()
+        assert rig.cell.in_doubt(rig.now)
+        assert not rig.starts
+        rig.cell.list_machines({"w"}, rig.now, rig.now)
+        rig.settle()
+        assert len(rig.starts) == 1
+
 
 class TestIsolation:
     """Guards against a holder that acts on what it can't know any more."""
--- a/acaciawing/jobserver/daemon.py
+++ b/acaciawing/jobserver/daemon.py
@@ -14,6 +14,7 @@
 from acaciawing.jobserver.fleet import FleetTask
 from acaciawing.jobserver.limits import CALLER_THREADS, PEER_THREADS
 from acaciawing.jobserver.listeners import peer_calls, readiness, serve
+from acaciawing.jobserver.machinewatch import MachineWatch
 from acaciawing.jobserver.membership import (
     Contact,
     Holders,
@@ -71,6 +72,12 @@
         self._fleet = FleetTask(
             settings, self._orders, self._peers, self._engine.tenure
         )
+        self._watch = MachineWatch(
+            settings.machines,
+            settings.name,
+            self._engine.in_doubt,
+            self._engine.send,
+        )
         self._stopping = threading.Event()
 
     def run(self) -> None:
@@ -89,6 +96,7 @@
         self._holders.start()
         if settings.machines:
             self._fleet.start()
+            self._watch.start()
         log_event(
             Event.INSTANCE_STARTED,
             {"listen": settings.callers, "store": settings.store},
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -38,6 +38,7 @@
     JobAnswer,
     JobAsked,
     Joined,
+    MachinesRead,
     Message,
     RecordsCurrent,
     RecordsRead,
@@ -162,6 +163,7 @@
         self._confirmed_at = float("-inf")
         self._released = False
         self._tenure: FleetTenure | None = None
+        self._in_doubt = False
 
     def start(self) -> None:
         """Starts the thread."""
@@ -175,6 +177,10 @@
         """Returns the tenure of the fleet's cell, if it is held now."""
         return self._tenure if self.may_act() else None
 
+    def in_doubt(self) -> bool:
+        """Whether the platform's list of machines is needed."""
+        return self._in_doubt
+
     def may_act(self) -> bool:
         """Whether the group's confirmation is recent enough for orders."""
         return steady_s() - self._confirmed_at < AUTHORITY_S
@@ -188,6 +194,10 @@
                 ticked_at = now
                 for held in self._cells.values():
                     held.tick(now)
+                self._in_doubt = any(
+                    held.cell.recovered and held.cell.in_doubt(now)
+                    for held in self._cells.values()
+                )
             for partition, held in list(self._cells.items()):
                 if held.cell.fenced:
                     self._drop(partition, "fenced")
@@ -281,6 +291,12 @@
         for held in self._cells.values():
             self._list_workers(held, now)
 
+    @_receive.register
+    def _(self, message: MachinesRead, now: float) -> None:
+        for held in self._cells.values():
+            if held.cell.recovered:
+                held.cell.list_machines(message.workers, message.asked_at, now)
+
     @_receive.register
     def _(self, message: JobAsked, now: float) -> None:
         message.reply.set_result(self._answer(message, now))
--- a/acaciawing/jobserver/messages.py
+++ b/acaciawing/jobserver/messages.py
@@ -107,6 +107,19 @@
     workers: tuple[Worker, ...]
 
 
+@dataclass(frozen=True)
+class MachinesRead:
+    """The workers that the platform's machines run.
+
+    Attributes:
+        workers: Their ids.
+        asked_at: When the list was asked for, in seconds.
+    """
+
+    workers: frozenset[str]
+    asked_at: float
+
+
 @dataclass(frozen=True)
 class JobAsked:
     """Asks for the state of a job, or for the length of its queue.
@@ -172,6 +185,7 @@
     | Joined
     | ConfigurationRead
     | WorkersRead
+    | MachinesRead
     | JobAsked
     | ReportAsked
     | Release
