Adopt runs on engaged workers whose entry has lapsed

Change: such a worker gets a view that takes no new work, and its runs are adopted. Test fails first. Workers that have ended for good are not opened again from a stale entry. First contact and loss of a worker are logged.

Ruled out: records that expired (the topic held all of them); the machines' list.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -149,6 +149,7 @@
         self._unix_ms = 0
         self._confirmed_at = float("-inf")
         self._early: dict[Incarnation, Report] = {}
+        self._ended: set[Incarnation] = set()
 
     # Messages of the other tasks.
 
@@ -187,7 +188,7 @@
         self._takeover = Takeover(until, frozenset(self.table.jobs))
         for life, address in self.table.engaged.items():
             if life not in self.views:
-                self._actions.append(OpenWorker(life, address))
+                self._open(_unlisted(life, address)).present = False
         for view in self.views.values():
             view.engaged = view.life in self.table.engaged
         for progress in self.table.jobs.values():
@@ -207,8 +208,10 @@
             )
         for life, worker in listed.items():
             view = self.views.get(life)
+            if life in self._ended:
+                continue
             if view is None:
-                self._open(worker, now)
+                self._open(worker)
             else:
                 view.listed = worker
                 view.present = True
@@ -217,10 +220,10 @@
                 continue
             view.present = False
             if newest.get(life.worker, 0) > life.born_ms:
-                self._depart(life, now)
+                self._end_life(life, now)
         for life in list(self._takeover.until):
             if newest.get(life.worker, 0) > life.born_ms:
-                self._depart(life, now)
+                self._end_life(life, now)
 
     def in_doubt(self, now: float) -> bool:
         """Whether runs may be on workers that do not answer."""
@@ -244,11 +247,11 @@
         """
         for life in list(self._takeover.until):
             if life.worker not in workers:
-                self._depart(life, now)
+                self._end_life(life, now)
         for view in list(self.views.values()):
             silent = asked_at - view.contact_at > SILENT_S
             if view.contacted and silent and view.life.worker not in workers:
-                self._depart(view.life, now)
+                self._end_life(view.life, now)
 
     def saved(self, number: int, now: float) -> None:
         """Takes note that records up to `number` are durable."""
@@ -271,16 +274,23 @@
             # Without the records, every run and end there looks unknown.
             self._early[message.worker] = message
             return
-        self._takeover.until.pop(message.worker, None)
         view = self.views.get(message.worker)
         if view is None:
-            self._adopt_unlisted(message, now)
             return
+        self._takeover.until.pop(message.worker, None)
         view.contact_at = message.sent_at
         view.lease_until = message.lease_until
         if not view.contacted:
             view.contacted = True
             self._engage(view)
+            self._log(
+                "WORKER_CONTACTED",
+                worker=view.life.worker,
+                running=len(message.running),
+                ended=len(message.ended),
+                engaged=view.engaged,
+            )
+        view.reachable = True
         ended: set[SubtaskId] = set()
         for row in message.ended:
             ended.add(row.subtask)
@@ -298,12 +308,20 @@
     @receive.register
     def _(self, message: Unreachable, now: float) -> None:
         view = self.views.get(message.worker)
-        if view is not None:
-            view.lease_until = max(view.lease_until, message.lease_until)
+        if view is None:
+            return
+        view.lease_until = max(view.lease_until, message.lease_until)
+        if view.reachable:
+            view.reachable = False
+            self._log(
+                "WORKER_LOST",
+                worker=view.life.worker,
+                age_s=round(now - view.contact_at, 3),
+            )
 
     @receive.register
     def _(self, message: Departed, now: float) -> None:
-        self._depart(message.worker, now)
+        self._end_life(message.worker, now)
 
     @receive.register
     def _(self, message: StartAnswered, now: float) -> None:
@@ -480,13 +498,14 @@
         ]
         return choose_worker(others, run.step, run.subtask) is not None
 
-    def _open(self, worker: Worker, now: float) -> None:
+    def _open(self, worker: Worker) -> WorkerView:
         view = WorkerView(worker)
         view.engaged = self.recovered and (
             worker.incarnation in self.table.engaged
         )
         self.views[worker.incarnation] = view
         self._actions.append(OpenWorker(worker.incarnation, worker.address))
+        return view
 
     def _engage(self, view: WorkerView) -> None:
         if view.life in self.table.engaged:
@@ -496,16 +515,10 @@
         self.table.apply(record)
         self._engaging[self._save(record)] = view.life
 
-    def _adopt_unlisted(self, report: Report, now: float) -> None:
-        """Ends what an unlisted worker still runs, so that nothing is lost."""
-        for row in report.ended:
-            self._note_end(row, now)
-        for running in report.running:
-            self._actions.append(
-                StopRun(report.worker, running.subtask, running.run)
-            )
-        if not report.running:
-            self._depart(report.worker, now)
+    def _end_life(self, life: Incarnation, now: float) -> None:
+        """An incarnation has ended for good; a stale entry may remain."""
+        self._ended.add(life)
+        self._depart(life, now)
 
     def _depart(self, life: Incarnation, now: float) -> None:
         """A worker's incarnation has ended, or all its leases have lapsed."""
@@ -894,3 +907,8 @@
 def _load_of(view: WorkerView) -> WorkerLoad:
     lasting = sum(1 for run in view.runs.values() if run.step.lasting)
     return WorkerLoad(len(view.runs), lasting, view.used.cpu)
+
+
+def _unlisted(life: Incarnation, address: str) -> Worker:
+    """A worker whose entry has lapsed; it takes no new work."""
+    return Worker(life, "", address, "", True, Resources(), frozenset())
--- a/acaciawing/jobs/tests/test_cell.py
+++ b/acaciawing/jobs/tests/test_cell.py
@@ -107,6 +107,22 @@
         rig.settle()
         assert rig.starts[0].run > 699_999
 
+    def test_run_on_a_worker_that_is_not_listed_goes_on(self) -> None:
+        # Its entry had lapsed; the run was stopped and doubled meanwhile.
+        rig = CellRig(fence=2)
+        worker, silent = a_worker("w"), a_worker("silent")
+        rig.list_workers(worker)
+        rig.recover(
+            JobSubmitted(a_job("j"), 0),
+            WorkerEngaged("silent", 1, "192.0.2.9:80"),
+        )
+        rig.report(worker)
+        row = RunningRow(_first(), 100_001, "", 50, 0)
+        rig.report(silent, running=(row,))
+        rig.settle()
+        assert not rig.starts
+        assert not [a for a in rig.actions if isinstance(a, StopRun)]
+
     def test_machine_list_ends_the_doubt(self) -> None:
         # Machines had moved; each takeover then waited for 11 s.
         rig = CellRig(fence=2)
--- a/acaciawing/jobs/workers.py
+++ b/acaciawing/jobs/workers.py
@@ -85,6 +85,7 @@
         life: Its incarnation.
         present: Whether the platform lists it.
         contacted: Whether it has answered under this holder's fence.
+        reachable: Whether it has answered the last call.
         engaged: Whether the record that names it as ours is durable.
         contact_at: When it was last asked with success, in seconds.
         lease_until: When all leases granted to it have surely lapsed.
@@ -114,6 +115,7 @@
         "per_step",
         "present",
         "rack",
+        "reachable",
         "runs",
         "successes",
         "unacknowledged",
@@ -126,6 +128,7 @@
         self.life: Incarnation = worker.incarnation
         self.present = True
         self.contacted = False
+        self.reachable = False
         self.engaged = False
         self.contact_at = 0.0
         self.lease_until = 0.0
