Lend by load, place late work last, restart failed tasks

Change: pools get machines for 1.3 times their load from pools with a surplus; work that can't meet its objective goes after work that can; tasks are supervised.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -41,6 +41,7 @@
     SubtaskId,
     Worker,
 )
+from acaciawing.jobs.order import Rank, slack_ms
 from acaciawing.jobs.progress import JobProgress, JobTable
 from acaciawing.jobs.records import (
     JobFailed,
@@ -805,12 +806,23 @@
             if chosen is not None:
                 self._start(chosen, subtask, entry, now)
 
-    def _order(self, subtask: SubtaskId) -> tuple[int, bool, int, SubtaskId]:
+    def _order(self, subtask: SubtaskId) -> tuple[Rank, SubtaskId]:
         entry = self._waiting[subtask]
+        progress = self.table.jobs[subtask.job]
         queue = self._queue_of(subtask)
         priority = queue.priority if queue is not None else 0
-        at_ms = self.table.jobs[subtask.job].at_ms
-        return (priority, not entry.step.lasting, at_ms, subtask)
+        late = False
+        if queue is not None and not entry.step.lasting:
+            since_ms = progress.due_ms(subtask.occurrence) or progress.at_ms
+            slack = slack_ms(
+                progress.job, queue, since_ms, subtask.step, self._unix_ms
+            )
+            late = slack < 0
+        fresh = not progress.started
+        rank = Rank(
+            priority, not entry.step.lasting, late, fresh, progress.at_ms
+        )
+        return rank, subtask
 
     def _queue_of(self, subtask: SubtaskId) -> Queue | None:
         return self._queues.get(self.table.jobs[subtask.job].job.queue)
--- a/acaciawing/jobs/fleet.py
+++ b/acaciawing/jobs/fleet.py
@@ -4,6 +4,7 @@
 it work and moves what lasts. A machine that is off needs no emptying.
 """
 
+import math
 from collections.abc import Iterable, Mapping, Set
 from typing import NamedTuple, TypeAlias
 
@@ -11,13 +12,12 @@
 
 from acaciawing.jobs.model import Resources
 
-# A pool asks for a machine when waiting work would keep this share of one
-# busy; below it the work fits into what running work leaves within a second.
-BORROW_SHARE = 0.3
+# A pool is given machines for this many times its present load, so that work
+# that comes meanwhile finds room.
+HEADROOM = 1.3
 
-# A pool gives a machine only while its own load stays under this share of
-# what remains.
-LEND_LOAD = 0.6
+# Machines that a pool keeps for lasting work and for the first work of a peak.
+LEAST_MACHINES = 3
 
 # Emptying a machine for a loan is given up after this time, in seconds: the
 # peak that asked for it is over by then.
@@ -270,10 +270,10 @@
         )
 
     def _choose_loans(self, snapshot: FleetSnapshot, now: float) -> None:
-        for service, pool in sorted(
+        for service, _ in sorted(
             snapshot.pools.items(), key=lambda item: -item[1].waiting.cpu
         ):
-            missing = self._missing(service, pool, snapshot)
+            missing = self._missing(service, snapshot)
             for machine in self._donors(service, snapshot):
                 if missing <= 0:
                     break
@@ -281,32 +281,21 @@
                 self._emptying[machine.id] = Emptying(order, now)
                 missing -= 1
 
-    def _missing(
-        self, service: str, pool: PoolLoad, snapshot: FleetSnapshot
-    ) -> int:
-        """Machines that waiting work asks for and that are not under way."""
+    def _missing(self, service: str, snapshot: FleetSnapshot) -> int:
+        """Machines that a pool's load asks for beyond those under way."""
         if service in snapshot.spare:
             return 0
-        sizes = [m.capacity for m in snapshot.machines if m.capacity.cpu]
-        if not sizes:
-            return 0
-        size = sizes[0]
-        wanted = max(
-            pool.waiting.cpu / max(1, size.cpu),
-            pool.waiting.memory_mb / max(1, size.memory_mb),
-        )
         coming = sum(
             1
             for e in self._emptying.values()
             if isinstance(e.order, Move) and e.order.service == service
         )
-        coming += sum(
+        present = sum(
             1
             for m in snapshot.machines
-            if m.service == service
-            and (not m.up or m.worker not in snapshot.workers)
+            if m.service == service and m.id not in self._emptying
         )
-        return int(wanted + 1.0 - BORROW_SHARE) - coming
+        return _desired(service, snapshot) - present - coming
 
     def _donors(
         self, service: str, snapshot: FleetSnapshot
@@ -314,6 +303,7 @@
         """Machines that may be lent: those that are off, then idle ones."""
         off, idle = [], []
         due = {m for wave in snapshot.waves for m in wave.machines}
+        surplus = {s: -self._missing(s, snapshot) for s in snapshot.pools}
         for machine in snapshot.machines:
             if machine.service == service or machine.id in self._emptying:
                 continue
@@ -323,28 +313,28 @@
                 off.append(machine)
                 continue
             load = snapshot.workers.get(machine.worker)
-            pool = snapshot.pools.get(machine.service)
-            if load is None or pool is None or load.lasting:
+            if load is None or load.lasting or machine.id in due:
                 continue
-            if machine.id not in due and _can_lend(machine, pool):
-                idle.append((load.cpu, machine.id, machine))
-        # One machine of a pool at a time, so that its load is known again
-        # before the next one goes.
-        chosen = {
-            m.service: m
-            for _, _, m in sorted(idle, key=lambda i: i[:2], reverse=True)
-        }
-        return [*off, *chosen.values()]
-
-
-def _can_lend(machine: MachineState, pool: PoolLoad) -> bool:
-    rest = pool.capacity - machine.capacity
-    if pool.waiting.cpu or rest.cpu <= 0 or rest.memory_mb <= 0:
-        return False
-    return (
-        pool.used.cpu < LEND_LOAD * rest.cpu
-        and pool.used.memory_mb < LEND_LOAD * rest.memory_mb
+            idle.append((load.cpu, machine.id, machine))
+        chosen = []
+        for _, _, machine in sorted(idle, key=lambda i: i[:2]):
+            if surplus.get(machine.service, 0) > 0:
+                surplus[machine.service] -= 1
+                chosen.append(machine)
+        return [*off, *chosen]
+
+
+def _desired(service: str, snapshot: FleetSnapshot) -> int:
+    """Machines that a pool needs for its present load."""
+    pool = snapshot.pools.get(service)
+    sizes = [m.capacity for m in snapshot.machines if m.capacity.cpu]
+    if pool is None or not sizes:
+        return 0
+    load = pool.used + pool.waiting
+    need = max(
+        load.cpu / sizes[0].cpu, load.memory_mb / max(1, sizes[0].memory_mb)
     )
+    return max(LEAST_MACHINES, math.ceil(need * HEADROOM))
 
 
 def _is_empty(machine: MachineState, snapshot: FleetSnapshot) -> bool:
--- a/acaciawing/jobserver/celllog.py
+++ b/acaciawing/jobserver/celllog.py
@@ -19,6 +19,7 @@
     RecordsRead,
     RecordsSaved,
 )
+from acaciawing.jobserver.tasks import start_task
 from acaciawing.platform.store import (
     Expired,
     OutOfSequence,
@@ -64,7 +65,7 @@
 
     def start(self) -> None:
         """Starts the thread."""
-        threading.Thread(target=self._run, daemon=True).start()
+        start_task("cell reader", self._run)
 
     def close(self) -> None:
         """Ends the thread after its present call."""
@@ -166,7 +167,7 @@
 
     def start(self) -> None:
         """Starts the thread."""
-        threading.Thread(target=self._run, daemon=True).start()
+        start_task("cell writer", self._run)
 
     def close(self) -> None:
         """Ends the thread; what was not appended stays so."""
--- a/acaciawing/jobserver/daemon.py
+++ b/acaciawing/jobserver/daemon.py
@@ -56,7 +56,9 @@
         self._contact = Contact()
         self._engine = Engine(store, settings.partitions)
         self._orders = OrdersFollower(store, self._engine.send)
-        self._workers = WorkersFollower(store, self._engine.send)
+        self._workers = WorkersFollower(
+            store, self._engine.send, self._engine.holds_cells
+        )
         self._membership = MembershipTask(
             store, self._address, self._contact, self._engine.send
         )
--- a/acaciawing/jobserver/directory.py
+++ b/acaciawing/jobserver/directory.py
@@ -5,6 +5,7 @@
 
 from acaciawing.jobs import Configuration, Worker
 from acaciawing.jobserver.limits import (
+    IDLE_READ_INTERVAL_S,
     LONGEST_PAUSE_S,
     PAUSE_S,
     READ_WAIT_MS,
@@ -15,6 +16,7 @@
     Message,
     WorkersRead,
 )
+from acaciawing.jobserver.tasks import start_task
 from acaciawing.platform.store import (
     Expired,
     KeyedRecord,
@@ -48,10 +50,12 @@
     Args:
         address: ``ip:port`` of the store.
         topic: Name of the topic.
-        interval_s: Shortest time between two reads, in seconds.
+        interval_s: Returns the shortest time between two reads, in seconds.
     """
 
-    def __init__(self, address: str, topic: str, interval_s: float) -> None:
+    def __init__(
+        self, address: str, topic: str, interval_s: Callable[[], float]
+    ) -> None:
         """Keeps the arguments; `start` starts the thread."""
         self._store = Store(address)
         self._topic = topic
@@ -60,7 +64,7 @@
 
     def start(self) -> None:
         """Starts the thread."""
-        threading.Thread(target=self._run, daemon=True).start()
+        start_task(self._topic, self._run, restart=True)
 
     def close(self) -> None:
         """Ends the thread after its present call."""
@@ -93,7 +97,7 @@
                     pause = PAUSE_S
                     offset = result.next_offset
                     self._take(result.records)
-                    self._closed.wait(self._interval_s)
+                    self._closed.wait(self._interval_s())
                     continue
             self._closed.wait(pause)
             pause = min(2 * pause, LONGEST_PAUSE_S)
@@ -121,7 +125,7 @@
 
     def __init__(self, address: str, send: Callable[[Message], None]) -> None:
         """Keeps the arguments."""
-        super().__init__(address, _ORDERS_TOPIC, 0.0)
+        super().__init__(address, _ORDERS_TOPIC, lambda: 0.0)
         self._send = send
         self.configuration: Configuration | None = None
         self.waves: dict[int, Wave] = {}
@@ -166,11 +170,23 @@
     Args:
         address: ``ip:port`` of the store.
         send: Puts a message into the engine's inbox.
+        in_use: Whether a cell of this instance uses the list.
     """
 
-    def __init__(self, address: str, send: Callable[[Message], None]) -> None:
+    def __init__(
+        self,
+        address: str,
+        send: Callable[[Message], None],
+        in_use: Callable[[], bool],
+    ) -> None:
         """Keeps the arguments."""
-        super().__init__(address, _WORKERS_TOPIC, WORKER_READ_INTERVAL_S)
+        super().__init__(
+            address,
+            _WORKERS_TOPIC,
+            lambda: (
+                WORKER_READ_INTERVAL_S if in_use() else IDLE_READ_INTERVAL_S
+            ),
+        )
         self._send = send
         self._workers: dict[str, Worker] = {}
         self._unreadable: set[str] = set()
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -1,6 +1,5 @@
 """The task that owns all cells of this instance."""
 
-import threading
 from collections.abc import Callable
 from functools import singledispatchmethod
 from queue import Empty, SimpleQueue
@@ -49,6 +48,7 @@
     WorkersRead,
 )
 from acaciawing.jobserver.sessions import WorkerSession
+from acaciawing.jobserver.tasks import start_task
 from acaciawing.telemetry import Event, log_event
 
 # Most messages taken before actions are carried out.
@@ -167,7 +167,7 @@
 
     def start(self) -> None:
         """Starts the thread."""
-        threading.Thread(target=self._run, daemon=True).start()
+        start_task("engine", self._run)
 
     def send(self, message: Message) -> None:
         """Puts a message into the inbox; for any thread."""
@@ -177,6 +177,10 @@
         """Returns the tenure of the fleet's cell, if it is held now."""
         return self._tenure if self.may_act() else None
 
+    def holds_cells(self) -> bool:
+        """Whether any cell is held now."""
+        return bool(self._cells)
+
     def in_doubt(self) -> bool:
         """Whether the platform's list of machines is needed."""
         return self._in_doubt
--- a/acaciawing/jobserver/fleet.py
+++ b/acaciawing/jobserver/fleet.py
@@ -20,6 +20,7 @@
 from acaciawing.jobserver.membership import cell_of
 from acaciawing.jobserver.messages import FleetTenure
 from acaciawing.jobserver.peers import Peers
+from acaciawing.jobserver.tasks import start_task
 from acaciawing.platform.machines import (
     MachineClient,
     MachineOrder,
@@ -30,9 +31,9 @@
 from acaciawing.platform.wire import Machine, Wave
 from acaciawing.telemetry import Event, log_event
 
-# Time between two rounds while machines are under way, and otherwise, in
-# seconds; each reading of the machines has its price.
-_ROUND_S = 0.2
+# Time between two rounds, in seconds; each reading of the machines has its
+# price, and a peak of demand lasts for some seconds.
+_ROUND_S = 0.15
 
 # Waits this much longer than a lease for the orders of an earlier holder, in
 # seconds: it may not know yet that it is no longer the holder.
@@ -70,7 +71,7 @@
 
     def start(self) -> None:
         """Starts the thread."""
-        threading.Thread(target=self._run, daemon=True).start()
+        start_task("fleet", self._run, restart=True)
 
     def _run(self) -> None:
         while True:
@@ -133,7 +134,9 @@
         return waves
 
     def _wave_order(self, wave: Wave, left: tuple[str, ...]) -> WaveOrder:
-        due_at = self._seen[wave.number] + wave.duration_s
+        # A wave may arrive within a round.
+        seen_at = self._seen.setdefault(wave.number, steady_s())
+        due_at = seen_at + wave.duration_s
         return WaveOrder(wave.number, left, wave.max_down, due_at)
 
     def _snapshot(
--- a/acaciawing/jobserver/limits.py
+++ b/acaciawing/jobserver/limits.py
@@ -31,7 +31,10 @@
 
 # Shortest time between two reads of the workers' list, in seconds: entries
 # change with each heartbeat, and every read has its price.
-WORKER_READ_INTERVAL_S = 0.25
+WORKER_READ_INTERVAL_S = 0.1
+
+# The same at an instance that holds no cell.
+IDLE_READ_INTERVAL_S = 1.0
 
 # Time between two steps of the engine without a message, in seconds.
 TICK_S = 0.05
--- a/acaciawing/jobserver/machinewatch.py
+++ b/acaciawing/jobserver/machinewatch.py
@@ -6,6 +6,7 @@
 from acaciawing.jobserver.clock import steady_s
 from acaciawing.jobserver.limits import TICK_S
 from acaciawing.jobserver.messages import MachinesRead
+from acaciawing.jobserver.tasks import start_task
 from acaciawing.platform.machines import MachineClient, MachinesListed
 from acaciawing.telemetry import Event, log_event
 
@@ -38,7 +39,7 @@
 
     def start(self) -> None:
         """Starts the thread."""
-        threading.Thread(target=self._run, daemon=True).start()
+        start_task("machine watch", self._run, restart=True)
 
     def _run(self) -> None:
         while True:
--- a/acaciawing/jobserver/membership.py
+++ b/acaciawing/jobserver/membership.py
@@ -9,6 +9,7 @@
 from acaciawing.jobserver.clock import steady_s
 from acaciawing.jobserver.limits import JOIN_INTERVAL_S, MEMBER_TTL_MS
 from acaciawing.jobserver.messages import Joined
+from acaciawing.jobserver.tasks import start_task
 from acaciawing.platform.store import Membership, Store, Unavailable
 from acaciawing.telemetry import Event, log_event
 
@@ -86,7 +87,7 @@
 
     def start(self) -> None:
         """Starts the thread."""
-        threading.Thread(target=self._run, daemon=True).start()
+        start_task("membership", self._run)
 
     def leave(self, timeout_s: float) -> None:
         """Leaves the group, so that others take over at once."""
@@ -136,7 +137,7 @@
 
     def start(self) -> None:
         """Starts the thread."""
-        threading.Thread(target=self._run, daemon=True).start()
+        start_task("holders", self._run, restart=True)
 
     def member(self, partition: int) -> str:
         """Returns the address of a cell's holder, or an empty text."""
--- a/acaciawing/jobserver/sessions.py
+++ b/acaciawing/jobserver/sessions.py
@@ -25,6 +25,7 @@
     PAUSE_S,
 )
 from acaciawing.jobserver.messages import CellFenced, CellKey, WorkerSaid
+from acaciawing.jobserver.tasks import start_task
 from acaciawing.platform.runs import (
     Held,
     HigherFence,
@@ -110,8 +111,8 @@
 
     def start(self) -> None:
         """Starts both threads."""
-        for target in (self._renew, self._carry_out):
-            threading.Thread(target=target, daemon=True).start()
+        start_task("leases", self._renew)
+        start_task("orders", self._carry_out)
 
     def close(self) -> None:
         """Ends both threads after their present call."""
--- /dev/null
+++ b/acaciawing/jobserver/tasks.py
@@ -0,0 +1,49 @@
+"""Threads of the job server."""
+
+import os
+import threading
+import traceback
+from collections.abc import Callable
+
+from acaciawing.telemetry import Event, log_event
+
+# Pause before a failed task starts again, in seconds.
+_RESTART_S = 0.5
+
+# Exit status after the failure of a task that can't start again; the platform
+# then starts a new process, which recovers from the store and the workers.
+_FAILED = 70
+
+
+def start_task(
+    name: str, target: Callable[[], None], *, restart: bool = False
+) -> None:
+    """Starts a task in a thread of its own.
+
+    Args:
+        name: Names it in the log.
+        target: Its loop.
+        restart: Whether it may start again after an unexpected error; all
+            others end the process, as their state may be wrong.
+    """
+
+    def run() -> None:
+        while True:
+            try:
+                target()
+                return
+            except Exception as error:
+                log_event(
+                    Event.TASK_FAILED,
+                    {
+                        "task": name,
+                        "error": repr(error),
+                        "trace": traceback.format_exc(limit=-4),
+                        "restart": restart,
+                    },
+                )
+                if not restart:
+                    os._exit(_FAILED)
+            threading.Event().wait(_RESTART_S)
+
+    threading.Thread(target=run, name=name, daemon=True).start()
--- a/acaciawing/telemetry/events.py
+++ b/acaciawing/telemetry/events.py
@@ -53,6 +53,7 @@
     JOB_CANCELLED = ("AW3405", "job cancelled")
     MACHINE_ORDERED = ("AW3501", "machine ordered")
     WAVE_STATE = ("AW3502", "wave state written")
+    TASK_FAILED = ("AW3902", "task failed")
     LINES_LEFT_OUT = ("AW3901", "log lines left out")
 
     @property
