--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -41,7 +41,7 @@
     SubtaskId,
     Worker,
 )
-from acaciawing.jobs.order import Rank, slack_ms
+from acaciawing.jobs.order import Rank, Urgency, urgency
 from acaciawing.jobs.progress import JobProgress, JobTable
 from acaciawing.jobs.records import (
     JobFailed,
@@ -811,16 +811,18 @@
         progress = self.table.jobs[subtask.job]
         queue = self._queue_of(subtask)
         priority = queue.priority if queue is not None else 0
-        late = False
+        standing = Urgency.IN_TIME
         if queue is not None and not entry.step.lasting:
             since_ms = progress.due_ms(subtask.occurrence) or progress.at_ms
-            slack = slack_ms(
+            standing = urgency(
                 progress.job, queue, since_ms, subtask.step, self._unix_ms
             )
-            late = slack < 0
-        fresh = not progress.started
         rank = Rank(
-            priority, not entry.step.lasting, late, fresh, progress.at_ms
+            priority,
+            not entry.step.lasting,
+            standing,
+            not progress.started,
+            progress.at_ms,
         )
         return rank, subtask
 
--- a/acaciawing/jobs/order.py
+++ b/acaciawing/jobs/order.py
@@ -4,28 +4,45 @@
 that can't; a queue in order of arrival would make all of it late.
 """
 
+from enum import IntEnum
 from typing import NamedTuple
 
 from acaciawing.jobs.model import Job, Queue
 
+# A job earns something up to this many times its objective.
+LATE_FACTOR = 3.0
+
+# Late work whose last chance to earn comes within this time goes before all
+# other work, in milliseconds: about the wait for room at a peak.
+LAST_CALL_MS = 700.0
+
 # Share of the objective that is kept for what estimates leave out.
 MARGIN_SHARE = 0.1
 
 
+class Urgency(IntEnum):
+    """How a job stands to its objective; smaller goes first."""
+
+    LAST_CALL = 0
+    IN_TIME = 1
+    LATE = 2
+    WORTHLESS = 3
+
+
 class Rank(NamedTuple):
     """Sort key of a job's subtasks; smaller goes first.
 
     Attributes:
         priority: The queue's priority; 0 is the most urgent.
         batch: Whether the subtask ends by itself; lasting ones go first.
-        late: Whether the job can't meet its objective any more.
+        urgency: How the job stands to its objective.
         fresh: Whether nothing of the job has run yet.
         at_ms: When the job was handed in.
     """
 
     priority: int
     batch: bool
-    late: bool
+    urgency: Urgency
     fresh: bool
     at_ms: int
 
@@ -50,17 +67,23 @@
     return queue.stretch * chain_ms(job) + queue.objective_ms
 
 
-def slack_ms(
-    job: Job, queue: Queue, at_ms: int, first_step: int, unix_ms: int
-) -> float:
-    """Returns the time left before the rest of a job has to start.
+def urgency(
+    job: Job, queue: Queue, since_ms: int, first_step: int, unix_ms: int
+) -> Urgency:
+    """Returns how a job stands to its objective.
 
     Args:
         job: The job.
         queue: Its queue.
-        at_ms: When it was handed in.
+        since_ms: When it was handed in, or due.
         first_step: First step that is not done.
         unix_ms: Present time.
     """
     objective = objective_ms(job, queue) * (1 - MARGIN_SHARE)
-    return at_ms + objective - unix_ms - chain_ms(job, first_step)
+    spent = unix_ms - since_ms + chain_ms(job, first_step)
+    if spent <= objective:
+        return Urgency.IN_TIME
+    left = LATE_FACTOR * objective - spent
+    if left < 0:
+        return Urgency.WORTHLESS
+    return Urgency.LAST_CALL if left < LAST_CALL_MS else Urgency.LATE
