Release nothing before a cell's records are read; hand cells over faster

Change: time passes for a cell only after recovery; workers known to have ended are released at recovery. Test fails first.

Ruled out: the shorter interval itself; the race existed before (50 ms tick).

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -187,6 +187,8 @@
         self.recovered = True
         until = dict.fromkeys(self.table.engaged, now + uncertain_s)
         self._takeover = Takeover(until, frozenset(self.table.jobs))
+        for life in self._ended & until.keys():
+            self._depart(life, now)
         for life, address in self.table.engaged.items():
             if life not in self.views:
                 self._open(_unlisted(life, address)).present = False
@@ -357,6 +359,8 @@
     def tick(self, now: float, unix_ms: int) -> None:
         """Lets time pass: lapsed leases, due occurrences, repeated stops."""
         self._unix_ms = unix_ms
+        if not self.recovered:
+            return
         for life, until in list(self._takeover.until.items()):
             if self._confirmed_at >= until:
                 self._depart(life, now)
--- a/acaciawing/jobs/tests/test_cell.py
+++ b/acaciawing/jobs/tests/test_cell.py
@@ -107,6 +107,28 @@
         rig.settle()
         assert rig.starts[0].run > 699_999
 
+    def test_time_that_passes_before_the_records_releases_no_worker(
+        self,
+    ) -> None:
+        # A tick dropped a worker whose entry had lapsed, and its runs with it.
+        rig = CellRig(fence=2)
+        worker, silent = a_worker("w"), a_worker("silent")
+        rig.list_workers(worker, silent)
+        rig.list_workers(worker)
+        rig.cell.fold(
+            [
+                JobSubmitted(a_job("j"), 0),
+                WorkerEngaged("silent", 1, "192.0.2.9:80"),
+            ],
+            rig.now,
+            0,
+        )
+        rig.wait(0.05)
+        rig.recover()
+        rig.report(worker)
+        rig.settle()
+        assert not rig.starts
+
     def test_run_on_a_worker_that_is_not_listed_goes_on(self) -> None:
         # Its entry had lapsed; the run was stopped and doubled meanwhile.
         rig = CellRig(fence=2)
--- a/acaciawing/jobserver/limits.py
+++ b/acaciawing/jobserver/limits.py
@@ -20,7 +20,7 @@
 MEMBER_TTL_MS = 1500
 
 # Time between two calls that keep the membership, in seconds.
-JOIN_INTERVAL_S = 0.3
+JOIN_INTERVAL_S = 0.15
 
 # How long a worker may wait for an end in a renewal, in milliseconds.
 HOLD_WAIT_MS = 800
--- a/acaciawing/jobserver/membership.py
+++ b/acaciawing/jobserver/membership.py
@@ -18,6 +18,10 @@
 # Time between two reads of the cells' holders, in seconds.
 _OWNERS_INTERVAL_S = 1.0
 
+# Time in which the engine drops a cell before the next join releases it, in
+# seconds.
+_HANDOVER_S = 0.03
+
 
 def cell_of(service: str, partitions: int) -> int:
     """Returns the cell of a service.
@@ -84,6 +88,7 @@
         self._send = send
         self._closed = threading.Event()
         self._ended = threading.Event()
+        self._partitions: frozenset[int] = frozenset()
 
     def start(self) -> None:
         """Starts the thread."""
@@ -104,8 +109,11 @@
             self._closed.wait(JOIN_INTERVAL_S)
         generation = 0
         while not self._closed.is_set():
+            before = self._partitions
             generation = self._join(generation)
-            self._closed.wait(JOIN_INTERVAL_S)
+            # The next join hands over what was dealt to others.
+            lost = before - self._partitions
+            self._closed.wait(_HANDOVER_S if lost else JOIN_INTERVAL_S)
         self._store.leave(GROUP, self._member)
         self._ended.set()
 
