Note each order for a machine before it, by machine

Change: each order is noted in the store before it is given; a new holder waits 0.5 s, and only leaves alone the machines that were ordered just before. A pool without a name (workers whose entry has lapsed) is no longer lent to: 400 at the platform.

Ruled out: the cells' handovers (0.1 s each in the log).

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -443,6 +443,8 @@
         none = Resources()
         for view in self.views.values():
             service = view.listed.service
+            if not service:
+                continue
             used[service] = used.get(service, none) + view.used
             if view.usable(now):
                 known = capacity.get(service, none)
--- /dev/null
+++ b/acaciawing/jobs/orderlog.py
@@ -0,0 +1,56 @@
+"""Machines that an earlier holder of the fleet's cell has ordered lately.
+
+The platform takes two holders' orders for one machine within a lease for a
+fault. A new holder therefore leaves alone what was ordered shortly before it.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+# Clocks of two instances may differ by this much, in milliseconds: the time of
+# day of an instance may jump by 2 s.
+CLOCK_DIFFERENCE_MS = 2500
+
+
+class OrderNote(msgspec.Struct, frozen=True):
+    """The last order for a machine, written before it was given.
+
+    Attributes:
+        machine: Its id.
+        holder: Name of the instance that gave it.
+        fence: That instance's fence.
+        at_ms: Unix time, in milliseconds.
+    """
+
+    machine: str
+    holder: str
+    fence: int
+    at_ms: int
+
+
+def recent_orders(
+    notes: Iterable[OrderNote], fence: int, lease_ms: int, unix_ms: int
+) -> frozenset[str]:
+    """Returns the machines that a new holder has to leave alone for a lease.
+
+    Args:
+        notes: Last order for each machine.
+        fence: Fence of the new holder.
+        lease_ms: Shortest time between two holders' orders.
+        unix_ms: Present time.
+
+    >>> note = OrderNote("m", "entry-1", 3, 10_000)
+    >>> sorted(recent_orders([note], 4, 3000, 12_000))
+    ['m']
+    >>> sorted(recent_orders([note], 4, 3000, 16_000))
+    []
+    >>> sorted(recent_orders([note], 3, 3000, 12_000))
+    []
+    """
+    limit = lease_ms + CLOCK_DIFFERENCE_MS
+    return frozenset(
+        note.machine
+        for note in notes
+        if note.fence != fence and unix_ms - note.at_ms < limit
+    )
--- a/acaciawing/jobserver/fleet.py
+++ b/acaciawing/jobserver/fleet.py
@@ -15,7 +15,8 @@
     WaveOrder,
     WorkerLoad,
 )
-from acaciawing.jobserver.clock import steady_s
+from acaciawing.jobs.orderlog import OrderNote, recent_orders
+from acaciawing.jobserver.clock import steady_s, unix_ms
 from acaciawing.jobserver.directory import OrdersFollower
 from acaciawing.jobserver.membership import cell_of
 from acaciawing.jobserver.messages import FleetTenure
@@ -27,7 +28,7 @@
     MachinesListed,
 )
 from acaciawing.platform.node import NodeSettings
-from acaciawing.platform.statuses import WaveStatuses
+from acaciawing.platform.statuses import OrderNotes, WaveStatuses
 from acaciawing.platform.wire import Machine, Wave
 from acaciawing.telemetry import Event, log_event
 
@@ -35,9 +36,9 @@
 # price, and a peak of demand lasts for some seconds.
 _ROUND_S = 0.15
 
-# Waits this much longer than a lease for the orders of an earlier holder, in
-# seconds: it may not know yet that it is no longer the holder.
-_HANDOVER_MARGIN_S = 1.0
+# An earlier holder may not know yet that it is no longer the holder; no order
+# is given for this time, in seconds, above its interval of joins.
+_HANDOVER_S = 0.5
 
 
 class FleetTask:
@@ -67,6 +68,8 @@
         self._plan = FleetPlan()
         self._seen: dict[int, float] = {}
         self._held: FleetTenure | None = None
+        self._notes = OrderNotes(settings.store)
+        self._recent: frozenset[str] | None = None
         self._pause = threading.Event()
 
     def start(self) -> None:
@@ -82,10 +85,9 @@
                 if tenure != self._held:
                     self._held = tenure
                     self._plan = FleetPlan()
+                    self._recent = None
                 self._note_waves(steady_s())
-                handover = self._settings.order_lease_ms / 1000
-                handover += _HANDOVER_MARGIN_S
-                if steady_s() - tenure.since > handover:
+                if steady_s() - tenure.since > _HANDOVER_S:
                     self._round(tenure)
             self._pause.wait(_ROUND_S)
 
@@ -110,7 +112,24 @@
         for order in self._plan.decide(snapshot, steady_s()):
             if self._tenure() != tenure:
                 return
-            self._carry_out(order, tenure)
+            if self._may_order(order.machine, tenure):
+                self._carry_out(order, tenure)
+
+    def _may_order(self, machine: str, tenure: FleetTenure) -> bool:
+        """Whether no earlier holder has ordered the machine just before."""
+        lease_ms = self._settings.order_lease_ms
+        if self._recent is None:
+            notes = self._notes.read()
+            if notes is None:
+                return False
+            self._recent = recent_orders(
+                notes, tenure.fence, lease_ms, unix_ms()
+            )
+        waits = machine in self._recent
+        if waits and steady_s() - tenure.since < _HANDOVER_S + lease_ms / 1000:
+            return False
+        note = OrderNote(machine, self._settings.name, tenure.fence, unix_ms())
+        return self._notes.write(note)
 
     def _open_waves(self, machines: tuple[Machine, ...]) -> list[WaveOrder]:
         """Returns waves with machines left; writes the state of each."""
--- a/acaciawing/platform/statuses.py
+++ b/acaciawing/platform/statuses.py
@@ -4,8 +4,11 @@
 
 import msgspec
 
+from acaciawing.jobs.orderlog import OrderNote
 from acaciawing.platform.http import decode_object, encode_json
 from acaciawing.platform.store import Newest, Store, Stored
+from acaciawing.platform.wire import Finding
+from acaciawing.telemetry import Event, log_event
 
 # The operator reads this topic; one key a wave.
 _STATUS_TOPIC = "keyed.status"
@@ -13,6 +16,9 @@
 # Machines of each wave whose upkeep has begun; read by the next holder.
 _PROGRESS_TOPIC = "keyed.waves"
 
+# Last order for each machine.
+_ORDERS_TOPIC = "keyed.orders"
+
 
 class WaveStatuses:
     """Reads and writes the progress of waves; for one thread.
@@ -103,3 +109,41 @@
         return msgspec.json.decode(value, type=list[str])
     except (msgspec.DecodeError, UnicodeDecodeError):
         return []
+
+
+class OrderNotes:
+    """Last order for each machine, for the next holder; for one thread.
+
+    Args:
+        address: ``ip:port`` of the store.
+    """
+
+    def __init__(self, address: str) -> None:
+        """Keeps the address; connects on first use."""
+        self._store = Store(address)
+
+    def read(self) -> tuple[OrderNote, ...] | None:
+        """Reads the notes; None where the store did not answer."""
+        newest = self._store.newest(_ORDERS_TOPIC)
+        if not isinstance(newest, Newest):
+            return None
+        notes = []
+        for record in newest.records:
+            try:
+                notes.append(
+                    msgspec.json.decode(record.value or b"", type=OrderNote)
+                )
+            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+                finding = Finding(f"{_ORDERS_TOPIC}/{record.key}", str(error))
+                log_event(
+                    Event.FINDING,
+                    {"place": finding.place, "fault": finding.fault},
+                )
+        return tuple(notes)
+
+    def write(self, note: OrderNote) -> bool:
+        """Writes a note; returns whether it is durable."""
+        result = self._store.append_keyed(
+            _ORDERS_TOPIC, note.machine, msgspec.json.encode(note)
+        )
+        return isinstance(result, Stored)
