Bound log volume and never block on it; serve metrics

Cause: each line was written by the thread that decided, so that a reader that stops would have stopped the instance; no metrics were served on the users' platform.

Change: lines go through a bounded queue and a token bucket (400 a second, 2,000 at once), and what is left out is counted; counters and latency histograms are served as text. A test writes 20,000 lines to a pipe that nobody reads.

Ruled out: dropping by level: all lines here are decisions.

--- a/acaciawing/jobserver/appending.py
+++ b/acaciawing/jobserver/appending.py
@@ -5,6 +5,7 @@
 from acaciawing.jobserver.celllog import TOPIC
 from acaciawing.jobserver.clock import steady_s
 from acaciawing.jobserver.membership import Contact
+from acaciawing.jobserver.metrics import METRICS
 from acaciawing.platform.store import (
     WRITE_TIMEOUT_S,
     AppendResult,
@@ -44,10 +45,16 @@
             store = self._idle.get_nowait()
         except Empty:
             store = Store(self._address)
+        began_at = steady_s()
         result = store.append(
             TOPIC, partition, (payload,), None, min(WRITE_TIMEOUT_S, within_s)
         )
         self._idle.put(store)
+        METRICS.time(
+            "acaciawing.jobs.append_time",
+            steady_s() - began_at,
+            outcome=type(result).__name__,
+        )
         if isinstance(result, MaybeStored | NotStored):
             self._contact.failed(steady_s(), result.detail)
         else:
--- a/acaciawing/jobserver/callers.py
+++ b/acaciawing/jobserver/callers.py
@@ -25,6 +25,7 @@
     RETRY_AFTER_S,
 )
 from acaciawing.jobserver.membership import cell_of
+from acaciawing.jobserver.metrics import METRICS
 from acaciawing.jobserver.peers import Peers
 from acaciawing.platform.store import AppendResult, NotStored, Stored
 from acaciawing.platform.wire import Finding, decode_job, is_job_id
@@ -86,6 +87,17 @@
         """Serves one request (PEP 3333)."""
         began_at = steady_s()
         reply = self._reply(environ, began_at)
+        method = environ["REQUEST_METHOD"]
+        METRICS.count(
+            "acaciawing.jobs.requests",
+            method=method,
+            status=str(reply.status),
+        )
+        METRICS.time(
+            "acaciawing.jobs.request_time",
+            steady_s() - began_at,
+            method=method,
+        )
         body = msgspec.json.encode(reply.body)
         headers = [
             ("Content-Type", "application/json"),
--- a/acaciawing/jobserver/daemon.py
+++ b/acaciawing/jobserver/daemon.py
@@ -1,5 +1,6 @@
 """The job server: one role on every entry instance of the platform."""
 
+import json
 import signal
 import sys
 import threading
@@ -21,6 +22,7 @@
     MembershipTask,
 )
 from acaciawing.jobserver.messages import Release
+from acaciawing.jobserver.metrics import METRICS
 from acaciawing.jobserver.peers import Peers
 from acaciawing.platform.node import (
     NodeSettings,
@@ -28,6 +30,10 @@
     read_node_settings,
 )
 from acaciawing.telemetry import Event, configure_logs, log_event
+from acaciawing.telemetry.stream import BoundedStream
+
+# Where metrics are served; deploy/system.toml names the same port.
+METRICS_PORT = 9464
 
 # An instance is ready while the store has answered it within this time, in
 # seconds: two misses of a check a second take it out of rotation.
@@ -89,6 +95,8 @@
         signal.signal(signal.SIGINT, lambda *_: self._stopping.set())
         signal.signal(signal.SIGHUP, self._reread)
         serve(settings.readiness, readiness(self._is_ready), 1)
+        serve(f"{settings.ip}:{METRICS_PORT}", METRICS.application, 1)
+        METRICS.start()
         serve(self._address, peer_calls(self._peers), PEER_THREADS)
         callers = serve(settings.callers, self._callers, CALLER_THREADS)
         self._engine.start()
@@ -145,8 +153,15 @@
         for finding in error.findings:
             print(f"{finding.place}: {finding.fault}", file=sys.stderr)
         return 2
+    stream = BoundedStream(sys.stdout.buffer, _left_out)
     configure_logs(
-        "json", sys.stdout, entry=settings.name, entry_zone=settings.zone
+        "json", stream, entry=settings.name, entry_zone=settings.zone
     )
     Daemon(settings).run()
+    stream.close(_RELEASE_S)
     return 0
+
+
+def _left_out(count: int) -> str:
+    number, text = Event.LINES_LEFT_OUT.value
+    return json.dumps({"event": text, "number": number, "count": count})
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -47,6 +47,7 @@
     WorkerSaid,
     WorkersRead,
 )
+from acaciawing.jobserver.metrics import METRICS
 from acaciawing.jobserver.sessions import WorkerSession
 from acaciawing.jobserver.tasks import start_task
 from acaciawing.telemetry import Event, log_event
@@ -138,6 +139,12 @@
         session.start()
 
     def _log(self, event: str, **values: Any) -> None:
+        if event == "RUN_PLACED":
+            METRICS.time(
+                "acaciawing.jobs.start_wait", values["waited_ms"] / 1000
+            )
+        elif event == "RUN_ENDED":
+            METRICS.count("acaciawing.jobs.ends", kind=values["how"])
         log_event(
             Event[event],
             {"cell": self.key.partition, "fence": self.key.fence, **values},
--- a/acaciawing/jobserver/fleet.py
+++ b/acaciawing/jobserver/fleet.py
@@ -20,6 +20,7 @@
 from acaciawing.jobserver.directory import OrdersFollower
 from acaciawing.jobserver.membership import cell_of
 from acaciawing.jobserver.messages import FleetTenure
+from acaciawing.jobserver.metrics import METRICS
 from acaciawing.jobserver.peers import Peers
 from acaciawing.jobserver.tasks import start_task
 from acaciawing.platform.machines import (
@@ -196,6 +197,11 @@
                 order.machine, order.service, tenure.fence
             )
             target = order.service
+        METRICS.count(
+            "acaciawing.jobs.machine_orders",
+            kind=type(order).__name__.lower(),
+            outcome=outcome.value,
+        )
         log_event(
             Event.MACHINE_ORDERED,
             {
--- a/acaciawing/jobserver/sessions.py
+++ b/acaciawing/jobserver/sessions.py
@@ -25,6 +25,7 @@
     PAUSE_S,
 )
 from acaciawing.jobserver.messages import CellFenced, CellKey, WorkerSaid
+from acaciawing.jobserver.metrics import METRICS
 from acaciawing.jobserver.tasks import start_task
 from acaciawing.platform.runs import (
     Held,
@@ -226,6 +227,7 @@
         result = client.start(order, deadline)
         if result.clock_ms is not None:
             self._clock.sample(result.clock_ms, steady_s())
+        METRICS.count("acaciawing.jobs.starts", outcome=result.outcome.value)
         self._say(StartAnswered(order, result.outcome))
         return result.outcome is not StartOutcome.UNANSWERED
 
--- a/acaciawing/telemetry/logs.py
+++ b/acaciawing/telemetry/logs.py
@@ -3,19 +3,20 @@
 import logging
 import sys
 from collections.abc import Mapping
-from typing import Any, TextIO
+from typing import Any, TextIO, cast
 
 import msgspec
 import structlog
 
 from acaciawing.telemetry.events import Event
+from acaciawing.telemetry.stream import BoundedStream
 
 _context: dict[str, str] = {}
 _encoder = msgspec.json.Encoder(enc_hook=str)
 
 
 def configure_logs(
-    style: str, stream: TextIO | None = None, **context: str
+    style: str, stream: TextIO | BoundedStream | None = None, **context: str
 ) -> None:
     """Sets up structlog for the process.
 
@@ -34,7 +35,9 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.WriteLoggerFactory(file=stream or sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(
+            file=cast(TextIO, stream or sys.stderr)
+        ),
         cache_logger_on_first_use=False,
     )
     _context.clear()
