Drive a job through real processes and our own stand-ins; end on SIGTERM

The first run of the new test found a fault: after SIGTERM the process stayed for over 60 s (threads of the other listeners), and on the users' platform until SIGKILL.

Change: stand-ins of the store and of workers after the published protocol; a rig that starts instances as processes on addresses of their own; tests of the whole path, of the loss of every instance, of SIGTERM and of a store that is away. The process exits after its last answer. Pools get machines for 1.7 times their load (1.3 before).

--- a/acaciawing/jobs/fleet.py
+++ b/acaciawing/jobs/fleet.py
@@ -14,7 +14,7 @@
 
 # A pool is given machines for this many times its present load, so that work
 # that comes meanwhile finds room.
-HEADROOM = 1.3
+HEADROOM = 1.7
 
 # Machines that a pool keeps for lasting work and for the first work of a peak.
 LEAST_MACHINES = 3
--- a/acaciawing/jobserver/daemon.py
+++ b/acaciawing/jobserver/daemon.py
@@ -1,6 +1,7 @@
 """The job server: one role on every entry instance of the platform."""
 
 import json
+import os
 import signal
 import sys
 import threading
@@ -159,7 +160,8 @@
     )
     Daemon(settings).run()
     stream.close(_RELEASE_S)
-    return 0
+    # Threads of the other listeners would keep the process until SIGKILL.
+    os._exit(0)
 
 
 def _left_out(count: int) -> str:
--- a/acaciawing/jobserver/listeners.py
+++ b/acaciawing/jobserver/listeners.py
@@ -17,6 +17,9 @@
 
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
+# Longest wait of a stopping listener for requests in flight, in seconds.
+_SHUTDOWN_S = 1
+
 
 def serve(address: str, application: Application, threads: int) -> wsgi.Server:
     """Starts a listener with its own threads.
@@ -34,6 +37,7 @@
         request_queue_size=256,
         timeout=30,
     )
+    server.shutdown_timeout = _SHUTDOWN_S
     server.prepare()
     threading.Thread(target=server.serve, daemon=True).start()
     return server
--- /dev/null
+++ b/acaciawing/jobserver/tests/test_path.py
@@ -0,0 +1,98 @@
+"""The whole path of a job, through real processes and our own stand-ins."""
+
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from acaciawing.jobserver.tests.platform_rig import (
+    PREFIX,
+    PlatformRig,
+    wait_for,
+)
+
+_STEPS = (
+    {"Count": 3, "Cpu": 1000, "MemMb": 64, "EstimatedMs": 50},
+    {"Count": 1, "Cpu": 1000, "MemMb": 64, "DependsOn": [0]},
+)
+
+
+def _job(number: int) -> str:
+    return f"{number:016x}"
+
+
+@pytest.fixture
+def rig(tmp_path: Path) -> Iterator[PlatformRig]:
+    made = PlatformRig(tmp_path)
+    yield made
+    made.close()
+
+
+def _starts(rig: PlatformRig) -> list[str]:
+    return [name for worker in rig.workers for name, _ in worker.starts]
+
+
+class TestPath:
+    """Guards against a path that only the users' bench can play."""
+
+    def test_job_runs_from_submission_to_completion(
+        self, rig: PlatformRig
+    ) -> None:
+        for number in (2, 3):
+            rig.start_instance(number)
+        for number in (2, 3):
+            wait_for(lambda n=number: rig.is_ready(n), "instance is ready")  # type: ignore[misc]
+        assert rig.submit(2, _job(1), *_STEPS) == 200
+        assert rig.submit(3, _job(1), *_STEPS) == 200
+        wait_for(lambda: rig.state(3, _job(1)) == "completed", "completed")
+        wait_for(lambda: rig.state(2, _job(1)) == "completed", "at the other")
+        assert sorted(_starts(rig)) == sorted(set(_starts(rig)))
+        assert len(_starts(rig)) == 4
+        assert rig.call(2, "GET", PREFIX + _job(9))[0] == 410
+        assert rig.call(2, "GET", PREFIX) == (200, {"Waiting": 0})
+        assert rig.call(2, "GET", "/none/")[0] == 404
+        status, body = rig.call(2, "POST", PREFIX + _job(2), {"Steps": 1})
+        assert (status, body["place"]) == (400, "body")
+
+    def test_jobs_survive_the_loss_of_every_instance(
+        self, rig: PlatformRig
+    ) -> None:
+        rig.start_instance(2)
+        wait_for(lambda: rig.is_ready(2), "instance is ready")
+        jobs = [_job(n) for n in range(1, 13)]
+        for job in jobs:
+            assert rig.submit(2, job, *_STEPS) == 200
+        rig.kill_instance(2)
+        rig.start_instance(2)
+        for job in jobs:
+            wait_for(lambda j=job: rig.state(2, j) == "completed", "completed")  # type: ignore[misc]
+        assert not [name for w in rig.workers for name in w.doubled]
+
+    def test_stopping_instance_hands_its_work_over(
+        self, rig: PlatformRig
+    ) -> None:
+        for number in (2, 3):
+            rig.start_instance(number)
+        for number in (2, 3):
+            wait_for(lambda n=number: rig.is_ready(n), "instance is ready")  # type: ignore[misc]
+        assert rig.submit(2, _job(1), *_STEPS) == 200
+        assert rig.signal_instance(2, signal.SIGTERM) == 0
+        assert rig.submit(3, _job(2), *_STEPS) == 200
+        for job in (_job(1), _job(2)):
+            wait_for(lambda j=job: rig.state(3, j) == "completed", "completed")  # type: ignore[misc]
+
+    def test_store_away_refuses_with_a_time_to_come_back(
+        self, rig: PlatformRig
+    ) -> None:
+        rig.start_instance(2)
+        wait_for(lambda: rig.is_ready(2), "instance is ready")
+        rig.store.away = True
+        assert rig.submit(2, _job(1), *_STEPS) == 503
+        wait_for(lambda: not rig.is_ready(2), "instance is not ready")
+        rig.store.away = False
+        wait_for(lambda: rig.is_ready(2), "instance is ready again")
+        assert rig.call(2, "GET", PREFIX + _job(1))[0] in (410, 503)
+        assert rig.submit(2, _job(2), *_STEPS) == 200
+        wait_for(lambda: rig.state(2, _job(2)) == "completed", "completed")
+        assert not [n for n in _starts(rig) if n.startswith(_job(1))]
--- /dev/null
+++ b/standins/job_store.py
@@ -0,0 +1,208 @@
+"""Stand-in of the users' log store, after its published protocol.
+
+Keeps everything in memory. Topics whose names begin with ``keyed.`` keep the
+newest record of each key. Groups deal partitions evenly and hand them over as
+members join again.
+"""
+
+import base64
+import json
+import struct
+import threading
+import time
+from typing import Any
+
+from standins.server import Answer, json_answer
+
+_LENGTH = struct.Struct(">I")
+_BOUNDS = struct.Struct(">QQ")
+
+
+class _Group:
+    def __init__(self, partitions: int) -> None:
+        self.partitions = partitions
+        self.generation = 0
+        self.seen: dict[str, float] = {}
+        self.ttl_s: dict[str, float] = {}
+        self.owners: dict[int, str] = {}
+        self.targets: dict[int, str] = {}
+
+    def expire(self, now: float) -> None:
+        gone = [m for m, at in self.seen.items() if now - at > self.ttl_s[m]]
+        for member in gone:
+            self.remove(member)
+
+    def remove(self, member: str) -> None:
+        self.seen.pop(member, None)
+        self.owners = {p: m for p, m in self.owners.items() if m != member}
+        self._deal()
+
+    def join(self, member: str, ttl_s: float, now: float) -> list[int]:
+        known = member in self.seen
+        self.seen[member] = now
+        self.ttl_s[member] = ttl_s
+        if not known:
+            self._deal()
+        # What was dealt to others is released by this call.
+        for partition, owner in list(self.owners.items()):
+            if owner == member and self.targets.get(partition) != member:
+                del self.owners[partition]
+        for partition, target in self.targets.items():
+            if target == member and partition not in self.owners:
+                self.owners[partition] = member
+        return sorted(
+            p
+            for p, owner in self.owners.items()
+            if owner == member and self.targets.get(p) == member
+        )
+
+    def _deal(self) -> None:
+        self.generation += 1
+        members = sorted(self.seen)
+        self.targets = {
+            p: members[p % len(members)]
+            for p in range(self.partitions)
+            if members
+        }
+
+
+class JobStore:
+    """State of the store; `handle` serves its calls.
+
+    Args:
+        partitions: Partitions of each topic.
+    """
+
+    def __init__(self, partitions: int = 8) -> None:
+        """Starts empty."""
+        self._partitions = partitions
+        self._changed = threading.Condition()
+        self._logs: dict[tuple[str, int], list[bytes]] = {}
+        self._producers: dict[tuple[str, int, str], tuple[int, int, Any]] = {}
+        self._groups: dict[str, _Group] = {}
+        self.away = False
+
+    def put(self, topic: str, key: str, value: object) -> None:
+        """Writes the newest value of a key, as an operator or worker does."""
+        name = key.encode()
+        body = b"" if value is None else json.dumps(value).encode()
+        self._append(topic, 0, [bytes([len(name)]) + name + body])
+
+    def handle(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes,
+        environ: dict[str, Any],
+    ) -> Answer:
+        """Serves one call."""
+        del method, environ
+        if self.away:
+            return json_answer(503, {})
+        if path == "/v1/log-append":
+            return self._serve_append(query, body)
+        if path == "/v1/log-read":
+            return self._serve_read(query)
+        if path == "/v1/log-newest":
+            return self._serve_newest(query)
+        if path == "/v1/log-owners":
+            return self._serve_owners(query)
+        if path in ("/v1/log-join", "/v1/log-leave"):
+            return self._serve_member(path, json.loads(body))
+        return json_answer(404, {})
+
+    def _append(self, topic: str, part: int, records: list[bytes]) -> int:
+        with self._changed:
+            log = self._logs.setdefault((topic, part), [])
+            offset = len(log)
+            log.extend(records)
+            self._changed.notify_all()
+            return offset
+
+    def _serve_append(self, query: dict[str, str], body: bytes) -> Answer:
+        topic, part = query["Topic"], int(query["part"])
+        records, at = [], 0
+        while at < len(body):
+            (size,) = _LENGTH.unpack_from(body, at)
+            records.append(body[at + 4 : at + 4 + size])
+            at += 4 + size
+        if "Producer" not in query:
+            offset = self._append(topic, part, records)
+            return json_answer(
+                200, {"Offset": offset, "End": offset + len(records)}
+            )
+        key = (topic, part, query["Producer"])
+        epoch, sequence = int(query["epoch"]), int(query["Sequence"])
+        with self._changed:
+            known = self._producers.get(key, (-1, 0, None))
+            if epoch < known[0]:
+                return json_answer(409, {"Reason": "fenced"})
+            if epoch == known[0] and sequence == known[1]:
+                return json_answer(200, known[2])
+            if epoch == known[0] and sequence != known[1] + 1:
+                return json_answer(
+                    409, {"Reason": "seq", "Sequence": known[1] + 1}
+                )
+            offset = self._append(topic, part, records)
+            answer = {"Offset": offset, "End": offset + len(records)}
+            self._producers[key] = (epoch, sequence, answer)
+        return json_answer(200, answer)
+
+    def _serve_read(self, query: dict[str, str]) -> Answer:
+        key = (query["Topic"], int(query["part"]))
+        start = int(query["From"])
+        until = time.monotonic() + int(query.get("WaitMs", "0")) / 1000
+        with self._changed:
+            while len(self._logs.get(key, ())) <= start:
+                left = until - time.monotonic()
+                if left <= 0:
+                    break
+                self._changed.wait(left)
+            log = self._logs.get(key, [])
+            content = _BOUNDS.pack(len(log), 0) + b"".join(
+                _LENGTH.pack(len(r)) + r for r in log[start:]
+            )
+        return 200, {"Content-Type": "application/octet-stream"}, content
+
+    def _serve_newest(self, query: dict[str, str]) -> Answer:
+        with self._changed:
+            log = list(self._logs.get((query["Topic"], 0), ()))
+        newest: dict[str, tuple[bytes, int]] = {}
+        for offset, record in enumerate(log):
+            name = record[1 : 1 + record[0]].decode()
+            value = record[1 + record[0] :]
+            newest.pop(name, None)
+            if value:
+                newest[name] = (value, offset)
+        items = [
+            {"Key": k, "Value": base64.b64encode(v).decode(), "Offset": o}
+            for k, (v, o) in newest.items()
+        ]
+        return json_answer(
+            200, {"items": items, "HasMore": False, "End": len(log)}
+        )
+
+    def _serve_owners(self, query: dict[str, str]) -> Answer:
+        with self._changed:
+            group = self._group(query["group"])
+            rows = [["jobs", p, m, 0] for p, m in group.owners.items()]
+        return json_answer(200, {"parts": rows})
+
+    def _serve_member(self, path: str, body: dict[str, Any]) -> Answer:
+        now = time.monotonic()
+        with self._changed:
+            group = self._group(body["group"])
+            if path.endswith("leave"):
+                group.remove(body["Member"])
+                return json_answer(200, {})
+            mine = group.join(body["Member"], body["TtlMs"] / 1000, now)
+            rows = [[body["Topics"][0], p, 0] for p in mine]
+            return json_answer(
+                200, {"Generation": group.generation, "parts": rows}
+            )
+
+    def _group(self, name: str) -> _Group:
+        group = self._groups.setdefault(name, _Group(self._partitions))
+        group.expire(time.monotonic())
+        return group
