Pace what fills by the latency of what serves; keep long jobs ahead of retention

Cause: two promises had no mechanism: a serving subtask over its objective because of what fills beside it, and jobs that last longer than the store keeps records.

Ruled out: trimming the topics: retention does it.

Conclusion: kept for the deployments that need them.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -19,6 +19,7 @@
     EndedRow,
     EndKind,
     OpenWorker,
+    PaceRun,
     Report,
     RunningRow,
     SaveRecord,
@@ -51,6 +52,8 @@
     WorkerEngaged,
     WorkerReleased,
 )
+from acaciawing.jobs.retention import due_records, expired_jobs
+from acaciawing.jobs.sharing import SLOW_ABOVE, STEP_S, next_pace, strain
 from acaciawing.jobs.workers import CONTACT_S, Phase, Run, WorkerView
 
 # Run numbers of a fence start at this multiple of it, so that every run of a
@@ -189,13 +192,16 @@
         self._takeover = Takeover(until, frozenset(self.table.jobs))
         for life in self._ended & until.keys():
             self._depart(life, now)
-        for life, address in self.table.engaged.items():
+        for life, record in self.table.engaged.items():
             if life not in self.views:
-                self._open(_unlisted(life, address)).present = False
+                unlisted = _unlisted(life, record.address)
+                self._open(unlisted).present = False
         for view in self.views.values():
             view.engaged = view.life in self.table.engaged
         for progress in self.table.jobs.values():
-            if not progress.finished:
+            if progress.finished:
+                progress.finished_at_ms = self._unix_ms
+            else:
                 self._release(progress, now)
         early, self._early = self._early, {}
         for report in early.values():
@@ -307,6 +313,7 @@
         for run in list(view.runs.values()):
             if run.subtask not in running:
                 self._see_absent(view, run, message.sent_at, now)
+        self._pace(view, now)
 
     @receive.register
     def _(self, message: Unreachable, now: float) -> None:
@@ -371,6 +378,26 @@
                 self._release(progress, now)
         self._check_gangs(now)
 
+    def retain(self, retention_ms: int, told_ms: int) -> None:
+        """Writes records again that expire soon, and drops old jobs.
+
+        Args:
+            retention_ms: How long the store keeps a record.
+            told_ms: How long states of finished jobs are told.
+        """
+        if not self.recovered:
+            return
+        for job in expired_jobs(self.table, told_ms, self._unix_ms):
+            self.table.forget(job)
+            self._job_saves.pop(job, None)
+            for known in (self._checkpoints, self._run_counts):
+                for subtask in [s for s in known if s.job == job]:
+                    known.pop(subtask)
+        due = list(due_records(self.table, retention_ms, self._unix_ms))
+        for record in due:
+            self.table.apply(record)
+            self._save(record)
+
     def take_actions(self, now: float) -> list[Action]:
         """Places what waits, and returns all actions since the last call."""
         if self.recovered and not self.fenced and self._may_start(now):
@@ -484,6 +511,38 @@
             elif waited > EVACUATION_PATIENCE_S:
                 self._stop(view, run, now)
 
+    def _pace(self, view: WorkerView, now: float) -> None:
+        """Slows down what fills on a worker while others need the room."""
+        fills = [
+            run
+            for run in view.runs.values()
+            if run.step.fills and run.phase is Phase.RUNNING
+        ]
+        if not fills:
+            return
+        strained = strain(view.runs.values())
+        if now - view.paced_at >= STEP_S:
+            pace = next_pace(view.fill_pace, strained)
+            if pace != view.fill_pace:
+                view.fill_pace, view.paced_at = pace, now
+        slow = strained is not None and strained > SLOW_ABOVE
+        for run in fills:
+            # An order may be lost; it is repeated while it matters.
+            if run.pace == view.fill_pace and not slow:
+                continue
+            run.pace = view.fill_pace
+            self._actions.append(
+                PaceRun(view.life, run.subtask, run.number, run.pace)
+            )
+            self._log(
+                "RUN_PACED",
+                subtask=str(run.subtask),
+                run=run.number,
+                worker=view.life.worker,
+                percent=run.pace,
+                strain=strained,
+            )
+
     def _can_miss(self, run: Run, now: float) -> bool:
         """Whether a lasting run may be stopped by our own order."""
         away = 0
@@ -518,7 +577,7 @@
         if view.life in self.table.engaged:
             view.engaged = True
             return
-        record = WorkerEngaged(*view.life, view.listed.address)
+        record = WorkerEngaged(*view.life, view.listed.address, self._unix_ms)
         self.table.apply(record)
         self._engaging[self._save(record)] = view.life
 
--- a/acaciawing/jobs/progress.py
+++ b/acaciawing/jobs/progress.py
@@ -53,6 +53,7 @@
         occurrences: Occurrences that are due or have progress.
         failed_runs: Failed runs of each subtask.
         finished_at_ms: When it was seen finished; 0 before.
+        kept_ms: When the oldest record that it needs was written.
     """
 
     __slots__ = (
@@ -63,6 +64,7 @@
         "failed_runs",
         "finished_at_ms",
         "job",
+        "kept_ms",
         "occurrences",
         "started",
     )
@@ -78,6 +80,7 @@
         self.occurrences: dict[int, Occurrence] = {}
         self.failed_runs: dict[SubtaskId, set[int]] = {}
         self.finished_at_ms = 0
+        self.kept_ms = at_ms
 
     @property
     def finished(self) -> bool:
@@ -172,14 +175,14 @@
     Attributes:
         jobs: Progress by id of the job.
         cancelled_early: Cancelled ids whose submission was not read yet.
-        engaged: Address of each worker on which runs may have been started.
+        engaged: Record of each worker on which runs may have been started.
     """
 
     def __init__(self) -> None:
         """Starts empty."""
         self.jobs: dict[str, JobProgress] = {}
         self.cancelled_early: set[str] = set()
-        self.engaged: dict[Incarnation, str] = {}
+        self.engaged: dict[Incarnation, WorkerEngaged] = {}
 
     def step_of(self, subtask: SubtaskId) -> Step | None:
         """Returns the step of a subtask, or None where no job has it."""
@@ -212,7 +215,7 @@
                 return self._carried(record)
             case WorkerEngaged():
                 life = Incarnation(record.worker, record.born_ms)
-                self.engaged[life] = record.address
+                self.engaged[life] = record
             case WorkerReleased():
                 life = Incarnation(record.worker, record.born_ms)
                 self.engaged.pop(life, None)
@@ -268,10 +271,16 @@
                 self._run_failed(name, run)
         progress.cancelled = progress.cancelled or record.cancelled
         progress.failed = progress.failed or record.failed
+        progress.kept_ms = max(progress.kept_ms, record.carried_ms)
         return progress
 
+    def forget(self, job: str) -> None:
+        """Drops a finished job whose state need not be told any more."""
+        self.jobs.pop(job, None)
+        self.cancelled_early.discard(job)
 
-def carried(progress: JobProgress) -> JobCarried:
+
+def carried(progress: JobProgress, unix_ms: int) -> JobCarried:
     """Returns the record that stands for all earlier ones of a job."""
     job = progress.job
     return JobCarried(
@@ -286,4 +295,5 @@
         {str(s): tuple(sorted(r)) for s, r in progress.failed_runs.items()},
         progress.cancelled,
         progress.failed,
+        unix_ms,
     )
--- a/acaciawing/jobs/records.py
+++ b/acaciawing/jobs/records.py
@@ -60,6 +60,7 @@
         failed_runs: Failed runs by name of the subtask.
         cancelled: Whether its cancelling was requested.
         failed: Whether it has failed for good.
+        carried_ms: When the record was written, Unix time in milliseconds.
     """
 
     job: Job
@@ -68,6 +69,7 @@
     failed_runs: dict[str, tuple[int, ...]]
     cancelled: bool
     failed: bool
+    carried_ms: int = 0
 
 
 class WorkerEngaged(msgspec.Struct, frozen=True, tag="engaged"):
@@ -80,11 +82,13 @@
         worker: Id of the worker.
         born_ms: Start of its incarnation, Unix time in milliseconds.
         address: ``ip:port`` of its interface.
+        at_ms: When the record was written, Unix time in milliseconds.
     """
 
     worker: str
     born_ms: int
     address: str
+    at_ms: int = 0
 
 
 class WorkerReleased(msgspec.Struct, frozen=True, tag="released"):
--- a/acaciawing/jobs/workers.py
+++ b/acaciawing/jobs/workers.py
@@ -97,6 +97,8 @@
         evacuating_since: When that began, in seconds.
         held_back_until: Gets no new runs before this time, in seconds.
         faults: Times of runs that failed here, newest last.
+        fill_pace: Pace of runs that fill, in percent.
+        paced_at: When it was changed last, in seconds.
         successes: Runs that were done here since the last fault.
     """
 
@@ -107,11 +109,13 @@
         "evacuating",
         "evacuating_since",
         "faults",
+        "fill_pace",
         "held_back_until",
         "lease_until",
         "life",
         "listed",
         "newest_end",
+        "paced_at",
         "per_step",
         "present",
         "rack",
@@ -141,6 +145,8 @@
         self.held_back_until = 0.0
         self.faults: deque[float] = deque(maxlen=8)
         self.successes = 0
+        self.fill_pace = 100
+        self.paced_at = 0.0
         self.rack = worker.rack
         self.per_step: dict[tuple[str, int, int], int] = {}
 
--- a/acaciawing/jobserver/daemon.py
+++ b/acaciawing/jobserver/daemon.py
@@ -61,7 +61,12 @@
         store = settings.store
         self._address = f"{settings.ip}:{settings.first_internal_port}"
         self._contact = Contact()
-        self._engine = Engine(store, settings.partitions)
+        self._engine = Engine(
+            store,
+            settings.partitions,
+            settings.retention_s,
+            settings.state_kept_s,
+        )
         self._orders = OrdersFollower(store, self._engine.send)
         self._workers = WorkersFollower(
             store, self._engine.send, self._engine.holds_cells
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -25,6 +25,7 @@
 from acaciawing.jobserver.limits import (
     AUTHORITY_S,
     EVACUATION_KEPT_S,
+    RETAIN_INTERVAL_S,
     TICK_S,
     UNCERTAIN_S,
 )
@@ -157,12 +158,18 @@
     Args:
         store: ``ip:port`` of the store.
         partitions: Number of cells.
+        retention_s: How long the store keeps a record, in seconds.
+        told_s: How long states of finished jobs are told, in seconds.
     """
 
-    def __init__(self, store: str, partitions: int) -> None:
+    def __init__(
+        self, store: str, partitions: int, retention_s: int, told_s: int
+    ) -> None:
         """Keeps the arguments; `start` starts the thread."""
         self._store = store
         self._partitions = partitions
+        self._retention_ms = 1000 * retention_s
+        self._told_ms = 1000 * told_s
         self._inbox: SimpleQueue[Message] = SimpleQueue()
         self._cells: dict[int, HeldCell] = {}
         self._configuration: Configuration | None = None
@@ -197,7 +204,7 @@
         return steady_s() - self._confirmed_at < AUTHORITY_S
 
     def _run(self) -> None:
-        ticked_at = steady_s()
+        ticked_at = retained_at = steady_s()
         while True:
             self._take_messages()
             now = steady_s()
@@ -209,6 +216,10 @@
                     held.cell.recovered and held.cell.in_doubt(now)
                     for held in self._cells.values()
                 )
+            if now - retained_at >= RETAIN_INTERVAL_S and self.may_act():
+                retained_at = now
+                for held in self._cells.values():
+                    held.cell.retain(self._retention_ms, self._told_ms)
             for partition, held in list(self._cells.items()):
                 if held.cell.fenced:
                     self._drop(partition, "fenced")
--- a/acaciawing/jobserver/limits.py
+++ b/acaciawing/jobserver/limits.py
@@ -56,3 +56,6 @@
 # Threads that serve clients, and threads that serve other instances.
 CALLER_THREADS = 16
 PEER_THREADS = 6
+
+# Time between two looks for records that expire soon, in seconds.
+RETAIN_INTERVAL_S = 2.0
--- a/acaciawing/platform/node.py
+++ b/acaciawing/platform/node.py
@@ -26,6 +26,7 @@
         store: ``ip:port`` of the log store.
         machines: ``ip:port`` of the machines' interface; empty without one.
         partitions: Partitions of each topic.
+        retention_s: How long the store keeps a record.
         lease_limit_ms: Longest lease that workers grant.
         member_ttl_min_ms: Shortest lifetime of a group member.
         visible_ms: Age up to which an answer about a job counts as current.
@@ -49,6 +50,7 @@
     store: str
     machines: str
     partitions: int
+    retention_s: int
     lease_limit_ms: int
     member_ttl_min_ms: int
     visible_ms: int
@@ -136,6 +138,7 @@
         store=read.text("platform.Address"),
         machines=read.text("Cloud.Address", ""),
         partitions=int(read.number("platform.parts", 32)),
+        retention_s=int(read.number("platform.keep_s", 300)),
         lease_limit_ms=int(read.number("Bounds.HoldMaxMs", 10_000)),
         member_ttl_min_ms=int(read.number("platform.TtlMinMs", 1000)),
         visible_ms=int(read.number("Bounds.visible_ms", 3000)),
