Ask the advice service for tickets

Cause: starts on a queue with advice would be rejected and repeated in a busy loop: the contract is in force, though no queue of the two sites uses it.

Change: tickets are asked for by step, one question after the other, kept for their time less a margin, and dropped when a worker refuses one.

--- a/acaciawing/jobs/__init__.py
+++ b/acaciawing/jobs/__init__.py
@@ -3,6 +3,8 @@
 from acaciawing.jobs.actions import (
     Acknowledge,
     Action,
+    AdviceGiven,
+    AskAdvice,
     CloseWorker,
     Departed,
     EndedRow,
@@ -53,6 +55,8 @@
 __all__ = [
     "Acknowledge",
     "Action",
+    "AdviceGiven",
+    "AskAdvice",
     "CancelRequested",
     "Cell",
     "CloseWorker",
--- a/acaciawing/jobs/actions.py
+++ b/acaciawing/jobs/actions.py
@@ -17,6 +17,7 @@
     run: int
     payload: str
     checkpoint: str
+    ticket: str = ""
 
 
 class StopRun(msgspec.Struct, frozen=True):
@@ -63,8 +64,24 @@
     record: Record
 
 
+class AskAdvice(msgspec.Struct, frozen=True):
+    """Ask which workers may run a step."""
+
+    step: tuple[str, int, int]
+    workers: tuple[str, ...]
+
+
+class AdviceGiven(msgspec.Struct, frozen=True):
+    """Tickets for a step by worker, and when they end, in seconds."""
+
+    step: tuple[str, int, int]
+    tickets: dict[str, str]
+    until: float
+
+
 Action: TypeAlias = (
-    StartRun
+    AskAdvice
+    | StartRun
     | StopRun
     | PaceRun
     | Acknowledge
--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -14,6 +14,8 @@
 from acaciawing.jobs.actions import (
     Acknowledge,
     Action,
+    AdviceGiven,
+    AskAdvice,
     CloseWorker,
     Departed,
     EndedRow,
@@ -54,6 +56,7 @@
 )
 from acaciawing.jobs.retention import due_records, expired_jobs
 from acaciawing.jobs.sharing import SLOW_ABOVE, STEP_S, next_pace, strain
+from acaciawing.jobs.tickets import TicketBook
 from acaciawing.jobs.workers import CONTACT_S, Phase, Run, WorkerView
 
 # Run numbers of a fence start at this multiple of it, so that every run of a
@@ -154,6 +157,7 @@
         self._confirmed_at = float("-inf")
         self._early: dict[Incarnation, Report] = {}
         self._ended: set[Incarnation] = set()
+        self._tickets = TicketBook()
 
     # Messages of the other tasks.
 
@@ -390,6 +394,7 @@
         for job in expired_jobs(self.table, told_ms, self._unix_ms):
             self.table.forget(job)
             self._job_saves.pop(job, None)
+            self._tickets.forget(job)
             for known in (self._checkpoints, self._run_counts):
                 for subtask in [s for s in known if s.job == job]:
                     known.pop(subtask)
@@ -642,6 +647,8 @@
             view.held_back_until = now + HELD_BACK_S
         elif outcome is StartOutcome.REFUSED:
             view.held_back_until = now + UNHEALTHY_S
+        elif outcome is StartOutcome.NO_TICKET:
+            self._tickets.drop(run.subtask[:3], view.life.worker)
         self._log(
             "START_REFUSED",
             subtask=str(run.subtask),
@@ -862,6 +869,8 @@
             if entry is None or queue is None or self._uncertain(subtask):
                 continue
             views = pools.get(queue.service)
+            if views and queue.advice:
+                views = self._advised(subtask, views, now)
             if not views:
                 continue
             if entry.step.gang:
@@ -871,6 +880,25 @@
             if chosen is not None:
                 self._start(chosen, subtask, entry, now)
 
+    def advise(self, advice: AdviceGiven) -> None:
+        """Takes tickets for a step."""
+        self._tickets.answer(advice.step, advice.tickets, advice.until)
+
+    def _advised(
+        self, subtask: SubtaskId, views: list[WorkerView], now: float
+    ) -> list[WorkerView]:
+        """Returns the workers with a ticket for a step; asks about others."""
+        step = subtask[:3]
+        workers = [v.life.worker for v in views]
+        asked = self._tickets.question(step, workers, now)
+        if asked:
+            self._actions.append(AskAdvice(step, asked))
+        return [
+            v
+            for v in views
+            if self._tickets.ticket(step, v.life.worker, now) is not None
+        ]
+
     def _order(self, subtask: SubtaskId) -> tuple[Rank, SubtaskId]:
         entry = self._waiting[subtask]
         progress = self.table.jobs[subtask.job]
@@ -957,7 +985,12 @@
         )
         self._actions.append(
             StartRun(
-                view.life, subtask, number, progress.job.payload, checkpoint
+                view.life,
+                subtask,
+                number,
+                progress.job.payload,
+                checkpoint,
+                self._tickets.ticket(subtask[:3], view.life.worker, now) or "",
             )
         )
         self._log(
--- a/acaciawing/jobserver/daemon.py
+++ b/acaciawing/jobserver/daemon.py
@@ -8,6 +8,7 @@
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 
+from acaciawing.jobserver.adviser import Adviser
 from acaciawing.jobserver.appending import Appender
 from acaciawing.jobserver.callers import Callers
 from acaciawing.jobserver.clock import steady_s
@@ -92,6 +93,10 @@
             self._engine.in_doubt,
             self._engine.send,
         )
+        if settings.advice:
+            adviser = Adviser(settings.advice, self._engine.send)
+            self._engine.advise_by(adviser.ask)
+            adviser.start()
         self._stopping = threading.Event()
 
     def run(self) -> None:
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -8,6 +8,7 @@
 from acaciawing.jobs import (
     Acknowledge,
     Action,
+    AskAdvice,
     Cell,
     CloseWorker,
     Configuration,
@@ -31,6 +32,7 @@
 )
 from acaciawing.jobserver.membership import cell_of, fleet_cell
 from acaciawing.jobserver.messages import (
+    CellAdvised,
     CellFenced,
     CellKey,
     ConfigurationRead,
@@ -65,6 +67,7 @@
         store: ``ip:port`` of the store.
         send: Puts a message into the engine's inbox.
         may_act: Whether this instance may still give orders.
+        ask: Asks the advice service.
         now: Present time in seconds.
     """
 
@@ -74,6 +77,7 @@
         store: str,
         send: Callable[[Message], None],
         may_act: Callable[[], bool],
+        ask: Callable[[CellKey, AskAdvice], None],
         now: float,
     ) -> None:
         """Starts to read the cell's records."""
@@ -84,6 +88,7 @@
         self.evacuation_at = now
         self._send = send
         self._may_act = may_act
+        self._ask = ask
         self._sessions: dict[Incarnation, WorkerSession] = {}
         self._reader = CellReader(key, store, send)
         self._writer = CellWriter(key, store, send)
@@ -111,20 +116,28 @@
             match action:
                 case SaveRecord():
                     self._writer.save(action)
+                case AskAdvice():
+                    self._ask(self.key, action)
                 case OpenWorker():
                     self._open(action)
                 case CloseWorker():
-                    session = self._sessions.pop(action.worker, None)
-                    if session is not None:
-                        session.close()
-                case StartRun() | StopRun() | PaceRun():
-                    session = self._sessions.get(action.worker)
-                    if session is not None:
-                        session.order(action)
-                case Acknowledge():
-                    session = self._sessions.get(action.worker)
-                    if session is not None:
-                        session.acknowledge(action.end_number)
+                    self._close(action.worker)
+                case StartRun() | StopRun() | PaceRun() | Acknowledge():
+                    self._order(action)
+
+    def _order(self, order: StartRun | StopRun | PaceRun | Acknowledge) -> None:
+        session = self._sessions.get(order.worker)
+        if session is None:
+            return
+        if isinstance(order, Acknowledge):
+            session.acknowledge(order.end_number)
+        else:
+            session.order(order)
+
+    def _close(self, life: Incarnation) -> None:
+        session = self._sessions.pop(life, None)
+        if session is not None:
+            session.close()
 
     def _open(self, action: OpenWorker) -> None:
         if action.worker in self._sessions:
@@ -152,6 +165,13 @@
         )
 
 
+def _no_advice(key: CellKey, question: AskAdvice) -> None:
+    log_event(
+        Event.FINDING,
+        {"place": f"cell {key.partition}", "fault": "no advice service"},
+    )
+
+
 class Engine:
     """Takes messages one by one and owns the state of all held cells.
 
@@ -178,6 +198,11 @@
         self._released = False
         self._tenure: FleetTenure | None = None
         self._in_doubt = False
+        self._ask: Callable[[CellKey, AskAdvice], None] = _no_advice
+
+    def advise_by(self, ask: Callable[[CellKey, AskAdvice], None]) -> None:
+        """Sets what asks the advice service; before the start."""
+        self._ask = ask
 
     def start(self) -> None:
         """Starts the thread."""
@@ -275,6 +300,12 @@
                 },
             )
 
+    @_receive.register
+    def _(self, message: CellAdvised, now: float) -> None:
+        held = self._held(message.key)
+        if held is not None:
+            held.cell.advise(message.advice)
+
     @_receive.register
     def _(self, message: RecordsSaved, now: float) -> None:
         held = self._held(message.key)
@@ -367,7 +398,9 @@
             self._tenure = FleetTenure(joined.generation, now)
 
     def _acquire(self, key: CellKey, now: float) -> None:
-        held = HeldCell(key, self._store, self.send, self.may_act, now)
+        held = HeldCell(
+            key, self._store, self.send, self.may_act, self._ask, now
+        )
         self._cells[key.partition] = held
         held.cell.confirm(self._confirmed_at)
         if self._configuration is not None:
--- a/acaciawing/jobserver/messages.py
+++ b/acaciawing/jobserver/messages.py
@@ -5,6 +5,7 @@
 from typing import TypeAlias
 
 from acaciawing.jobs import (
+    AdviceGiven,
     Configuration,
     Record,
     Worker,
@@ -58,6 +59,14 @@
     message: WorkerMessage
 
 
+@dataclass(frozen=True)
+class CellAdvised:
+    """Tickets for a step of a cell."""
+
+    key: CellKey
+    advice: AdviceGiven
+
+
 @dataclass(frozen=True)
 class CellFenced:
     """A later holder has taken the cell."""
@@ -181,6 +190,7 @@
     | RecordsCurrent
     | RecordsSaved
     | WorkerSaid
+    | CellAdvised
     | CellFenced
     | Joined
     | ConfigurationRead
--- a/acaciawing/jobserver/sessions.py
+++ b/acaciawing/jobserver/sessions.py
@@ -224,7 +224,7 @@
         if deadline is None or not self._may_act():
             self._say(StartAnswered(order, StartOutcome.REFUSED))
             return True
-        result = client.start(order, deadline)
+        result = client.start(order, deadline, order.ticket)
         if result.clock_ms is not None:
             self._clock.sample(result.clock_ms, steady_s())
         METRICS.count("acaciawing.jobs.starts", outcome=result.outcome.value)
--- a/acaciawing/platform/node.py
+++ b/acaciawing/platform/node.py
@@ -25,6 +25,7 @@
         first_internal_port: First port for the system's own calls.
         store: ``ip:port`` of the log store.
         machines: ``ip:port`` of the machines' interface; empty without one.
+        advice: ``ip:port`` of the advice service; empty without one.
         partitions: Partitions of each topic.
         retention_s: How long the store keeps a record.
         lease_limit_ms: Longest lease that workers grant.
@@ -49,6 +50,7 @@
     first_internal_port: int
     store: str
     machines: str
+    advice: str
     partitions: int
     retention_s: int
     lease_limit_ms: int
@@ -137,6 +139,7 @@
         first_internal_port=read.first_port("InternalPorts"),
         store=read.text("platform.Address"),
         machines=read.text("Cloud.Address", ""),
+        advice=read.text("Advice", ""),
         partitions=int(read.number("platform.parts", 32)),
         retention_s=int(read.number("platform.keep_s", 300)),
         lease_limit_ms=int(read.number("Bounds.HoldMaxMs", 10_000)),
