Move lasting work only when all of its step has been at work for 2 s

Change: a run counts as at work 2 s after it was started or adopted, and only while its worker answers; nothing is moved while workers are in doubt. Tests for both.

Measured: unit tests.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -99,8 +99,10 @@
 # Percent that a run at full work is listed with.
 FULL_WORK = 100
 
-# A lasting run counts as at work this long after it was seen so, in seconds.
-SETTLED_S = 1.0
+# A lasting run counts as at work this long after it was started or adopted, in
+# seconds: an earlier holder's order to stop it takes up to 0.9 s, and the run
+# is listed as at full work meanwhile.
+SETTLED_S = 2.0
 
 
 class Takeover(NamedTuple):
@@ -553,10 +555,9 @@
         away = 0
         for member in self._members(run.subtask):
             view = self._active.get(member)
-            other = view.runs.get(member) if view is not None else None
-            if other is None or not _at_work(other, now):
+            if view is None or now - view.contact_at > SILENT_S or not _at_work(view.runs[member], now):
                 away += 1
-        return away < max(1, run.step.may_miss)
+        return not self._takeover.until and away < max(1, run.step.may_miss)
 
     def _has_room_elsewhere(
         self, view: WorkerView, run: Run, now: float
--- a/acaciawing/jobs/tests/test_cell.py
+++ b/acaciawing/jobs/tests/test_cell.py
@@ -314,3 +314,52 @@
         rig.report(worker, ended=rows)
         rig.settle()
         assert rig.starts[-1].subtask.step == 1
+
+
+class TestEvacuation:
+    """Guards against lasting work that too many orders interrupt at once."""
+
+    def _rig(self) -> CellRig:
+        rig = CellRig()
+        workers = [a_worker(n) for n in ("u", "v", "w")]
+        rig.list_workers(*workers)
+        step = Step(
+            2, Resources(1000), lasting=True, may_miss=1, max_per_worker=1
+        )
+        rig.recover(JobSubmitted(a_job("j", step), 0))
+        for worker in workers:
+            rig.report(worker)
+        rig.settle()
+        self._report(rig)
+        return rig
+
+    def _report(self, rig: CellRig, percent: int = 100) -> None:
+        for view in list(rig.cell.views.values()):
+            rows = tuple(
+                RunningRow(r.subtask, r.number, "", percent, 900)
+                for r in view.runs.values()
+            )
+            rig.report(view.listed, running=rows)
+        rig.settle()
+
+    def _stops(self, rig: CellRig) -> list[StopRun]:
+        return [a for a in rig.actions if isinstance(a, StopRun)]
+
+    def test_one_lasting_run_moves_at_a_time(self) -> None:
+        rig = self._rig()
+        rig.wait(3.0)
+        self._report(rig)
+        rig.cell.evacuate({s.worker.worker for s in rig.starts}, rig.now)
+        rig.settle()
+        assert len(self._stops(rig)) == 1
+
+    def test_run_that_was_just_adopted_does_not_count_as_at_work(
+        self,
+    ) -> None:
+        # An earlier holder had ordered its stop, which is not listed.
+        rig = self._rig()
+        rig.wait(1.0)
+        self._report(rig)
+        rig.cell.evacuate({rig.starts[0].worker.worker}, rig.now)
+        rig.settle()
+        assert not self._stops(rig)
