--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -555,7 +555,11 @@
         away = 0
         for member in self._members(run.subtask):
             view = self._active.get(member)
-            if view is None or now - view.contact_at > SILENT_S or not _at_work(view.runs[member], now):
+            if (
+                view is None
+                or now - view.contact_at > SILENT_S
+                or not _at_work(view.runs[member], now)
+            ):
                 away += 1
         return not self._takeover.until and away < max(1, run.step.may_miss)
 
