Suspect workers that fail or stall what they run; split the cell by job

Cause: a worker that fails all that it starts, or on which runs stand still, answers every call and kept drawing work; a failed subtask could go back to it.

--- /dev/null
+++ b/acaciawing/jobs/cellevacuation.py
@@ -0,0 +1,156 @@
+"""What a cell does for the fleet, and for work that shares a worker."""
+
+from collections.abc import Set
+
+from acaciawing.jobs.actions import (
+    PaceRun,
+)
+from acaciawing.jobs.celllimits import (
+    EVACUATION_PATIENCE_S,
+    FULL_WORK,
+    SETTLED_S,
+    SILENT_S,
+)
+from acaciawing.jobs.cellworkers import CellWorkers
+from acaciawing.jobs.choice import choose_worker
+from acaciawing.jobs.fleet import CellReport, PoolLoad, WorkerLoad
+from acaciawing.jobs.model import (
+    Resources,
+)
+from acaciawing.jobs.sharing import SLOW_ABOVE, STEP_S, next_pace, strain
+from acaciawing.jobs.workers import Phase, Run, WorkerView
+
+
+class CellEvacuation(CellWorkers):
+    """What a cell does for the fleet, and for work that shares a worker."""
+
+    def evacuate(self, workers: Set[str], now: float) -> None:
+        """Empties workers for an order of the fleet; all others are released.
+
+        Runs that end soon are waited for. A lasting run moves when its step
+        can miss it and another worker has room.
+        """
+        for view in self.views.values():
+            wanted = view.life.worker in workers
+            if wanted and not view.evacuating:
+                view.evacuating_since = now
+            view.evacuating = wanted
+            if wanted:
+                self._empty(view, now)
+
+    def report(self, now: float) -> CellReport:
+        """Returns the load of the cell's pools and workers."""
+        used: dict[str, Resources] = {}
+        capacity: dict[str, Resources] = {}
+        waiting: dict[str, Resources] = {}
+        none = Resources()
+        for view in self.views.values():
+            service = view.listed.service
+            if not service:
+                continue
+            used[service] = used.get(service, none) + view.used
+            if view.usable(now):
+                known = capacity.get(service, none)
+                capacity[service] = known + view.listed.capacity
+        for subtask, entry in self._waiting.items():
+            queue = self._queue_of(subtask)
+            if queue is not None:
+                known = waiting.get(queue.service, none)
+                waiting[queue.service] = known + entry.step.charged
+        pools = {
+            service: PoolLoad(
+                waiting.get(service, none),
+                used.get(service, none),
+                capacity.get(service, none),
+            )
+            for service in {*used, *waiting}
+        }
+        return CellReport(
+            self.recovered,
+            pools,
+            {v.life.worker: _load_of(v) for v in self.views.values()},
+            tuple(v.life.worker for v in self.views.values() if v.evacuating),
+        )
+
+    def _empty(self, view: WorkerView, now: float) -> None:
+        waited = now - view.evacuating_since
+        for run in view.runs.values():
+            if run.phase is not Phase.RUNNING:
+                continue
+            if run.step.lasting:
+                if self._can_miss(run, now) and self._has_room_elsewhere(
+                    view, run, now
+                ):
+                    self._stop(view, run, now)
+            elif waited > EVACUATION_PATIENCE_S:
+                self._stop(view, run, now)
+
+    def _pace(self, view: WorkerView, now: float) -> None:
+        """Slows down what fills on a worker while others need the room."""
+        fills = [
+            run
+            for run in view.runs.values()
+            if run.step.fills and run.phase is Phase.RUNNING
+        ]
+        if not fills:
+            return
+        strained = strain(view.runs.values())
+        if now - view.paced_at >= STEP_S:
+            pace = next_pace(view.fill_pace, strained)
+            if pace != view.fill_pace:
+                view.fill_pace, view.paced_at = pace, now
+        slow = strained is not None and strained > SLOW_ABOVE
+        for run in fills:
+            # An order may be lost; it is repeated while it matters.
+            if run.pace == view.fill_pace and not slow:
+                continue
+            run.pace = view.fill_pace
+            self._actions.append(
+                PaceRun(view.life, run.subtask, run.number, run.pace)
+            )
+            self._log(
+                "RUN_PACED",
+                subtask=str(run.subtask),
+                run=run.number,
+                worker=view.life.worker,
+                percent=run.pace,
+                strain=strained,
+            )
+
+    def _can_miss(self, run: Run, now: float) -> bool:
+        """Whether a lasting run may be stopped by our own order."""
+        away = 0
+        for member in self._members(run.subtask):
+            view = self._active.get(member)
+            if (
+                view is None
+                or now - view.contact_at > SILENT_S
+                or not _at_work(view.runs[member], now)
+            ):
+                away += 1
+        return not self._takeover.until and away < max(1, run.step.may_miss)
+
+    def _has_room_elsewhere(
+        self, view: WorkerView, run: Run, now: float
+    ) -> bool:
+        service = view.listed.service
+        others = [
+            v
+            for v in self.views.values()
+            if v is not view and v.usable(now) and v.listed.service == service
+        ]
+        return choose_worker(others, run.step, run.subtask) is not None
+
+
+def _at_work(run: Run, now: float) -> bool:
+    """Whether a lasting run serves its users, and has for a moment."""
+    return (
+        run.phase is Phase.RUNNING
+        and run.percent >= FULL_WORK
+        and now - run.since > SETTLED_S
+    )
+
+
+def _load_of(view: WorkerView) -> WorkerLoad:
+    lasting = sum(1 for run in view.runs.values() if run.step.lasting)
+    return WorkerLoad(len(view.runs), lasting, view.used.cpu)
--- /dev/null
+++ b/acaciawing/jobs/cellplacement.py
@@ -0,0 +1,186 @@
+"""Which waiting work a cell starts, and where."""
+
+from acaciawing.jobs.actions import (
+    AdviceGiven,
+    AskAdvice,
+    StartRun,
+)
+from acaciawing.jobs.cellevacuation import CellEvacuation
+from acaciawing.jobs.celllimits import CONFIRMED_S, GANG_START_S, RUNS_PER_FENCE
+from acaciawing.jobs.cellstate import Waiting
+from acaciawing.jobs.choice import choose_gang, choose_worker
+from acaciawing.jobs.model import (
+    SubtaskId,
+)
+from acaciawing.jobs.order import Rank, Urgency, urgency
+from acaciawing.jobs.workers import CONTACT_S, Phase, Run, WorkerView
+
+
+class CellPlacement(CellEvacuation):
+    """Which waiting work a cell starts, and where."""
+
+    def _may_start(self, now: float) -> bool:
+        """Whether no later holder can have started the same subtasks.
+
+        Past the confirmed time a later holder may exist. It starts nothing of
+        ours before it has fenced each worker that we use, which we see at all
+        workers only as long as all of them answer us.
+        """
+        if now - self._confirmed_at < CONFIRMED_S:
+            return True
+        return all(
+            now - view.contact_at < CONTACT_S
+            for view in self.views.values()
+            if view.engaged
+        )
+
+    def _place(self, now: float) -> None:
+        if not self._waiting:
+            return
+        usable = [v for v in self.views.values() if v.usable(now)]
+        if not usable:
+            return
+        pools: dict[str, list[WorkerView]] = {}
+        for view in usable:
+            pools.setdefault(view.listed.service, []).append(view)
+        for subtask in sorted(self._waiting, key=self._order):
+            entry = self._waiting.get(subtask)
+            queue = self._queue_of(subtask)
+            if entry is None or queue is None or self._uncertain(subtask):
+                continue
+            views = pools.get(queue.service)
+            if views and queue.advice:
+                views = self._advised(subtask, views, now)
+            if not views:
+                continue
+            if entry.step.gang:
+                self._place_gang(subtask, entry, views, now)
+                continue
+            chosen = choose_worker(
+                views, entry.step, subtask, self._avoid.get(subtask, "")
+            )
+            if chosen is not None:
+                self._start(chosen, subtask, entry, now)
+
+    def advise(self, advice: AdviceGiven) -> None:
+        """Takes tickets for a step."""
+        self._tickets.answer(advice.step, advice.tickets, advice.until)
+
+    def _advised(
+        self, subtask: SubtaskId, views: list[WorkerView], now: float
+    ) -> list[WorkerView]:
+        """Returns the workers with a ticket for a step; asks about others."""
+        step = subtask[:3]
+        workers = [v.life.worker for v in views]
+        asked = self._tickets.question(step, workers, now)
+        if asked:
+            self._actions.append(AskAdvice(step, asked))
+        return [
+            v
+            for v in views
+            if self._tickets.ticket(step, v.life.worker, now) is not None
+        ]
+
+    def _order(self, subtask: SubtaskId) -> tuple[Rank, SubtaskId]:
+        entry = self._waiting[subtask]
+        progress = self.table.jobs[subtask.job]
+        queue = self._queue_of(subtask)
+        priority = queue.priority if queue is not None else 0
+        standing = Urgency.IN_TIME
+        if queue is not None and not entry.step.lasting:
+            since_ms = progress.due_ms(subtask.occurrence) or progress.at_ms
+            standing = urgency(
+                progress.job, queue, since_ms, subtask.step, self._unix_ms
+            )
+        rank = Rank(
+            priority,
+            not entry.step.lasting,
+            standing,
+            not progress.started,
+            progress.at_ms,
+        )
+        return rank, subtask
+
+    def _uncertain(self, subtask: SubtaskId) -> bool:
+        """Whether it may still run by an order of an earlier holder."""
+        return bool(self._takeover.until) and subtask.job in self._takeover.jobs
+
+    def _place_gang(
+        self,
+        subtask: SubtaskId,
+        entry: Waiting,
+        views: list[WorkerView],
+        now: float,
+    ) -> None:
+        members = self._members(subtask)
+        missing = [m for m in members if m not in self._active]
+        if len(missing) < len(members):
+            return
+        chosen = choose_gang(views, entry.step, members, racks_apart=True)
+        if chosen is None:
+            return
+        count = 1 + max(self._run_counts.get(m, 0) for m in members)
+        for member, chosen_view in zip(members, chosen, strict=True):
+            self._run_counts[member] = count - 1
+            self._start(chosen_view, member, entry, now)
+        self._gangs[subtask[:3]] = now
+
+    def _check_gangs(self, now: float) -> None:
+        """Stops gangs that can't begin because a member did not start."""
+        groups: dict[tuple[str, int, int], list[tuple[WorkerView, Run]]] = {}
+        for subtask, view in self._active.items():
+            run = view.runs[subtask]
+            if run.step.gang:
+                groups.setdefault(subtask[:3], []).append((view, run))
+        for key, members in groups.items():
+            job, number, step = key
+            progress = self.table.jobs[job]
+            if progress.finished or progress.step_done(number, step):
+                continue
+            whole = len(members) == members[0][1].step.count
+            oldest = min(run.ordered_at for _, run in members)
+            if whole or now - oldest < GANG_START_S or self._takeover.until:
+                continue
+            for member_view, run in members:
+                if run.phase is Phase.RUNNING:
+                    self._stop(member_view, run, now)
+
+    def _start(
+        self, view: WorkerView, subtask: SubtaskId, entry: Waiting, now: float
+    ) -> None:
+        count = self._run_counts.get(subtask, 0) + 1
+        self._run_counts[subtask] = count
+        number = self.fence * RUNS_PER_FENCE + count
+        self._waiting.pop(subtask, None)
+        run = Run(subtask, number, entry.step, now)
+        view.add(run)
+        self._active[subtask] = view
+        progress = self.table.jobs[subtask.job]
+        progress.started = True
+        checkpoint = (
+            self._gang_checkpoint(subtask)
+            if entry.step.gang
+            else self._checkpoints.get(subtask, "")
+        )
+        self._actions.append(
+            StartRun(
+                view.life,
+                subtask,
+                number,
+                progress.job.payload,
+                checkpoint,
+                self._tickets.ticket(subtask[:3], view.life.worker, now) or "",
+            )
+        )
+        self._log(
+            "RUN_PLACED",
+            subtask=str(subtask),
+            run=number,
+            worker=view.life.worker,
+            waited_ms=round((now - entry.since) * 1000),
+            free_cpu=view.free.cpu,
+        )
+
+    def _gang_checkpoint(self, subtask: SubtaskId) -> str:
+        saved = [self._checkpoints.get(m, "") for m in self._members(subtask)]
+        return max(saved)
--- /dev/null
+++ b/acaciawing/jobs/cellruns.py
@@ -0,0 +1,229 @@
+"""What a cell makes of the runs that its workers list."""
+
+from acaciawing.jobs.actions import (
+    EndedRow,
+    EndKind,
+    RunningRow,
+    StartOutcome,
+    StopRun,
+)
+from acaciawing.jobs.celllimits import HELD_BACK_S, UNHEALTHY_S
+from acaciawing.jobs.cellstate import CellState
+from acaciawing.jobs.health import (
+    SUSPECTED_S,
+    fails_all,
+    may_suspect,
+    stalled_runs,
+)
+from acaciawing.jobs.model import (
+    SubtaskId,
+)
+from acaciawing.jobs.progress import JobProgress
+from acaciawing.jobs.records import (
+    JobFailed,
+    RunFailed,
+    SubtaskDone,
+)
+from acaciawing.jobs.workers import Phase, Run, WorkerView
+
+
+class CellRuns(CellState):
+    """What a cell makes of the runs that its workers list."""
+
+    def _check_health(self, view: WorkerView, now: float) -> None:
+        """Takes stalled work from a worker that answers all the same."""
+        stalled = stalled_runs(view, now)
+        if not stalled or not self._suspect(view, "runs stand still", now):
+            return
+        for run in stalled:
+            self._avoid[run.subtask] = view.life.worker
+            self._stop(view, run, now)
+
+    def _suspect(self, view: WorkerView, reason: str, now: float) -> bool:
+        """Gives a worker no new work for a while, if its pool allows it."""
+        service = view.listed.service
+        pool = [v for v in self.views.values() if v.listed.service == service]
+        if not may_suspect(pool, now):
+            return False
+        view.held_back_until = now + SUSPECTED_S
+        self._log(
+            "WORKER_SUSPECTED",
+            worker=view.life.worker,
+            reason=reason,
+            runs=len(view.runs),
+        )
+        return True
+
+    def _refuse_start(
+        self, view: WorkerView, run: Run, outcome: StartOutcome, now: float
+    ) -> None:
+        """A worker has certainly not started a run."""
+        if outcome is StartOutcome.NO_ROOM:
+            view.held_back_until = now + HELD_BACK_S
+        elif outcome is StartOutcome.REFUSED:
+            view.held_back_until = now + UNHEALTHY_S
+        elif outcome is StartOutcome.NO_TICKET:
+            self._tickets.drop(run.subtask[:3], view.life.worker)
+        self._log(
+            "START_REFUSED",
+            subtask=str(run.subtask),
+            run=run.number,
+            worker=view.life.worker,
+            outcome=outcome.value,
+        )
+        self._free(view, run.subtask, now)
+
+    def _see_running(
+        self, view: WorkerView, row: RunningRow, now: float
+    ) -> None:
+        run = view.runs.get(row.subtask)
+        if row.checkpoint:
+            self._checkpoints[row.subtask] = row.checkpoint
+        if run is not None and run.number == row.run:
+            if row.percent != run.percent:
+                run.moved_at = now
+            run.percent, run.reading = row.percent, row.reading
+            if run.phase in (Phase.ORDERED, Phase.UNCONFIRMED):
+                run.enter(Phase.RUNNING, now, now)
+            return
+        if run is not None and run.number > row.run:
+            return
+        if self._wanted(row.subtask) and row.subtask not in self._active:
+            step = self.table.step_of(row.subtask)
+            assert step is not None
+            adopted = Run(row.subtask, row.run, step, now)
+            adopted.enter(Phase.RUNNING, now, now)
+            adopted.percent, adopted.reading = row.percent, row.reading
+            view.add(adopted)
+            self._active[row.subtask] = view
+            self._waiting.pop(row.subtask, None)
+            self.table.jobs[row.subtask.job].started = True
+            self._log(
+                "RUN_ADOPTED",
+                subtask=str(row.subtask),
+                run=row.run,
+                worker=view.life.worker,
+            )
+            return
+        self._actions.append(StopRun(view.life, row.subtask, row.run))
+
+    def _see_absent(
+        self, view: WorkerView, run: Run, asked_at: float, now: float
+    ) -> None:
+        if run.settled_at is None or run.settled_at >= asked_at:
+            return
+        if run.phase is Phase.UNCONFIRMED:
+            run.enter(Phase.CLOSING, now, None)
+            self._actions.append(StopRun(view.life, run.subtask, run.number))
+            return
+        self._log(
+            "RUN_ABSENT",
+            subtask=str(run.subtask),
+            run=run.number,
+            worker=view.life.worker,
+            phase=run.phase.value,
+        )
+        self._free(view, run.subtask, now)
+
+    def _end_run(self, view: WorkerView, row: EndedRow, now: float) -> None:
+        before = self._numbered
+        self._note_end(row, now)
+        needed = self._numbered if self._numbered > before else 0
+        if not needed and row.kind in (EndKind.DONE, EndKind.FAILED):
+            needed = self._job_saves.get(row.subtask.job, 0)
+        view.unacknowledged.append((row.number, needed))
+        run = view.runs.get(row.subtask)
+        if run is None or run.number != row.run:
+            return
+        if row.kind is EndKind.FAILED:
+            view.faults.append(now)
+            self._avoid[row.subtask] = view.life.worker
+            if fails_all(view, now):
+                self._suspect(view, "runs fail", now)
+        elif row.kind is EndKind.DONE:
+            view.faults.clear()
+        self._free(view, row.subtask, now)
+
+    def _note_end(self, row: EndedRow, now: float) -> None:
+        """Notes durably what an end changes."""
+        step = self.table.step_of(row.subtask)
+        if step is None:
+            return
+        progress = self.table.jobs[row.subtask.job]
+        if row.checkpoint:
+            self._checkpoints[row.subtask] = row.checkpoint
+        self._log(
+            "RUN_ENDED",
+            subtask=str(row.subtask),
+            run=row.run,
+            how=row.kind.value,
+        )
+        if step.lasting:
+            return
+        if row.kind is EndKind.DONE and not progress.is_done(row.subtask):
+            self._note_done(progress, row, now)
+        elif row.kind is EndKind.FAILED:
+            self._note_failed(progress, row, now)
+
+    def _note_done(
+        self, progress: JobProgress, row: EndedRow, now: float
+    ) -> None:
+        record = SubtaskDone(str(row.subtask), row.run)
+        self.table.apply(record)
+        self._save(record, progress)
+        gang = progress.job.steps[row.subtask.step].gang
+        members = self._members(row.subtask) if gang else [row.subtask]
+        for member in members:
+            self._waiting.pop(member, None)
+            other = self._active.get(member)
+            if other is not None and not gang:
+                run = other.runs[member]
+                if run.number != row.run:
+                    self._stop(other, run, now)
+        if progress.finished:
+            self._end_job(progress, now)
+        else:
+            self._release(progress, now)
+
+    def _note_failed(
+        self, progress: JobProgress, row: EndedRow, now: float
+    ) -> None:
+        known = progress.failed_runs.get(row.subtask, set())
+        if row.run not in known:
+            record = RunFailed(str(row.subtask), row.run)
+            self.table.apply(record)
+            self._save(record, progress)
+        queue = self._queues.get(progress.job.queue)
+        limit = queue.max_attempts if queue is not None else 1
+        if progress.attempts(row.subtask) >= limit and not progress.finished:
+            failure = JobFailed(progress.job.id)
+            self.table.apply(failure)
+            self._save(failure, progress)
+            self._end_job(progress, now)
+
+    def _release(self, progress: JobProgress, now: float) -> None:
+        """Lets the subtasks of all steps wait whose turn has come."""
+        for number in range(progress.times):
+            if progress.due_ms(number) > self._unix_ms:
+                break
+            for step in list(progress.next_steps(number)):
+                progress.occurrence(number).released.add(step)
+                for index in range(progress.job.steps[step].count):
+                    subtask = SubtaskId(progress.job.id, number, step, index)
+                    if not progress.is_done(subtask):
+                        self._wait(subtask, now)
+
+    def _end_job(self, progress: JobProgress, now: float) -> None:
+        """Stops all that still runs of a finished job."""
+        job = progress.job.id
+        progress.finished_at_ms = self._unix_ms
+        for subtask in [s for s in self._waiting if s.job == job]:
+            del self._waiting[subtask]
+        for subtask, view in list(self._active.items()):
+            if subtask.job != job:
+                continue
+            run = view.runs[subtask]
+            gang_done = run.step.gang and progress.is_done(subtask)
+            if run.phase is not Phase.STOPPING and not gang_done:
+                self._stop(view, run, now)
+        self._log("JOB_ENDED", job=job, state=progress.state)
--- /dev/null
+++ b/acaciawing/jobs/cellstate.py
@@ -0,0 +1,169 @@
+"""State of a cell, and the steps that all its decisions share."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from acaciawing.jobs.actions import (
+    Acknowledge,
+    Action,
+    Report,
+    SaveRecord,
+    StopRun,
+)
+from acaciawing.jobs.model import (
+    Configuration,
+    Incarnation,
+    Queue,
+    Step,
+    SubtaskId,
+)
+from acaciawing.jobs.progress import JobProgress, JobTable
+from acaciawing.jobs.records import (
+    Record,
+)
+from acaciawing.jobs.tickets import TicketBook
+from acaciawing.jobs.workers import Phase, Run, WorkerView
+
+
+class Takeover(NamedTuple):
+    """What is not known yet of workers that an earlier holder used.
+
+    Attributes:
+        until: Time after which nothing that it started can still run, for
+            each worker that was not reached yet.
+        jobs: Jobs that existed at the takeover.
+    """
+
+    until: dict[Incarnation, float]
+    jobs: frozenset[str]
+
+
+class Waiting(NamedTuple):
+    """A subtask or gang whose turn has come."""
+
+    since: float
+    step: Step
+
+
+class CellState:
+    """State of a cell, and the steps that all its decisions share.
+
+    Args:
+        fence: Higher than that of any earlier holder.
+        on_event: Called with a name and values for each decision to log.
+    """
+
+    def __init__(
+        self, fence: int, on_event: Callable[..., None] = lambda *_, **__: None
+    ) -> None:
+        """Starts before the records are read."""
+        self.fence = fence
+        self.table = JobTable()
+        self.views: dict[Incarnation, WorkerView] = {}
+        self.recovered = False
+        self.fenced = False
+        self._log = on_event
+        self._queues: dict[str, Queue] = {}
+        self._actions: list[Action] = []
+        self._takeover = Takeover({}, frozenset())
+        self._waiting: dict[SubtaskId, Waiting] = {}
+        self._active: dict[SubtaskId, WorkerView] = {}
+        self._gangs: dict[tuple[str, int, int], float] = {}
+        self._checkpoints: dict[SubtaskId, str] = {}
+        self._run_counts: dict[SubtaskId, int] = {}
+        self._saved = 0
+        self._numbered = 0
+        self._job_saves: dict[str, int] = {}
+        self._engaging: dict[int, Incarnation] = {}
+        self._unix_ms = 0
+        self._confirmed_at = float("-inf")
+        self._early: dict[Incarnation, Report] = {}
+        self._ended: set[Incarnation] = set()
+        self._tickets = TicketBook()
+        # Worker on which each subtask failed or stalled last.
+        self._avoid: dict[SubtaskId, str] = {}
+
+    def configure(self, configuration: Configuration) -> None:
+        """Takes a configuration into use."""
+        # Jobs of a removed queue go on as their queue last said.
+        self._queues.update(configuration.queues)
+
+    def confirm(self, confirmed_at: float) -> None:
+        """Takes note that no other holder existed at a time, in seconds."""
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
+
+    def state(self, job: str) -> str | None:
+        """Returns the state that clients may be told, or None if unknown."""
+        progress = self.table.jobs.get(job)
+        if progress is None:
+            return None
+        if self._job_saves.get(job, 0) > self._saved and (
+            progress.completed or progress.failed
+        ):
+            return "running"
+        return progress.state
+
+    def waiting_jobs(self, queue: str) -> int:
+        """Returns the queue's accepted jobs of which nothing has started."""
+        return sum(
+            1
+            for progress in self.table.jobs.values()
+            if progress.job.queue == queue
+            and not progress.started
+            and not progress.finished
+        )
+
+    @property
+    def waiting(self) -> dict[SubtaskId, Waiting]:
+        """Subtasks whose turn has come and that do not run."""
+        return self._waiting
+
+    def _acknowledge(self, view: WorkerView) -> None:
+        newest = 0
+        while view.unacknowledged and view.unacknowledged[0][1] <= self._saved:
+            newest = view.unacknowledged.popleft()[0]
+        if newest:
+            self._actions.append(Acknowledge(view.life, newest))
+
+    def _free(self, view: WorkerView, subtask: SubtaskId, now: float) -> None:
+        """Frees a run's capacity and lets its subtask wait again if due."""
+        view.remove(subtask)
+        if self._active.get(subtask) is view:
+            del self._active[subtask]
+        if self._wanted(subtask):
+            self._wait(subtask, now)
+
+    def _wanted(self, subtask: SubtaskId) -> bool:
+        progress = self.table.jobs.get(subtask.job)
+        return (
+            progress is not None
+            and not progress.finished
+            and self.table.step_of(subtask) is not None
+            and not progress.is_done(subtask)
+        )
+
+    def _stop(self, view: WorkerView, run: Run, now: float) -> None:
+        phase = Phase.CLOSING if run.phase is Phase.CLOSING else Phase.STOPPING
+        run.enter(phase, now, None)
+        self._actions.append(StopRun(view.life, run.subtask, run.number))
+
+    def _wait(self, subtask: SubtaskId, now: float) -> None:
+        if subtask in self._active or subtask in self._waiting:
+            return
+        progress = self.table.jobs[subtask.job]
+        self._waiting[subtask] = Waiting(now, progress.job.steps[subtask.step])
+
+    def _members(self, subtask: SubtaskId) -> list[SubtaskId]:
+        step = self.table.step_of(subtask)
+        assert step is not None
+        return [subtask._replace(index=i) for i in range(step.count)]
+
+    def _save(self, record: Record, progress: JobProgress | None = None) -> int:
+        self._numbered += 1
+        self._actions.append(SaveRecord(self._numbered, record))
+        if progress is not None:
+            self._job_saves[progress.job.id] = self._numbered
+        return self._numbered
+
+    def _queue_of(self, subtask: SubtaskId) -> Queue | None:
+        return self._queues.get(self.table.jobs[subtask.job].job.queue)
--- a/acaciawing/jobs/choice.py
+++ b/acaciawing/jobs/choice.py
@@ -17,19 +17,29 @@
 
 
 def choose_worker(
-    views: Iterable[WorkerView], step: Step, subtask: SubtaskId
+    views: Iterable[WorkerView],
+    step: Step,
+    subtask: SubtaskId,
+    avoid: str = "",
 ) -> WorkerView | None:
     """Chooses the worker for one subtask.
 
     Workers near its data come first, then those with the smallest share of
     cpu in use, so that the loss of one worker costs few runs.
+
+    Args:
+        views: Workers that may be used.
+        step: The subtask's step.
+        subtask: The subtask.
+        avoid: Worker that is taken only if no other has room.
     """
     best: WorkerView | None = None
-    best_key: tuple[bool, float, int] | None = None
+    best_key: tuple[bool, bool, float, int] | None = None
     for view in views:
         if not fits(view, step, subtask):
             continue
         key = (
+            view.life.worker == avoid,
             bool(step.data_rack) and view.rack != step.data_rack,
             view.used.cpu / max(1, view.listed.capacity.cpu),
             len(view.runs),
--- /dev/null
+++ b/acaciawing/jobs/health.py
@@ -0,0 +1,52 @@
+"""Workers that fail or stall what they run, while they answer every call."""
+
+from collections.abc import Iterable
+
+from acaciawing.jobs.workers import Phase, Run, WorkerView
+
+# Failed runs in a row, within the time below, after which a worker is
+# suspected; jobs that can never be done fail twice at most on one worker.
+FAULTS_IN_A_ROW = 3
+FAULT_WINDOW_S = 6.0
+
+# A run whose percent has not changed for this time stands still, in seconds:
+# the longest ones (15 s) gain a percent in 0.15 s, and reports come every
+# 0.8 s.
+STALLED_S = 1.8
+
+# A suspected worker gets no new work for this time, in seconds.
+SUSPECTED_S = 4.0
+
+# At most this share of a pool is suspected at once, so that a wave of jobs
+# that can never be done does not empty the pool.
+SUSPECTED_SHARE = 0.34
+
+
+def fails_all(view: WorkerView, now: float) -> bool:
+    """Whether the last runs on a worker have all failed."""
+    return (
+        len(view.faults) >= FAULTS_IN_A_ROW
+        and now - view.faults[-FAULTS_IN_A_ROW] < FAULT_WINDOW_S
+    )
+
+
+def stalled_runs(view: WorkerView, now: float) -> list[Run]:
+    """Returns the runs on a worker, if all of them stand still."""
+    batch = [
+        run
+        for run in view.runs.values()
+        if run.phase is Phase.RUNNING
+        and not run.step.lasting
+        and not run.step.gang
+        and now - run.since > STALLED_S
+    ]
+    if any(now - run.moved_at < STALLED_S for run in batch):
+        return []
+    return batch
+
+
+def may_suspect(views: Iterable[WorkerView], now: float) -> bool:
+    """Whether one more worker of a pool may be suspected."""
+    pool = [v for v in views if v.present]
+    suspected = sum(1 for v in pool if v.held_back_until > now + 1.0)
+    return suspected + 1 <= SUSPECTED_SHARE * len(pool)
--- a/acaciawing/jobs/workers.py
+++ b/acaciawing/jobs/workers.py
@@ -38,11 +38,13 @@
         ordered_at: When its start was ordered, in seconds.
         settled_at: When the last order was answered; None while unanswered.
         percent: Work as the worker reports it.
+        moved_at: When that changed last, in seconds.
         reading: Tail latency or cpu as the worker reports it.
         pace: Share of its speed that was ordered, in percent.
     """
 
     __slots__ = (
+        "moved_at",
         "number",
         "ordered_at",
         "pace",
@@ -67,6 +69,7 @@
         self.ordered_at = now
         self.settled_at: float | None = None
         self.percent = 0
+        self.moved_at = now
         self.reading = 0.0
         self.pace = 100
 
@@ -96,10 +99,10 @@
         evacuating: Whether it is to be emptied for a move or for upkeep.
         evacuating_since: When that began, in seconds.
         held_back_until: Gets no new runs before this time, in seconds.
-        faults: Times of runs that failed here, newest last.
+        faults: Times of runs that failed here since the last one that was
+            done, newest last.
         fill_pace: Pace of runs that fill, in percent.
         paced_at: When it was changed last, in seconds.
-        successes: Runs that were done here since the last fault.
     """
 
     __slots__ = (
@@ -121,7 +124,6 @@
         "rack",
         "reachable",
         "runs",
-        "successes",
         "unacknowledged",
         "used",
     )
@@ -144,7 +146,6 @@
         self.evacuating_since = 0.0
         self.held_back_until = 0.0
         self.faults: deque[float] = deque(maxlen=8)
-        self.successes = 0
         self.fill_pace = 100
         self.paced_at = 0.0
         self.rack = worker.rack
