Take a worker for silent after an unanswered call, not by the age of one

A renewal waits for up to 0.8 s, so that its age reached the 1.0 s after which lasting runs were not moved; waves came late.

Change: silence is an unanswered call. Runs count as at work after 1.5 s.

--- a/acaciawing/jobs/cellevacuation.py
+++ b/acaciawing/jobs/cellevacuation.py
@@ -9,7 +9,6 @@
     EVACUATION_PATIENCE_S,
     FULL_WORK,
     SETTLED_S,
-    SILENT_S,
 )
 from acaciawing.jobs.cellworkers import CellWorkers
 from acaciawing.jobs.choice import choose_worker
@@ -124,7 +123,7 @@
             view = self._active.get(member)
             if (
                 view is None
-                or now - view.contact_at > SILENT_S
+                or not view.reachable
                 or not _at_work(view.runs[member], now)
             ):
                 away += 1
--- a/acaciawing/jobs/celllimits.py
+++ b/acaciawing/jobs/celllimits.py
@@ -30,10 +30,6 @@
 # most end by then, and stragglers lose little by their checkpoints.
 EVACUATION_PATIENCE_S = 2.0
 
-# A worker that has not answered for this time may be gone, in seconds; above
-# the longest wait of a renewal.
-SILENT_S = 1.0
-
 # Runs are started without a further condition for this time after the group
 # has confirmed the holder, in seconds; below the 1.5 s after which the cell may
 # be dealt to another instance.
@@ -45,4 +41,4 @@
 # A lasting run counts as at work this long after it was started or adopted, in
 # seconds: an earlier holder's order to stop it takes up to 0.9 s, and the run
 # is listed as at full work meanwhile.
-SETTLED_S = 2.0
+SETTLED_S = 1.5
--- a/acaciawing/jobs/cellworkers.py
+++ b/acaciawing/jobs/cellworkers.py
@@ -6,7 +6,7 @@
     CloseWorker,
     OpenWorker,
 )
-from acaciawing.jobs.celllimits import SILENT_S, STOP_REPEAT_S
+from acaciawing.jobs.celllimits import STOP_REPEAT_S
 from acaciawing.jobs.cellruns import CellRuns
 from acaciawing.jobs.model import (
     Incarnation,
@@ -49,10 +49,10 @@
             if newest.get(life.worker, 0) > life.born_ms:
                 self._end_life(life, now)
 
-    def in_doubt(self, now: float) -> bool:
+    def in_doubt(self) -> bool:
         """Whether runs may be on workers that do not answer."""
         return bool(self._takeover.until) or any(
-            view.runs and now - view.contact_at > SILENT_S
+            view.contacted and view.runs and not view.reachable
             for view in self.views.values()
         )
 
@@ -73,8 +73,9 @@
             if life.worker not in workers:
                 self._end_life(life, now)
         for view in list(self.views.values()):
-            silent = asked_at - view.contact_at > SILENT_S
-            if view.contacted and silent and view.life.worker not in workers:
+            silent = view.contacted and not view.reachable
+            known = view.contact_at < asked_at
+            if silent and known and view.life.worker not in workers:
                 self._end_life(view.life, now)
 
     def _open(self, worker: Worker) -> WorkerView:
--- a/acaciawing/jobs/tests/test_cell.py
+++ b/acaciawing/jobs/tests/test_cell.py
@@ -156,7 +156,7 @@
         )
         rig.report(worker)
         rig.settle()
-        assert rig.cell.in_doubt(rig.now)
+        assert rig.cell.in_doubt()
         assert not rig.starts
         rig.cell.list_machines({"w"}, rig.now, rig.now)
         rig.settle()
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -238,7 +238,7 @@
                 for held in self._cells.values():
                     held.tick(now)
                 self._in_doubt = any(
-                    held.cell.recovered and held.cell.in_doubt(now)
+                    held.cell.recovered and held.cell.in_doubt()
                     for held in self._cells.values()
                 )
             if now - retained_at >= RETAIN_INTERVAL_S and self.may_act():
