--- a/acaciawing/platform/machines.py
+++ b/acaciawing/platform/machines.py
@@ -80,7 +80,10 @@
             if outcome.status != 200:
                 return MachinesUnavailable(f"status {outcome.status}")
             answer = decode_object(outcome.body)
-            for row in decode_machines(answer.get("Machines") or []):
+            rows = answer.get("Machines")
+            if not isinstance(rows, list):
+                return MachinesUnavailable("answer not understood")
+            for row in decode_machines(rows):
                 if isinstance(row, Machine):
                     machines.append(row)
                 else:
--- a/acaciawing/platform/runs.py
+++ b/acaciawing/platform/runs.py
@@ -1,7 +1,8 @@
 """Client of a worker's interface for runs."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, TypeAlias
+from typing import Any, TypeAlias, TypeVar
 
 from acaciawing.jobs import (
     EndedRow,
@@ -27,6 +28,8 @@
 # silent for this time is asked again over a new connection, in seconds.
 ORDER_TIMEOUT_S = 0.5
 
+_KINDS = {kind.value: kind for kind in EndKind}
+
 _REASONS = {
     "fence": StartOutcome.FENCED,
     "old": StartOutcome.SUPERSEDED,
@@ -35,6 +38,8 @@
     "ticket": StartOutcome.NO_TICKET,
 }
 
+_Row = TypeVar("_Row", RunningRow, EndedRow)
+
 
 @dataclass(frozen=True)
 class Held:
@@ -219,14 +224,26 @@
     clock_ms = whole_number(values.get("ClockMs"))
     if clock_ms is None:
         return Silent("answer without a clock")
-    running = [_running_row(row) for row in values.get("Running") or ()]
-    ended = [_ended_row(row) for row in values.get("Ended") or ()]
-    return Held(
-        clock_ms,
-        whole_number(values.get("born")),
-        tuple(row for row in running if row is not None),
-        tuple(row for row in ended if row is not None),
-    )
+    running = _rows(values.get("Running"), _running_row)
+    ended = _rows(values.get("Ended"), _ended_row)
+    if running is None or ended is None:
+        # A row left out would look like a run that is gone.
+        return Silent("lists not understood")
+    return Held(clock_ms, whole_number(values.get("born")), running, ended)
+
+
+def _rows(
+    value: object, read: Callable[[Any], _Row | None]
+) -> tuple[_Row, ...] | None:
+    if not isinstance(value, list):
+        return None
+    rows = []
+    for item in value:
+        row = read(item)
+        if row is None:
+            return None
+        rows.append(row)
+    return tuple(rows)
 
 
 def _running_row(row: Any) -> RunningRow | None:
@@ -240,8 +257,8 @@
     return RunningRow(
         subtask,
         run,
-        row[2] or "",
-        int(percent) if isinstance(percent, int | float) else 0,
+        str(row[2] or ""),
+        whole_number(percent) or 0,
         float(reading) if isinstance(reading, int | float) else 0.0,
     )
 
@@ -253,8 +270,7 @@
     number, run = whole_number(row[0]), whole_number(row[2])
     if subtask is None or number is None or run is None:
         return None
-    try:
-        kind = EndKind(row[3])
-    except ValueError:
+    kind = _KINDS.get(str(row[3]))
+    if kind is None:
         return None
-    return EndedRow(number, subtask, run, kind, row[4] or "")
+    return EndedRow(number, subtask, run, kind, str(row[4] or ""))
--- a/acaciawing/platform/store.py
+++ b/acaciawing/platform/store.py
@@ -22,6 +22,9 @@
 WRITE_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 1.0
 
+# What a row or item of another shape raises.
+_MALFORMED = (KeyError, TypeError, ValueError, IndexError)
+
 _LENGTH = struct.Struct(">I")
 _BOUNDS = struct.Struct(">QQ")
 
@@ -242,11 +245,13 @@
                 return Unavailable("answer not understood")
             # Pages are no snapshot: read on from the end of the first one.
             end = page_end if end is None else end
-            for item in items:
-                after = str(item["Key"])
-                records.append(
-                    KeyedRecord(after, base64.b64decode(item["Value"]))
-                )
+            try:
+                for item in items:
+                    after = str(item["Key"])
+                    value = base64.b64decode(item["Value"])
+                    records.append(KeyedRecord(after, value))
+            except _MALFORMED as error:
+                return Unavailable(f"answer not understood: {error!r}")
             if not answer.get("HasMore") or not items:
                 return Newest(tuple(records), end)
 
@@ -271,9 +276,11 @@
         rows = answer.get("parts")
         if number is None or not isinstance(rows, list):
             return Unavailable("answer not understood")
-        return Membership(
-            number, frozenset(int(r[1]) for r in rows if r[0] == topic)
-        )
+        try:
+            mine = frozenset(int(r[1]) for r in rows if r[0] == topic)
+        except _MALFORMED as error:
+            return Unavailable(f"answer not understood: {error!r}")
+        return Membership(number, mine)
 
     def leave(self, group: str, member: str) -> bool:
         """Leaves a group; returns whether the store has said so."""
@@ -294,14 +301,17 @@
         if outcome.status != 200:
             return _unavailable(outcome)
         answer = decode_object(outcome.body)
-        rows = answer.get("parts", answer.get("items"))
+        rows = answer.get("parts")
         if not isinstance(rows, list):
             return Unavailable(f"answer not understood: {outcome.body[:200]!r}")
-        return {
-            int(row[1]): str(row[2])
-            for row in rows
-            if row[0] == topic and row[2]
-        }
+        try:
+            return {
+                int(row[1]): str(row[2])
+                for row in rows
+                if row[0] == topic and row[2]
+            }
+        except _MALFORMED as error:
+            return Unavailable(f"answer not understood: {error!r}")
 
     def _post(
         self, path: str, body: dict[str, object]
