Turn idle machines off, size pools by the trend of their load, pack work

Spread placement kept a straggler on every machine. Loans no longer stop work that saves no progress.

--- a/acaciawing/jobs/cellevacuation.py
+++ b/acaciawing/jobs/cellevacuation.py
@@ -1,18 +1,17 @@
 """What a cell does for the fleet, and for work that shares a worker."""
 
-from collections.abc import Set
-
 from acaciawing.jobs.actions import (
     PaceRun,
 )
 from acaciawing.jobs.celllimits import (
+    CHECKPOINTED_PATIENCE_S,
     EVACUATION_PATIENCE_S,
     FULL_WORK,
     SETTLED_S,
 )
 from acaciawing.jobs.cellworkers import CellWorkers
 from acaciawing.jobs.choice import choose_worker
-from acaciawing.jobs.fleet import CellReport, PoolLoad, WorkerLoad
+from acaciawing.jobs.fleet import CellReport, Evacuation, PoolLoad, WorkerLoad
 from acaciawing.jobs.model import (
     Resources,
 )
@@ -23,19 +22,21 @@
 class CellEvacuation(CellWorkers):
     """What a cell does for the fleet, and for work that shares a worker."""
 
-    def evacuate(self, workers: Set[str], now: float) -> None:
+    def evacuate(self, evacuation: Evacuation, now: float) -> None:
         """Empties workers for an order of the fleet; all others are released.
 
-        Runs that end soon are waited for. A lasting run moves when its step
-        can miss it and another worker has room.
+        Runs that end by themselves are waited for, on hurried workers only
+        for a time. A lasting run moves when its step can miss it and another
+        worker has room.
         """
         for view in self.views.values():
-            wanted = view.life.worker in workers
+            wanted = view.life.worker in evacuation.workers
             if wanted and not view.evacuating:
                 view.evacuating_since = now
             view.evacuating = wanted
             if wanted:
-                self._empty(view, now)
+                hurried = view.life.worker in evacuation.hurried
+                self._empty(view, hurried, now)
 
     def report(self, now: float) -> CellReport:
         """Returns the load of the cell's pools and workers."""
@@ -72,7 +73,7 @@
             tuple(v.life.worker for v in self.views.values() if v.evacuating),
         )
 
-    def _empty(self, view: WorkerView, now: float) -> None:
+    def _empty(self, view: WorkerView, hurried: bool, now: float) -> None:
         waited = now - view.evacuating_since
         for run in view.runs.values():
             if run.phase is not Phase.RUNNING:
@@ -82,7 +83,12 @@
                     view, run, now
                 ):
                     self._stop(view, run, now)
-            elif waited > EVACUATION_PATIENCE_S:
+            elif run.step.saves_progress and not run.step.gang:
+                if waited > CHECKPOINTED_PATIENCE_S and (
+                    self._has_room_elsewhere(view, run, now)
+                ):
+                    self._stop(view, run, now)
+            elif hurried and waited > EVACUATION_PATIENCE_S:
                 self._stop(view, run, now)
 
     def _pace(self, view: WorkerView, now: float) -> None:
@@ -152,5 +158,4 @@
 
 
 def _load_of(view: WorkerView) -> WorkerLoad:
-    lasting = sum(1 for run in view.runs.values() if run.step.lasting)
-    return WorkerLoad(len(view.runs), lasting, view.used.cpu)
+    return WorkerLoad(len(view.runs), view.lasting, view.used.cpu)
--- a/acaciawing/jobs/celllimits.py
+++ b/acaciawing/jobs/celllimits.py
@@ -30,6 +30,10 @@
 # most end by then, and stragglers lose little by their checkpoints.
 EVACUATION_PATIENCE_S = 2.0
 
+# The same for runs that save their progress, which go on elsewhere after a
+# stop of up to 0.9 s and a restore of 0.25 s.
+CHECKPOINTED_PATIENCE_S = 0.6
+
 # Runs are started without a further condition for this time after the group
 # has confirmed the holder, in seconds; below the 1.5 s after which the cell may
 # be dealt to another instance.
--- a/acaciawing/jobs/choice.py
+++ b/acaciawing/jobs/choice.py
@@ -24,8 +24,8 @@
 ) -> WorkerView | None:
     """Chooses the worker for one subtask.
 
-    Workers near its data come first, then those with the smallest share of
-    cpu in use, so that the loss of one worker costs few runs.
+    Workers near its data come first, then those with the largest share of
+    cpu in use, so that other machines become empty and can be lent.
 
     Args:
         views: Workers that may be used.
@@ -34,21 +34,32 @@
         avoid: Worker that is taken only if no other has room.
     """
     best: WorkerView | None = None
-    best_key: tuple[bool, bool, float, int] | None = None
+    best_key: tuple[bool, bool, int, float] | None = None
     for view in views:
         if not fits(view, step, subtask):
             continue
         key = (
             view.life.worker == avoid,
             bool(step.data_rack) and view.rack != step.data_rack,
-            view.used.cpu / max(1, view.listed.capacity.cpu),
-            len(view.runs),
+            _crowding(view, step, subtask) if step.lasting else 0,
+            -view.used.cpu / max(1, view.listed.capacity.cpu),
         )
         if best_key is None or key < best_key:
             best, best_key = view, key
     return best
 
 
+def _crowding(view: WorkerView, step: Step, subtask: SubtaskId) -> int:
+    """Ranks a worker for a lasting subtask; the smallest goes first.
+
+    Lasting work keeps machines from being lent or turned off, so it goes where
+    other such work is, but never more than half of a step to one worker.
+    """
+    if view.per_step.get(subtask[:3], 0) >= (step.count + 1) // 2:
+        return 2
+    return 0 if view.lasting else 1
+
+
 def choose_gang(
     views: Iterable[WorkerView],
     step: Step,
--- /dev/null
+++ b/acaciawing/jobs/poolsizes.py
@@ -0,0 +1,79 @@
+"""How many machines each pool needs, by its load and where that is going."""
+
+import math
+from collections import deque
+
+from acaciawing.jobs.fleet import FleetSnapshot
+
+# A pool is given machines for this many times its expected load: subtasks
+# don't fill machines evenly, and some machines are slow.
+HEADROOM = 1.2
+
+# Machines that a pool keeps: lasting work is on two, and the first work of a
+# peak needs room until others arrive.
+LEAST_MACHINES = 3
+
+# A rising load is followed ahead by this time, in seconds; below the 1.7 s that
+# a move takes, as single large jobs look like a rise.
+LEAD_S = 0.7
+
+# The trend of a load is taken over this time, in seconds.
+TREND_S = 1.0
+
+# A pool keeps a surplus for this time, in seconds; moving a machine away and
+# back costs as much as 2.3 s of it at work.
+SURPLUS_S = 2.0
+
+
+class PoolSizes:
+    """Follows the loads of all pools."""
+
+    def __init__(self) -> None:
+        """Starts without a reading."""
+        self._loads: dict[str, deque[tuple[float, int]]] = {}
+        self._surplus_since: dict[str, float] = {}
+
+    def observe(self, snapshot: FleetSnapshot, now: float) -> None:
+        """Takes a reading of all loads."""
+        for service, pool in snapshot.pools.items():
+            loads = self._loads.setdefault(service, deque())
+            loads.append((now, pool.used.cpu + pool.waiting.cpu))
+            while now - loads[0][0] > TREND_S:
+                loads.popleft()
+
+    def expected_cpu(self, service: str) -> float:
+        """Returns the load by the time at which a machine could arrive."""
+        loads = self._loads.get(service)
+        if not loads:
+            return 0.0
+        first_at, first = loads[0]
+        last_at, last = loads[-1]
+        if last_at - first_at < TREND_S / 4:
+            return last
+        growth = (last - first) / (last_at - first_at)
+        return last + max(0.0, growth) * LEAD_S
+
+    def wanted(self, service: str, snapshot: FleetSnapshot) -> int:
+        """Returns the number of machines that a pool should have."""
+        pool = snapshot.pools.get(service)
+        sizes = [
+            m.capacity
+            for m in snapshot.machines
+            if m.capacity.cpu and m.service == service
+        ] or [m.capacity for m in snapshot.machines if m.capacity.cpu]
+        if pool is None or not sizes:
+            return 0
+        cpu = sum(size.cpu for size in sizes) / len(sizes)
+        memory_mb = sum(size.memory_mb for size in sizes) / len(sizes)
+        load = pool.used + pool.waiting
+        need = max(
+            self.expected_cpu(service) / cpu, load.memory_mb / max(1, memory_mb)
+        )
+        return max(LEAST_MACHINES, math.ceil(need * HEADROOM))
+
+    def may_shrink(self, service: str, surplus: int, now: float) -> bool:
+        """Whether a pool has had a surplus for long enough."""
+        if surplus <= 0:
+            self._surplus_since.pop(service, None)
+            return False
+        return now - self._surplus_since.setdefault(service, now) >= SURPLUS_S
--- a/acaciawing/jobs/tests/test_cell.py
+++ b/acaciawing/jobs/tests/test_cell.py
@@ -16,6 +16,7 @@
     Unreachable,
     WorkerEngaged,
 )
+from acaciawing.jobs.fleet import Evacuation
 from acaciawing.jobs.tests.builders import LEASE_S, CellRig, a_job, a_worker
 
 
@@ -349,7 +350,9 @@
         rig = self._rig()
         rig.wait(3.0)
         self._report(rig)
-        rig.cell.evacuate({s.worker.worker for s in rig.starts}, rig.now)
+        rig.cell.evacuate(
+            Evacuation(frozenset(s.worker.worker for s in rig.starts)), rig.now
+        )
         rig.settle()
         assert len(self._stops(rig)) == 1
 
@@ -360,6 +363,8 @@
         rig = self._rig()
         rig.wait(1.0)
         self._report(rig)
-        rig.cell.evacuate({rig.starts[0].worker.worker}, rig.now)
+        rig.cell.evacuate(
+            Evacuation(frozenset({rig.starts[0].worker.worker})), rig.now
+        )
         rig.settle()
         assert not self._stops(rig)
--- /dev/null
+++ b/acaciawing/jobs/tests/test_fleetplan.py
@@ -0,0 +1,168 @@
+"""Tests of the fleet's decisions: loans, releases and waves."""
+
+from acaciawing.jobs import Resources
+from acaciawing.jobs.fleet import (
+    FleetOrder,
+    FleetSnapshot,
+    MachineState,
+    Maintain,
+    Move,
+    PoolLoad,
+    WaveOrder,
+    WorkerLoad,
+)
+from acaciawing.jobs.fleetplan import FleetPlan
+from acaciawing.jobs.poolsizes import LEAST_MACHINES, SURPLUS_S
+
+_SIZE = Resources(32_000, 131_072)
+_SPARE = "portal"
+
+
+class Fleet:
+    """Machines of two pools and a spare one, and their loads."""
+
+    def __init__(self, busy: int = 4, idle: int = 4, off: int = 4) -> None:  # noqa: D107
+        self.plan = FleetPlan()
+        self.now = 10.0
+        self.machines = {
+            **{f"b{n}": self._machine(f"b{n}", "busy") for n in range(busy)},
+            **{f"i{n}": self._machine(f"i{n}", "idle") for n in range(idle)},
+            **{f"o{n}": self._machine(f"o{n}", _SPARE) for n in range(off)},
+        }
+        self.loads: dict[str, int] = {}
+        self.waiting: dict[str, int] = {}
+        self.lasting: dict[str, int] = {}
+        self.waves: tuple[WaveOrder, ...] = ()
+
+    def _machine(self, name: str, service: str) -> MachineState:
+        worker = "" if service == _SPARE else f"w-{name}"
+        return MachineState(name, service, True, worker, _SIZE)
+
+    def _snapshot(self) -> FleetSnapshot:
+        pools = {}
+        for service in ("busy", "idle"):
+            used = sum(
+                self.loads.get(m.id, 0)
+                for m in self.machines.values()
+                if m.service == service
+            )
+            pools[service] = PoolLoad(
+                Resources(self.waiting.get(service, 0)),
+                Resources(used),
+                Resources(),
+            )
+        workers = {
+            m.worker: WorkerLoad(
+                int(self.loads.get(m.id, 0) > 0) + self.lasting.get(m.id, 0),
+                self.lasting.get(m.id, 0),
+                self.loads.get(m.id, 0),
+            )
+            for m in self.machines.values()
+            if m.worker
+        }
+        snapshot = FleetSnapshot(
+            tuple(self.machines.values()),
+            pools,
+            workers,
+            frozenset(),
+            self.waves,
+            frozenset({_SPARE}),
+        )
+        return snapshot._replace(
+            evacuating=self.plan.evacuate(snapshot).workers
+        )
+
+    def rounds(self, seconds: float) -> list[FleetOrder]:
+        """Plays rounds; orders are carried out at once."""
+        given = []
+        until = self.now + seconds
+        while self.now < until:
+            self.now += 0.15
+            for order in self.plan.decide(self._snapshot(), self.now):
+                given.append(order)
+                self.plan.abandon(order.machine)
+                if isinstance(order, Move):
+                    self.machines[order.machine] = self._machine(
+                        order.machine, order.service
+                    )
+        return given
+
+
+class TestReleases:
+    """Guards against machines that stand idle in a pool and are paid for."""
+
+    def test_a_pool_without_work_keeps_the_least(self) -> None:
+        fleet = Fleet()
+        fleet.rounds(SURPLUS_S + 2)
+        left = [m for m in fleet.machines.values() if m.service == "idle"]
+        assert len(left) == LEAST_MACHINES
+
+    def test_a_short_lull_turns_nothing_off(self) -> None:
+        fleet = Fleet(busy=LEAST_MACHINES, idle=6)
+        assert not fleet.rounds(SURPLUS_S / 2)
+
+    def test_machines_with_lasting_work_stay(self) -> None:
+        fleet = Fleet(busy=LEAST_MACHINES, idle=6)
+        fleet.lasting = {f"i{n}": 1 for n in range(6)}
+        assert not fleet.rounds(SURPLUS_S + 2)
+
+    def test_without_a_spare_pool_nothing_is_turned_off(self) -> None:
+        fleet = Fleet(off=0)
+        snapshot = fleet._snapshot()._replace(spare=frozenset())
+        for _ in range(40):
+            fleet.now += 0.15
+            assert not fleet.plan.decide(snapshot, fleet.now)
+
+
+class TestLoans:
+    """Guards against a peak that waits while machines are off or idle."""
+
+    def test_waiting_work_gets_machines_that_are_off_first(self) -> None:
+        fleet = Fleet(busy=LEAST_MACHINES, idle=LEAST_MACHINES)
+        fleet.loads = {f"b{n}": 32_000 for n in range(LEAST_MACHINES)}
+        fleet.waiting = {"busy": 32_000}
+        orders = fleet.rounds(0.3)
+        assert orders
+        assert all(o.machine.startswith("o") for o in orders)
+
+    def test_a_rising_load_is_met_ahead(self) -> None:
+        fleet = Fleet(busy=LEAST_MACHINES, idle=LEAST_MACHINES)
+        for step in range(6):
+            fleet.loads = {"b0": 14_000 * step}
+            orders = fleet.rounds(0.2)
+            if orders:
+                break
+        assert orders
+        assert fleet.loads["b0"] < LEAST_MACHINES * _SIZE.cpu
+
+    def test_a_pool_that_can_not_have_a_machine_is_not_asked_again(
+        self,
+    ) -> None:
+        fleet = Fleet(busy=LEAST_MACHINES, idle=LEAST_MACHINES, off=1)
+        fleet.waiting = {"busy": 200_000}
+        order = next(iter(fleet.rounds(0.3)))
+        fleet.machines[order.machine] = fleet._machine(order.machine, _SPARE)
+        fleet.plan.refuse(order)
+        assert order not in fleet.rounds(1.0)
+
+
+class TestWaves:
+    """Guards against late waves and against too many machines down."""
+
+    def _wave(self, *machines: str, max_down: int = 2) -> WaveOrder:
+        return WaveOrder(1, machines, max_down, 35.0)
+
+    def test_machines_that_are_off_go_at_once(self) -> None:
+        fleet = Fleet(busy=LEAST_MACHINES, idle=LEAST_MACHINES)
+        fleet.waves = (self._wave("o0", "o1", "o2"),)
+        orders = fleet.rounds(0.2)
+        assert orders[:2] == [Maintain("o0", 1), Maintain("o1", 1)]
+
+    def test_no_more_than_the_allowed_number_is_down(self) -> None:
+        fleet = Fleet(busy=LEAST_MACHINES, idle=LEAST_MACHINES)
+        fleet.waves = (self._wave("o0", "o1", "o2"),)
+        for name in ("i0", "i1"):
+            fleet.machines[name] = MachineState(
+                name, "idle", False, "", _SIZE, True
+            )
+        assert not [o for o in fleet.rounds(0.5) if isinstance(o, Maintain)]
--- a/acaciawing/jobs/workers.py
+++ b/acaciawing/jobs/workers.py
@@ -94,6 +94,7 @@
         lease_until: When all leases granted to it have surely lapsed.
         runs: Runs by subtask.
         used: Sum of what they are charged.
+        lasting: Number of lasting runs.
         newest_end: Highest number of an end that was read.
         unacknowledged: Pairs of an end's number and the record that notes it.
         evacuating: Whether it is to be emptied for a move or for upkeep.
@@ -114,6 +115,7 @@
         "faults",
         "fill_pace",
         "held_back_until",
+        "lasting",
         "lease_until",
         "life",
         "listed",
@@ -140,6 +142,7 @@
         self.lease_until = 0.0
         self.runs: dict[SubtaskId, Run] = {}
         self.used = Resources()
+        self.lasting = 0
         self.newest_end = 0
         self.unacknowledged: deque[tuple[int, int]] = deque()
         self.evacuating = False
@@ -160,6 +163,7 @@
         """Charges a run."""
         self.runs[run.subtask] = run
         self.used = self.used + run.step.charged
+        self.lasting += run.step.lasting
         key = run.subtask[:3]
         self.per_step[key] = self.per_step.get(key, 0) + 1
 
@@ -168,6 +172,7 @@
         run = self.runs.pop(subtask, None)
         if run is not None:
             self.used = self.used - run.step.charged
+            self.lasting -= run.step.lasting
             key = subtask[:3]
             self.per_step[key] -= 1
             if not self.per_step[key]:
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -20,7 +20,7 @@
     StopRun,
     Worker,
 )
-from acaciawing.jobs.fleet import CellReport
+from acaciawing.jobs.fleet import CellReport, Evacuation
 from acaciawing.jobserver.celllog import CellReader, CellWriter
 from acaciawing.jobserver.clock import steady_s, unix_ms
 from acaciawing.jobserver.limits import (
@@ -107,7 +107,7 @@
         """Lets time pass."""
         if now - self.evacuation_at > EVACUATION_KEPT_S:
             self.evacuation_at = now
-            self.cell.evacuate(frozenset(), now)
+            self.cell.evacuate(Evacuation(), now)
         self.cell.tick(now, unix_ms())
 
     def act(self, actions: list[Action]) -> None:
--- a/acaciawing/jobserver/fleet.py
+++ b/acaciawing/jobserver/fleet.py
@@ -2,11 +2,11 @@
 
 import threading
 from collections.abc import Callable
+from typing import Any
 
 from acaciawing.jobs.fleet import (
     CellReport,
     FleetOrder,
-    FleetPlan,
     FleetSnapshot,
     MachineState,
     Maintain,
@@ -15,6 +15,7 @@
     WaveOrder,
     WorkerLoad,
 )
+from acaciawing.jobs.fleetplan import FleetPlan
 from acaciawing.jobs.orderlog import OrderNote, recent_orders
 from acaciawing.jobserver.clock import steady_s, unix_ms
 from acaciawing.jobserver.directory import OrdersFollower
@@ -66,7 +67,7 @@
         self._tenure = tenure
         self._client = MachineClient(settings.machines, settings.name)
         self._statuses = WaveStatuses(settings.store)
-        self._plan = FleetPlan()
+        self._plan = FleetPlan(_log_decision)
         self._seen: dict[int, float] = {}
         self._held: FleetTenure | None = None
         self._notes = OrderNotes(settings.store)
@@ -85,7 +86,7 @@
             else:
                 if tenure != self._held:
                     self._held = tenure
-                    self._plan = FleetPlan()
+                    self._plan = FleetPlan(_log_decision)
                     self._recent = None
                 self._note_waves(steady_s())
                 if steady_s() - tenure.since > _HANDOVER_S:
@@ -166,7 +167,14 @@
         if configuration is None:
             return None
         states = tuple(
-            MachineState(m.id, m.service, m.state == "up", m.worker, m.capacity)
+            MachineState(
+                m.id,
+                m.service,
+                m.state == "up",
+                m.worker,
+                m.capacity,
+                m.state in ("moving", "upkeep"),
+            )
             for m in machines
         )
         spare = frozenset(
@@ -212,10 +220,16 @@
                 "outcome": outcome.value,
             },
         )
-        if outcome is not MachineOrder.NOT_DONE:
+        if outcome is MachineOrder.INVALID:
+            self._plan.refuse(order)
+        elif outcome is not MachineOrder.NOT_DONE:
             self._plan.abandon(order.machine)
 
 
+def _log_decision(event: str, **values: Any) -> None:
+    log_event(Event[event], values)
+
+
 def _with_reports(
     snapshot: FleetSnapshot, reports: list[CellReport]
 ) -> FleetSnapshot:
--- a/acaciawing/jobserver/messages.py
+++ b/acaciawing/jobserver/messages.py
@@ -11,7 +11,7 @@
     Worker,
     WorkerMessage,
 )
-from acaciawing.jobs.fleet import CellReport
+from acaciawing.jobs.fleet import CellReport, Evacuation
 
 
 @dataclass(frozen=True)
@@ -174,7 +174,7 @@
     """
 
     partition: int
-    evacuate: frozenset[str]
+    evacuate: Evacuation
     reply: "Future[CellReport]"
 
 
--- a/acaciawing/jobserver/peers.py
+++ b/acaciawing/jobserver/peers.py
@@ -1,6 +1,5 @@
 """Calls between instances, to the holder of a cell."""
 
-from collections.abc import Set
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import Any, TypeVar
@@ -8,7 +7,7 @@
 import msgspec
 import urllib3
 
-from acaciawing.jobs.fleet import CellReport
+from acaciawing.jobs.fleet import CellReport, Evacuation
 from acaciawing.jobserver.engine import Engine
 from acaciawing.jobserver.membership import Holders
 from acaciawing.jobserver.messages import JobAnswer, JobAsked, ReportAsked
@@ -35,7 +34,7 @@
     """Asks for a cell's load and names the workers to empty."""
 
     cell: int
-    evacuate: tuple[str, ...]
+    evacuate: Evacuation
 
 
 class Peers:
@@ -75,9 +74,9 @@
         )
         return _result(reply) or JobAnswer(False)
 
-    def report(self, cell: int, evacuate: Set[str]) -> CellReport:
+    def report(self, cell: int, evacuate: Evacuation) -> CellReport:
         """Asks for a cell's load and names the workers to empty."""
-        question = ReportQuestion(cell, tuple(sorted(evacuate)))
+        question = ReportQuestion(cell, evacuate)
         report = self.report_here(question)
         if not report.holder:
             there = self._call(cell, REPORT_PATH, question, CellReport)
@@ -89,9 +88,7 @@
     def report_here(self, question: ReportQuestion) -> CellReport:
         """Asks the own engine for a cell's load."""
         reply: Future[CellReport] = Future()
-        self._engine.send(
-            ReportAsked(question.cell, frozenset(question.evacuate), reply)
-        )
+        self._engine.send(ReportAsked(question.cell, question.evacuate, reply))
         return _result(reply) or CellReport(False)
 
     def _call(
