--- a/acaciawing/jobs/fleetplan.py
+++ b/acaciawing/jobs/fleetplan.py
@@ -213,7 +213,6 @@
             present=sum(m.service == service for m in snapshot.machines),
             used_cpu=pool.used.cpu,
             waiting_cpu=pool.waiting.cpu,
-            expected_cpu=round(self._sizes.expected_cpu(service)),
         )
 
     def _keep(self, service: str, missing: int, snapshot: FleetSnapshot) -> int:
--- a/acaciawing/jobs/poolsizes.py
+++ b/acaciawing/jobs/poolsizes.py
@@ -10,12 +10,15 @@
 HEADROOM = 1.2
 
 # Machines that a pool keeps: lasting work is on two, and the first work of a
-# peak needs room until others arrive.
+# peak needs room until others arrive. In a large fleet, a share of it.
 LEAST_MACHINES = 3
+LEAST_SHARE = 0.03
 
-# A rising load is followed ahead by this time, in seconds; below the 1.7 s that
-# a move takes, as single large jobs look like a rise.
+# A rising load is followed ahead by this time, in seconds: at a load of three
+# machines, where single large jobs look like a rise, and at most, which is the
+# time that a move takes.
 LEAD_S = 0.7
+LONGEST_LEAD_S = 1.7
 
 # The trend of a load is taken over this time, in seconds.
 TREND_S = 1.0
@@ -41,8 +44,13 @@
             while now - loads[0][0] > TREND_S:
                 loads.popleft()
 
-    def expected_cpu(self, service: str) -> float:
-        """Returns the load by the time at which a machine could arrive."""
+    def expected_cpu(self, service: str, machine_cpu: float) -> float:
+        """Returns the load by the time at which a machine could arrive.
+
+        Args:
+            service: The pool's service.
+            machine_cpu: What a machine has, in thousandths of a core.
+        """
         loads = self._loads.get(service)
         if not loads:
             return 0.0
@@ -51,7 +59,9 @@
         if last_at - first_at < TREND_S / 4:
             return last
         growth = (last - first) / (last_at - first_at)
-        return last + max(0.0, growth) * LEAD_S
+        # The noise of a load of n machines grows with the root of n.
+        trusted = math.sqrt(max(1.0, last / machine_cpu / 3))
+        return last + max(0.0, growth) * min(LONGEST_LEAD_S, LEAD_S * trusted)
 
     def wanted(self, service: str, snapshot: FleetSnapshot) -> int:
         """Returns the number of machines that a pool should have."""
@@ -67,9 +77,11 @@
         memory_mb = sum(size.memory_mb for size in sizes) / len(sizes)
         load = pool.used + pool.waiting
         need = max(
-            self.expected_cpu(service) / cpu, load.memory_mb / max(1, memory_mb)
+            self.expected_cpu(service, cpu) / cpu,
+            load.memory_mb / max(1, memory_mb),
         )
-        return max(LEAST_MACHINES, math.ceil(need * HEADROOM))
+        least = max(LEAST_MACHINES, round(LEAST_SHARE * len(snapshot.machines)))
+        return max(least, math.ceil(need * HEADROOM))
 
     def may_shrink(self, service: str, surplus: int, now: float) -> bool:
         """Whether a pool has had a surplus for long enough."""
--- a/acaciawing/jobserver/fleet.py
+++ b/acaciawing/jobserver/fleet.py
@@ -10,7 +10,6 @@
     FleetSnapshot,
     MachineState,
     Maintain,
-    Move,
     PoolLoad,
     WaveOrder,
     WorkerLoad,
@@ -22,6 +21,7 @@
 from acaciawing.jobserver.membership import cell_of
 from acaciawing.jobserver.messages import FleetTenure
 from acaciawing.jobserver.metrics import METRICS
+from acaciawing.jobserver.ordering import MachineOrders
 from acaciawing.jobserver.peers import Peers
 from acaciawing.jobserver.tasks import start_task
 from acaciawing.platform.machines import (
@@ -43,6 +43,10 @@
 _HANDOVER_S = 0.5
 
 
+# Most orders of a round, so that the next one sees what has changed meanwhile.
+MOST_ORDERS = 40
+
+
 class FleetTask:
     """Rounds of observe, decide, act.
 
@@ -66,6 +70,7 @@
         self._peers = peers
         self._tenure = tenure
         self._client = MachineClient(settings.machines, settings.name)
+        self._orderers = MachineOrders(settings.machines, settings.name)
         self._statuses = WaveStatuses(settings.store)
         self._plan = FleetPlan(_log_decision)
         self._seen: dict[int, float] = {}
@@ -111,11 +116,13 @@
         snapshot = self._snapshot(listed.machines, waves)
         if snapshot is None:
             return
-        for order in self._plan.decide(snapshot, steady_s()):
-            if self._tenure() != tenure:
-                return
-            if self._may_order(order.machine, tenure):
-                self._carry_out(order, tenure)
+        orders = [
+            order
+            for order in self._plan.decide(snapshot, steady_s())
+            if self._may_order(order.machine, tenure)
+        ][:MOST_ORDERS]
+        if orders and self._tenure() == tenure and self._note(orders, tenure):
+            self._carry_out(orders, tenure)
 
     def _may_order(self, machine: str, tenure: FleetTenure) -> bool:
         """Whether no earlier holder has ordered the machine just before."""
@@ -127,11 +134,17 @@
             self._recent = recent_orders(
                 notes, tenure.fence, lease_ms, unix_ms()
             )
-        waits = machine in self._recent
-        if waits and steady_s() - tenure.since < _HANDOVER_S + lease_ms / 1000:
-            return False
-        note = OrderNote(machine, self._settings.name, tenure.fence, unix_ms())
-        return self._notes.write(note)
+        waits_s = _HANDOVER_S + lease_ms / 1000
+        return (
+            machine not in self._recent or steady_s() - tenure.since >= waits_s
+        )
+
+    def _note(self, orders: list[FleetOrder], tenure: FleetTenure) -> bool:
+        """Notes orders durably for the next holder, before they are given."""
+        name, fence = self._settings.name, tenure.fence
+        return self._notes.write(
+            [OrderNote(o.machine, name, fence, unix_ms()) for o in orders]
+        )
 
     def _open_waves(self, machines: tuple[Machine, ...]) -> list[WaveOrder]:
         """Returns waves with machines left; writes the state of each."""
@@ -191,35 +204,38 @@
         reports = [self._peers.report(cell, evacuate) for cell in sorted(cells)]
         return _with_reports(snapshot, reports)
 
-    def _carry_out(self, order: FleetOrder, tenure: FleetTenure) -> None:
-        if isinstance(order, Maintain):
-            outcome = self._client.maintain(
-                order.machine, order.wave, tenure.fence
-            )
-            if outcome in (MachineOrder.DONE, MachineOrder.NOT_OF_WAVE):
-                self._statuses.note_done(order.wave, order.machine)
-            target = f"wave {order.wave}"
-        else:
-            assert isinstance(order, Move)
-            outcome = self._client.move(
-                order.machine, order.service, tenure.fence
-            )
-            target = order.service
+    def _carry_out(self, orders: list[FleetOrder], tenure: FleetTenure) -> None:
+        outcomes = self._orderers.carry_out(orders, tenure.fence)
+        for order, outcome in zip(orders, outcomes, strict=True):
+            self._note_outcome(order, outcome, tenure)
+
+    def _note_outcome(
+        self, order: FleetOrder, outcome: MachineOrder, tenure: FleetTenure
+    ) -> None:
+        kind = type(order).__name__.lower()
         METRICS.count(
-            "acaciawing.jobs.machine_orders",
-            kind=type(order).__name__.lower(),
-            outcome=outcome.value,
+            "acaciawing.jobs.machine_orders", kind=kind, outcome=outcome.value
+        )
+        target = (
+            f"wave {order.wave}"
+            if isinstance(order, Maintain)
+            else order.service
         )
         log_event(
             Event.MACHINE_ORDERED,
             {
                 "machine": order.machine,
-                "order": type(order).__name__.lower(),
+                "order": kind,
                 "target": target,
                 "fence": tenure.fence,
                 "outcome": outcome.value,
             },
         )
+        if isinstance(order, Maintain) and outcome in (
+            MachineOrder.DONE,
+            MachineOrder.NOT_OF_WAVE,
+        ):
+            self._statuses.note_done(order.wave, order.machine)
         if outcome is MachineOrder.INVALID:
             self._plan.refuse(order)
         elif outcome is not MachineOrder.NOT_DONE:
--- a/acaciawing/platform/statuses.py
+++ b/acaciawing/platform/statuses.py
@@ -1,12 +1,12 @@
 """States of waves in the store: for the operator, and for the next holder."""
 
-from collections.abc import Set
+from collections.abc import Sequence, Set
 
 import msgspec
 
 from acaciawing.jobs.orderlog import OrderNote
 from acaciawing.platform.http import decode_object, encode_json
-from acaciawing.platform.store import Newest, Store, Stored
+from acaciawing.platform.store import Newest, Store, Stored, keyed_record
 from acaciawing.platform.wire import Finding
 from acaciawing.telemetry import Event, log_event
 
@@ -141,9 +141,14 @@
                 )
         return tuple(notes)
 
-    def write(self, note: OrderNote) -> bool:
-        """Writes a note; returns whether it is durable."""
-        result = self._store.append_keyed(
-            _ORDERS_TOPIC, note.machine, msgspec.json.encode(note)
+    def write(self, notes: Sequence[OrderNote]) -> bool:
+        """Writes notes in one call; returns whether they are durable."""
+        result = self._store.append(
+            _ORDERS_TOPIC,
+            0,
+            [
+                keyed_record(note.machine, msgspec.json.encode(note))
+                for note in notes
+            ],
         )
         return isinstance(result, Stored)
--- a/acaciawing/platform/store.py
+++ b/acaciawing/platform/store.py
@@ -191,8 +191,7 @@
 
     def append_keyed(self, topic: str, key: str, value: bytes) -> AppendResult:
         """Appends the newest value of a key to partition 0 of a topic."""
-        name = key.encode()
-        return self.append(topic, 0, [bytes([len(name)]) + name + value])
+        return self.append(topic, 0, [keyed_record(key, value)])
 
     def read(
         self, topic: str, partition: int, offset: int, wait_ms: int
@@ -368,6 +367,12 @@
     return Read(tuple(records), offset + len(records), end)
 
 
+def keyed_record(key: str, value: bytes) -> bytes:
+    """Returns the payload of a record of a keyed topic."""
+    name = key.encode()
+    return bytes([len(name)]) + name + value
+
+
 def parse_keyed(payload: bytes) -> KeyedRecord | None:
     r"""Splits a record of a keyed topic.
 
