Empty machines with lasting work first in a wave; count only upkeep as down

Lasting work moved to machines that were due next. Also: an upkeep order without an answer may begin up to 12 s later and now counts as down meanwhile; a pool does not shrink before its work was watched. Ruled out: the limit of machines down at once (8, of which 1 to 2 were used).

--- a/acaciawing/jobs/cellevacuation.py
+++ b/acaciawing/jobs/cellevacuation.py
@@ -34,6 +34,7 @@
             if wanted and not view.evacuating:
                 view.evacuating_since = now
             view.evacuating = wanted
+            view.due = view.life.worker in evacuation.due
             if wanted:
                 hurried = view.life.worker in evacuation.hurried
                 self._empty(view, hurried, now)
--- a/acaciawing/jobs/choice.py
+++ b/acaciawing/jobs/choice.py
@@ -53,8 +53,11 @@
     """Ranks a worker for a lasting subtask; the smallest goes first.
 
     Lasting work keeps machines from being lent or turned off, so it goes where
-    other such work is, but never more than half of a step to one worker.
+    other such work is, but never more than half of a step to one worker, and
+    to a machine that is to be maintained only if there is no other.
     """
+    if view.due:
+        return 3
     if view.per_step.get(subtask[:3], 0) >= (step.count + 1) // 2:
         return 2
     return 0 if view.lasting else 1
--- a/acaciawing/jobs/fleet.py
+++ b/acaciawing/jobs/fleet.py
@@ -60,6 +60,7 @@
         service: Pool that it belongs to.
         up: Whether it is neither moving nor in upkeep nor down.
         coming: Whether it will be up soon: it moves or is in upkeep.
+        in_upkeep: Whether it is in upkeep.
         worker: Id of the worker that runs on it; empty while it is off.
         capacity: Amounts that it has in all.
     """
@@ -70,6 +71,7 @@
     worker: str
     capacity: Resources
     coming: bool = False
+    in_upkeep: bool = False
 
 
 class WaveOrder(msgspec.Struct, frozen=True):
@@ -111,10 +113,12 @@
     Attributes:
         workers: Their ids.
         hurried: Those of them whose runs are not waited for without end.
+        due: Workers whose machines will be maintained soon.
     """
 
     workers: frozenset[str] = frozenset()
     hurried: frozenset[str] = frozenset()
+    due: frozenset[str] = frozenset()
 
 
 class FleetSnapshot(NamedTuple):
--- a/acaciawing/jobs/fleetplan.py
+++ b/acaciawing/jobs/fleetplan.py
@@ -4,6 +4,7 @@
 it work and moves what lasts. A machine that is off needs no emptying.
 """
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
@@ -14,7 +15,6 @@
     MachineState,
     Maintain,
     Move,
-    WaveOrder,
 )
 from acaciawing.jobs.poolsizes import PoolSizes
 
@@ -25,6 +25,10 @@
 # The sizes of a pool are logged at most this often, in seconds.
 LOG_INTERVAL_S = 1.0
 
+# An order without an answer may be carried out up to this much later, in
+# seconds, as the platform's pages say of orders to workers.
+LATE_ORDER_S = 12.0
+
 # Time that emptying and upkeep take together, as a rule, in seconds; decides
 # how many machines of a wave have to be down at once.
 WAVE_STEP_S = 5.0
@@ -58,6 +62,8 @@
         self._emptying: dict[str, Emptying] = {}
         self._sizes = PoolSizes()
         self._unfit: set[tuple[str, str]] = set()
+        # Machines whose upkeep may still begin, and until when, in seconds.
+        self._unanswered: dict[str, float] = {}
 
     def evacuate(self, snapshot: FleetSnapshot) -> Evacuation:
         """Returns the workers that are to be emptied."""
@@ -66,15 +72,23 @@
             for machine in snapshot.machines
             if machine.id in self._emptying and machine.worker
         }
+        due = {m for wave in snapshot.waves for m in wave.machines}
         return Evacuation(
             frozenset(orders),
             frozenset(w for w, o in orders.items() if isinstance(o, Maintain)),
+            frozenset(m.worker for m in snapshot.machines if m.id in due),
         )
 
     def abandon(self, machine: str) -> None:
         """Forgets a machine, after its order was carried out or refused."""
         self._emptying.pop(machine, None)
 
+    def doubt(self, order: FleetOrder, now: float) -> None:
+        """Takes note that an order was not answered and may be late."""
+        self.abandon(order.machine)
+        if isinstance(order, Maintain):
+            self._unanswered[order.machine] = now + LATE_ORDER_S
+
     def refuse(self, order: FleetOrder) -> None:
         """Never moves a machine again to a pool that can't have it."""
         self.abandon(order.machine)
@@ -91,7 +105,7 @@
         self._choose_for_waves(snapshot, machines, now)
         self._choose_loans(snapshot, now)
         self._choose_releases(snapshot, now)
-        down = self._down(snapshot)
+        down = self._down(snapshot, now)
         orders: list[FleetOrder] = []
         for machine_id, emptying in self._emptying.items():
             machine = machines[machine_id]
@@ -100,9 +114,9 @@
             order = emptying.order
             if isinstance(order, Maintain):
                 wave = next(w for w in snapshot.waves if w.number == order.wave)
-                if down.get(order.wave, 0) >= wave.max_down:
+                if down >= wave.max_down:
                     continue
-                down[order.wave] = down.get(order.wave, 0) + 1
+                down += 1
             orders.append(order)
         return tuple(orders)
 
@@ -125,10 +139,16 @@
             if gone or done or stale:
                 del self._emptying[machine_id]
 
-    def _down(self, snapshot: FleetSnapshot) -> dict[int, int]:
-        """Machines that are not up, charged to every wave under way."""
-        down = sum(1 for m in snapshot.machines if not m.up)
-        return {wave.number: down for wave in snapshot.waves}
+    def _down(self, snapshot: FleetSnapshot, now: float) -> int:
+        """Machines that are in upkeep, or may be by an unanswered order."""
+        for machine, until in list(self._unanswered.items()):
+            if now > until:
+                del self._unanswered[machine]
+        return sum(
+            1
+            for m in snapshot.machines
+            if m.in_upkeep or m.id in self._unanswered
+        )
 
     def _choose_for_waves(
         self,
@@ -137,47 +157,51 @@
         now: float,
     ) -> None:
         for wave in snapshot.waves:
-            due = [machines[m] for m in wave.machines if m in machines]
+            due = [
+                machines[m]
+                for m in wave.machines
+                if m in machines and not self._is_due(m)
+            ]
             turns = max(1.0, (wave.due_at - now) / WAVE_STEP_S)
-            at_once = min(wave.max_down, max(2, -int(-len(due) * 1.3 // turns)))
+            at_once = min(
+                wave.max_down, max(2, math.ceil(len(due) * 1.3 / turns))
+            )
+            late = wave.due_at - now < 2 * WAVE_STEP_S
             for machine in sorted(due, key=lambda m: _trouble(m, snapshot)):
-                busy = sum(
-                    1
-                    for e in self._emptying.values()
-                    if isinstance(e.order, Maintain)
-                    and e.order.wave == wave.number
-                )
-                if busy >= at_once and machine.worker:
-                    break
-                self._empty_for_wave(machine, wave, snapshot, now)
-
-    def _empty_for_wave(
+                if machine.up and self._may_empty(
+                    machine, snapshot, at_once, late
+                ):
+                    order = Maintain(machine.id, wave.number)
+                    self._emptying[machine.id] = Emptying(order, now)
+
+    def _is_due(self, machine: str) -> bool:
+        """Whether a machine is being emptied for its upkeep."""
+        known = self._emptying.get(machine)
+        return known is not None and isinstance(known.order, Maintain)
+
+    def _may_empty(
         self,
         machine: MachineState,
-        wave: WaveOrder,
         snapshot: FleetSnapshot,
-        now: float,
-    ) -> None:
-        known = self._emptying.get(machine.id)
-        if known is not None and isinstance(known.order, Maintain):
-            return
-        if not machine.up:
-            return
-        late = wave.due_at - now < 2 * WAVE_STEP_S
-        if machine.worker and not late and self._taken(machine, snapshot) >= 1:
-            return
-        order = Maintain(machine.id, wave.number)
-        self._emptying[machine.id] = Emptying(order, now)
-
-    def _taken(self, like: MachineState, snapshot: FleetSnapshot) -> int:
-        """Machines of the same pool that are away or will be."""
-        return sum(
-            1
+        at_once: int,
+        late: bool,
+    ) -> bool:
+        """Whether the pool can do without a machine for its upkeep.
+
+        Lasting work leaves a machine run by run, so its machines begin early,
+        one of a pool at a time; others go as fast as the wave needs it.
+        """
+        if not machine.worker:
+            return True
+        lasting = _has_lasting(machine, snapshot)
+        same = [
+            m
             for m in snapshot.machines
-            if m.service == like.service
-            and m.id != like.id
-            and (not m.up or m.id in self._emptying)
-        )
+            if self._is_due(m.id) and _has_lasting(m, snapshot) == lasting
+        ]
+        if lasting:
+            return late or all(m.service != machine.service for m in same)
+        return len(same) < at_once
 
     def _choose_loans(self, snapshot: FleetSnapshot, now: float) -> None:
         for service, _ in sorted(
@@ -327,8 +351,13 @@
 def _trouble(
     machine: MachineState, snapshot: FleetSnapshot
 ) -> tuple[bool, int, int, str]:
-    """Orders machines by the work that their upkeep disturbs."""
+    """Orders machines for upkeep: off ones, then the slowest to empty."""
     load = snapshot.workers.get(machine.worker)
     if load is None:
         return (bool(machine.worker), 0, 0, machine.id)
-    return (True, load.lasting, load.cpu, machine.id)
+    return (True, -load.lasting, load.cpu, machine.id)
+
+
+def _has_lasting(machine: MachineState, snapshot: FleetSnapshot) -> bool:
+    load = snapshot.workers.get(machine.worker)
+    return load is not None and load.lasting > 0
--- a/acaciawing/jobs/poolsizes.py
+++ b/acaciawing/jobs/poolsizes.py
@@ -28,6 +28,11 @@
 SURPLUS_S = 2.0
 
 
+# A pool does not shrink before its work has been watched for this time, in
+# seconds: what it needs is not known yet.
+WATCHED_S = 6.0
+
+
 class PoolSizes:
     """Follows the loads of all pools."""
 
@@ -35,12 +40,16 @@
         """Starts without a reading."""
         self._loads: dict[str, deque[tuple[float, int]]] = {}
         self._surplus_since: dict[str, float] = {}
+        self._worked_since: dict[str, float] = {}
 
     def observe(self, snapshot: FleetSnapshot, now: float) -> None:
         """Takes a reading of all loads."""
         for service, pool in snapshot.pools.items():
             loads = self._loads.setdefault(service, deque())
-            loads.append((now, pool.used.cpu + pool.waiting.cpu))
+            load = pool.used.cpu + pool.waiting.cpu
+            loads.append((now, load))
+            if load:
+                self._worked_since.setdefault(service, now)
             while now - loads[0][0] > TREND_S:
                 loads.popleft()
 
@@ -85,7 +94,8 @@
 
     def may_shrink(self, service: str, surplus: int, now: float) -> bool:
         """Whether a pool has had a surplus for long enough."""
-        if surplus <= 0:
+        watched_s = now - self._worked_since.get(service, now)
+        if surplus <= 0 or watched_s < WATCHED_S:
             self._surplus_since.pop(service, None)
             return False
         return now - self._surplus_since.setdefault(service, now) >= SURPLUS_S
--- a/acaciawing/jobs/workers.py
+++ b/acaciawing/jobs/workers.py
@@ -98,6 +98,7 @@
         newest_end: Highest number of an end that was read.
         unacknowledged: Pairs of an end's number and the record that notes it.
         evacuating: Whether it is to be emptied for a move or for upkeep.
+        due: Whether its machine will be maintained soon.
         evacuating_since: When that began, in seconds.
         held_back_until: Gets no new runs before this time, in seconds.
         faults: Times of runs that failed here since the last one that was
@@ -109,6 +110,7 @@
     __slots__ = (
         "contact_at",
         "contacted",
+        "due",
         "engaged",
         "evacuating",
         "evacuating_since",
@@ -146,6 +148,7 @@
         self.newest_end = 0
         self.unacknowledged: deque[tuple[int, int]] = deque()
         self.evacuating = False
+        self.due = False
         self.evacuating_since = 0.0
         self.held_back_until = 0.0
         self.faults: deque[float] = deque(maxlen=8)
--- a/acaciawing/jobserver/fleet.py
+++ b/acaciawing/jobserver/fleet.py
@@ -187,6 +187,7 @@
                 m.worker,
                 m.capacity,
                 m.state in ("moving", "upkeep"),
+                m.state == "upkeep",
             )
             for m in machines
         )
@@ -238,6 +239,8 @@
             self._statuses.note_done(order.wave, order.machine)
         if outcome is MachineOrder.INVALID:
             self._plan.refuse(order)
+        elif outcome is MachineOrder.UNANSWERED:
+            self._plan.doubt(order, steady_s())
         elif outcome is not MachineOrder.NOT_DONE:
             self._plan.abandon(order.machine)
 
