Replace silent machines from zones that answer; refuse at once when the store is lost

Cause: in a cut of a zone a pool counted machines that it could not reach, and a request was held to its deadline by an instance that could store nothing. Conclusion: kept; an instance is not ready after 1.2 s without the store.

--- a/acaciawing/jobs/cellevacuation.py
+++ b/acaciawing/jobs/cellevacuation.py
@@ -159,4 +159,5 @@
 
 
 def _load_of(view: WorkerView) -> WorkerLoad:
-    return WorkerLoad(len(view.runs), view.lasting, view.used.cpu)
+    silent = view.contacted and not view.reachable
+    return WorkerLoad(len(view.runs), view.lasting, view.used.cpu, silent)
--- a/acaciawing/jobs/fleet.py
+++ b/acaciawing/jobs/fleet.py
@@ -15,11 +15,13 @@
         runs: Runs that are or may be there.
         lasting: Those of them that last.
         cpu: Thousandths of a core that they are charged.
+        silent: Whether it has answered before and does not answer now.
     """
 
     runs: int
     lasting: int
     cpu: int
+    silent: bool = False
 
 
 class PoolLoad(msgspec.Struct, frozen=True):
@@ -61,6 +63,7 @@
         up: Whether it is neither moving nor in upkeep nor down.
         coming: Whether it will be up soon: it moves or is in upkeep.
         in_upkeep: Whether it is in upkeep.
+        zone: Its availability zone.
         worker: Id of the worker that runs on it; empty while it is off.
         capacity: Amounts that it has in all.
     """
@@ -72,6 +75,7 @@
     capacity: Resources
     coming: bool = False
     in_upkeep: bool = False
+    zone: str = ""
 
 
 class WaveOrder(msgspec.Struct, frozen=True):
--- a/acaciawing/jobs/fleetplan.py
+++ b/acaciawing/jobs/fleetplan.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
@@ -29,6 +30,10 @@
 # seconds, as the platform's pages say of orders to workers.
 LATE_ORDER_S = 12.0
 
+# A zone is taken for cut off when at least this many of its workers are silent
+# and none answers.
+LEAST_SILENT = 2
+
 # Time that emptying and upkeep take together, as a rule, in seconds; decides
 # how many machines of a wave have to be down at once.
 WAVE_STEP_S = 5.0
@@ -292,6 +297,7 @@
             if m.service == service
             and (m.up or m.coming)
             and m.id not in self._emptying
+            and not _is_silent(m, snapshot)
         )
         return self._sizes.wanted(service, snapshot) - present - coming
 
@@ -299,6 +305,7 @@
         self, service: str, snapshot: FleetSnapshot
     ) -> Iterable[MachineState]:
         """Machines that may be lent: those that are off, then idle ones."""
+        cut = _cut_zones(snapshot)
         chosen = [
             m
             for m in snapshot.machines
@@ -306,6 +313,7 @@
             and not m.worker
             and m.up
             and m.id not in self._emptying
+            and m.zone not in cut
         ]
         chosen += [
             m for m in snapshot.machines if self._is_released(m, snapshot)
@@ -331,6 +339,7 @@
                 and machine.id not in due
                 and load is not None
                 and not load.lasting
+                and not load.silent
             ):
                 idle.append((load.cpu, machine.id, machine))
         return [machine for _, _, machine in sorted(idle, key=lambda i: i[:2])]
@@ -361,3 +370,26 @@
 def _has_lasting(machine: MachineState, snapshot: FleetSnapshot) -> bool:
     load = snapshot.workers.get(machine.worker)
     return load is not None and load.lasting > 0
+
+
+def _is_silent(machine: MachineState, snapshot: FleetSnapshot) -> bool:
+    load = snapshot.workers.get(machine.worker)
+    return load is not None and load.silent
+
+
+def _cut_zones(snapshot: FleetSnapshot) -> frozenset[str]:
+    """Returns the zones none of whose workers answer, of several known."""
+    answering: set[str] = set()
+    silent: Counter[str] = Counter()
+    for machine in snapshot.machines:
+        if machine.worker not in snapshot.workers:
+            continue
+        if _is_silent(machine, snapshot):
+            silent[machine.zone] += 1
+        else:
+            answering.add(machine.zone)
+    return frozenset(
+        zone
+        for zone, count in silent.items()
+        if count >= LEAST_SILENT and zone not in answering
+    )
--- a/acaciawing/jobs/tests/test_fleetplan.py
+++ b/acaciawing/jobs/tests/test_fleetplan.py
@@ -158,6 +158,31 @@
         assert order not in fleet.rounds(1.0)
 
 
+class TestCutZones:
+    """Guards against a pool that counts on machines it can't reach."""
+
+    def test_silent_machines_are_replaced_from_zones_that_answer(self) -> None:
+        fleet = Fleet(busy=LEAST_MACHINES, idle=LEAST_MACHINES, off=4)
+        for number, name in enumerate(fleet.machines):
+            zone = "cut" if number % 2 else "whole"
+            old = fleet.machines[name]
+            fleet.machines[name] = MachineState(
+                name, old.service, True, old.worker, _SIZE, zone=zone
+            )
+        snapshot = fleet._snapshot()
+        zones = {m.id: m.zone for m in snapshot.machines}
+        cut = snapshot._replace(
+            workers={
+                m.worker: WorkerLoad(0, 0, 0, m.zone == "cut")
+                for m in snapshot.machines
+                if m.worker
+            }
+        )
+        orders = fleet.plan.decide(cut, fleet.now)
+        assert orders
+        assert {zones[o.machine] for o in orders} == {"whole"}
+
+
 class TestWaves:
     """Guards against late waves and against too many machines down."""
 
--- a/acaciawing/jobserver/callers.py
+++ b/acaciawing/jobserver/callers.py
@@ -24,7 +24,7 @@
     PAUSE_S,
     RETRY_AFTER_S,
 )
-from acaciawing.jobserver.membership import cell_of
+from acaciawing.jobserver.membership import Contact, cell_of
 from acaciawing.jobserver.metrics import METRICS
 from acaciawing.jobserver.peers import Peers
 from acaciawing.platform.store import AppendResult, NotStored, Stored
@@ -61,6 +61,7 @@
         orders: Configuration in force.
         peers: Answers questions about jobs.
         appender: Appends records of clients.
+        contact: Whether the store answers this instance.
         partitions: Number of cells.
         visible_s: Age up to which a holder's records count as current.
     """
@@ -70,6 +71,7 @@
         orders: OrdersFollower,
         peers: Peers,
         appender: Appender,
+        contact: Contact,
         partitions: int,
         visible_s: float,
     ) -> None:
@@ -77,6 +79,7 @@
         self._orders = orders
         self._peers = peers
         self._appender = appender
+        self._contact = contact
         self._partitions = partitions
         self._visible_s = visible_s
         self._random = random.Random()
@@ -203,6 +206,8 @@
     ) -> AppendResult:
         """Appends a record; repeats while the client's time allows.
 
+        A store that is lost is not waited for: another instance may reach it.
+
         A repeated record changes nothing in the fold, so an append without an
         answer may be repeated. Once one has stayed unanswered, the result is
         never `NotStored`.
@@ -212,6 +217,8 @@
         began_at = steady_s()
         unknown: AppendResult | None = None
         pause = PAUSE_S
+        if self._contact.lost(began_at):
+            return NotStored("the store does not answer this instance")
         while True:
             left = deadline - steady_s()
             result = self._appender.append(partition, payload, left)
@@ -225,7 +232,7 @@
                 if unknown is not None
                 else min(deadline, began_at + _REFUSED_FOR_S)
             )
-            if now + pause >= patience:
+            if now + pause >= patience or self._contact.lost(now):
                 return unknown if unknown is not None else result
             time.sleep(pause * self._random.uniform(0.5, 1.0))
             pause = min(2 * pause, LONGEST_PAUSE_S)
--- a/acaciawing/jobserver/daemon.py
+++ b/acaciawing/jobserver/daemon.py
@@ -37,10 +37,6 @@
 # Where metrics are served; deploy/system.toml names the same port.
 METRICS_PORT = 9464
 
-# An instance is ready while the store has answered it within this time, in
-# seconds: two misses of a check a second take it out of rotation.
-READY_CONTACT_S = 2.0
-
 # After SIGTERM requests go on for this time, in seconds, so that the balancer
 # has seen two failed checks before the listeners close.
 _LINGER_S = 3.0
@@ -81,6 +77,7 @@
             self._orders,
             self._peers,
             Appender(store, self._contact),
+            self._contact,
             settings.partitions,
             settings.visible_ms / 1000,
         )
@@ -131,7 +128,7 @@
         return (
             not self._stopping.is_set()
             and self._orders.configuration is not None
-            and steady_s() - self._contact.answered_at < READY_CONTACT_S
+            and not self._contact.lost(steady_s())
         )
 
     def _stop(self) -> None:
--- a/acaciawing/jobserver/fleet.py
+++ b/acaciawing/jobserver/fleet.py
@@ -188,6 +188,7 @@
                 m.capacity,
                 m.state in ("moving", "upkeep"),
                 m.state == "upkeep",
+                m.zone,
             )
             for m in machines
         )
--- a/acaciawing/jobserver/limits.py
+++ b/acaciawing/jobserver/limits.py
@@ -39,6 +39,11 @@
 # Time between two steps of the engine without a message, in seconds.
 TICK_S = 0.05
 
+# The store counts as lost after this time without an answer, in seconds. The
+# membership asks it every 0.15 s, and a slow store answers within 0.3 s. An
+# instance that has lost it is not ready and refuses at once.
+STORE_LOST_S = 1.2
+
 # Pause after a failed call, in seconds; doubled up to the longest one.
 PAUSE_S = 0.05
 LONGEST_PAUSE_S = 0.4
--- a/acaciawing/jobserver/membership.py
+++ b/acaciawing/jobserver/membership.py
@@ -7,7 +7,11 @@
 
 from acaciawing.jobserver.celllog import TOPIC
 from acaciawing.jobserver.clock import steady_s
-from acaciawing.jobserver.limits import JOIN_INTERVAL_S, MEMBER_TTL_MS
+from acaciawing.jobserver.limits import (
+    JOIN_INTERVAL_S,
+    MEMBER_TTL_MS,
+    STORE_LOST_S,
+)
 from acaciawing.jobserver.messages import Joined
 from acaciawing.jobserver.tasks import start_task
 from acaciawing.platform.store import Membership, Store, Unavailable
@@ -49,6 +53,10 @@
         """Time of the last answer, in seconds."""
         return self._answered_at
 
+    def lost(self, now: float) -> bool:
+        """Whether nothing can be stored through this instance now."""
+        return now - self._answered_at > STORE_LOST_S
+
     def answered(self, now: float) -> None:
         """Notes an answer."""
         self._answered_at = now
