Take cells over sooner, and read workers' lists sooner after a lost answer

Cause: a dead holder's cells stood still for 1.5 s, an answer that a worker had lost hid its ends for 1.3 s, and a cell dealt to another instance was handed over with the next regular join (0.15 s): the set of held cells was never kept. Ruled out: reading of records (0.03 to 0.06 s of a takeover).

--- a/acaciawing/jobs/celllimits.py
+++ b/acaciawing/jobs/celllimits.py
@@ -35,9 +35,9 @@
 CHECKPOINTED_PATIENCE_S = 0.6
 
 # Runs are started without a further condition for this time after the group
-# has confirmed the holder, in seconds; below the 1.5 s after which the cell may
-# be dealt to another instance.
-CONFIRMED_S = 1.2
+# has confirmed the holder, in seconds; below the 1 s after which the cell may be
+# dealt to another instance.
+CONFIRMED_S = 0.8
 
 # Percent that a run at full work is listed with.
 FULL_WORK = 100
--- a/acaciawing/jobserver/limits.py
+++ b/acaciawing/jobserver/limits.py
@@ -15,15 +15,20 @@
 # worker that can't be reached, in seconds.
 UNCERTAIN_S = AUTHORITY_S + LEASE_S / CLOCK_RATE_MIN
 
-# Lifetime of a group member without a call, in milliseconds; the store's
-# minimum is 1 s, and one slow call must not end a membership.
-MEMBER_TTL_MS = 1500
+# Lifetime of a group member without a call, in milliseconds: the store's
+# minimum, as a dead holder's cells stand still for this time.
+MEMBER_TTL_MS = 1000
+
+# Longest wait for the answer of a call that keeps the membership, in seconds;
+# two of them fit into its lifetime. After a failure a slow store gets longer.
+JOIN_TIMEOUT_S = 0.4
+SLOW_JOIN_TIMEOUT_S = 1.0
 
 # Time between two calls that keep the membership, in seconds.
 JOIN_INTERVAL_S = 0.15
 
 # How long a worker may wait for an end in a renewal, in milliseconds.
-HOLD_WAIT_MS = 800
+HOLD_WAIT_MS = 600
 
 # How long the store may wait for a record in a read, in milliseconds; bounds
 # the time for which a connection that went silent goes unnoticed.
--- a/acaciawing/jobserver/membership.py
+++ b/acaciawing/jobserver/membership.py
@@ -9,7 +9,9 @@
 from acaciawing.jobserver.clock import steady_s
 from acaciawing.jobserver.limits import (
     JOIN_INTERVAL_S,
+    JOIN_TIMEOUT_S,
     MEMBER_TTL_MS,
+    SLOW_JOIN_TIMEOUT_S,
     STORE_LOST_S,
 )
 from acaciawing.jobserver.messages import Joined
@@ -97,6 +99,7 @@
         self._closed = threading.Event()
         self._ended = threading.Event()
         self._partitions: frozenset[int] = frozenset()
+        self._timeout_s = JOIN_TIMEOUT_S
 
     def start(self) -> None:
         """Starts the thread."""
@@ -128,12 +131,20 @@
     def _join(self, generation: int) -> int:
         asked_at = steady_s()
         result = self._store.join(
-            GROUP, self._member, TOPIC, MEMBER_TTL_MS, generation
+            GROUP,
+            self._member,
+            TOPIC,
+            MEMBER_TTL_MS,
+            generation,
+            self._timeout_s,
         )
         if isinstance(result, Membership):
+            self._timeout_s = JOIN_TIMEOUT_S
+            self._partitions = result.partitions
             self._contact.answered(steady_s())
             self._send(Joined(result.partitions, result.generation, asked_at))
             return result.generation
+        self._timeout_s = SLOW_JOIN_TIMEOUT_S
         self._contact.failed(steady_s(), result.detail)
         return generation
 
--- /dev/null
+++ b/acaciawing/jobserver/tests/test_membership.py
@@ -0,0 +1,94 @@
+"""Tests of the membership in the store's group."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from acaciawing.jobserver import membership
+from acaciawing.jobserver.limits import JOIN_TIMEOUT_S, SLOW_JOIN_TIMEOUT_S
+from acaciawing.jobserver.membership import Contact, MembershipTask
+from acaciawing.jobserver.messages import Joined
+from acaciawing.platform.store import Membership, Unavailable
+
+
+class _Group:
+    """Answers joins from a list, then ends the task."""
+
+    def __init__(self, *answers: Membership | Unavailable) -> None:
+        self.answers = list(answers)
+        self.timeouts: list[float] = []
+        self.finish: Callable[[], None] = lambda: None
+
+    def join(self, *args: Any) -> Membership | Unavailable:
+        self.timeouts.append(args[-1])
+        answer = self.answers.pop(0)
+        if not self.answers:
+            self.finish()
+        return answer
+
+    def leave(self, *_: Any) -> bool:
+        return True
+
+
+class _Pauses:
+    """Stands for the event that ends the task; notes the pauses."""
+
+    def __init__(self) -> None:
+        self.ended = False
+        self.pauses: list[float] = []
+
+    def is_set(self) -> bool:
+        return self.ended
+
+    def set(self) -> None:
+        self.ended = True
+
+    def wait(self, seconds: float) -> bool:
+        self.pauses.append(seconds)
+        return self.ended
+
+
+def _play(
+    monkeypatch: pytest.MonkeyPatch, *answers: Membership | Unavailable
+) -> tuple[_Group, _Pauses, list[Joined]]:
+    group, pauses = _Group(*answers), _Pauses()
+    monkeypatch.setattr(membership, "Store", lambda address: group)
+    joined: list[Joined] = []
+    task = MembershipTask("store:1", "me", Contact(), joined.append)
+    monkeypatch.setattr(task, "_closed", pauses)
+    group.finish = pauses.set
+    task._run()
+    return group, pauses, joined
+
+
+class TestMembershipTask:
+    """Guards against cells that stand still while they change hands."""
+
+    def test_a_cell_that_was_dealt_away_is_released_at_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # The store hands it on only with the next join.
+        _, pauses, joined = _play(
+            monkeypatch,
+            Membership(1, frozenset({1, 2})),
+            Membership(2, frozenset({1})),
+            Membership(2, frozenset({1})),
+        )
+        assert [j.partitions for j in joined[:2]] == [{1, 2}, {1}]
+        assert pauses.pauses[1] < pauses.pauses[0]
+
+    def test_a_slow_store_gets_more_time_until_it_answers(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        group, _, _ = _play(
+            monkeypatch,
+            Unavailable("timed out"),
+            Membership(1, frozenset()),
+            Membership(1, frozenset()),
+        )
+        assert group.timeouts == [
+            JOIN_TIMEOUT_S,
+            SLOW_JOIN_TIMEOUT_S,
+            JOIN_TIMEOUT_S,
+        ]
--- a/acaciawing/platform/runs.py
+++ b/acaciawing/platform/runs.py
@@ -28,6 +28,10 @@
 # silent for this time is asked again over a new connection, in seconds.
 ORDER_TIMEOUT_S = 0.5
 
+# The same beyond the time for which a worker may wait with its lists, in
+# seconds: it answers within 3 ms of that, and ends are not seen meanwhile.
+HOLD_MARGIN_S = 0.3
+
 _KINDS = {kind.value: kind for kind in EndKind}
 
 _REASONS = {
@@ -128,7 +132,7 @@
             body["DeadlineMs"] = deadline_ms
         if wait_ms:
             body["WaitMs"] = wait_ms
-        outcome = self._call("/v1/hold", body, ORDER_TIMEOUT_S + wait_ms / 1000)
+        outcome = self._call("/v1/hold", body, HOLD_MARGIN_S + wait_ms / 1000)
         if not isinstance(outcome, Answered):
             return Silent(outcome.detail)
         if outcome.status == 421:
--- a/acaciawing/platform/store.py
+++ b/acaciawing/platform/store.py
@@ -255,7 +255,13 @@
                 return Newest(tuple(records), end)
 
     def join(
-        self, group: str, member: str, topic: str, ttl_ms: int, generation: int
+        self,
+        group: str,
+        member: str,
+        topic: str,
+        ttl_ms: int,
+        generation: int,
+        timeout_s: float = WRITE_TIMEOUT_S,
     ) -> Membership | Unavailable:
         """Joins a group, or keeps the member in it."""
         outcome = self._post(
@@ -267,6 +273,7 @@
                 "TtlMs": ttl_ms,
                 "Generation": generation,
             },
+            timeout_s,
         )
         if isinstance(outcome, Unavailable):
             return outcome
@@ -313,14 +320,17 @@
             return Unavailable(f"answer not understood: {error!r}")
 
     def _post(
-        self, path: str, body: dict[str, object]
+        self,
+        path: str,
+        body: dict[str, object],
+        timeout_s: float = WRITE_TIMEOUT_S,
     ) -> Answered | Unavailable:
         outcome = self._connection.call(
             "POST",
             path,
             body=encode_json(body),
             headers=JSON_HEADERS,
-            timeout_s=WRITE_TIMEOUT_S,
+            timeout_s=timeout_s,
         )
         if not isinstance(outcome, Answered):
             return Unavailable(outcome.detail)
