Copy subtasks that are slow or on silent workers, where their step allows it

Cause: a job waited for one subtask on a worker that did not answer, up to the end of its leases; steps that allow copies need not wait. The stop of a run that had just ended is no longer sent.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -20,8 +20,8 @@
     Unreachable,
     WorkerMessage,
 )
+from acaciawing.jobs.cellcopies import CellCopies
 from acaciawing.jobs.celllimits import UNDECIDED_STARTS
-from acaciawing.jobs.cellplacement import CellPlacement
 from acaciawing.jobs.cellstate import Takeover
 from acaciawing.jobs.model import (
     Incarnation,
@@ -36,7 +36,7 @@
 from acaciawing.jobs.workers import Phase
 
 
-class Cell(CellPlacement):
+class Cell(CellCopies):
     """Decisions of a cell's holder.
 
     Args:
@@ -231,6 +231,7 @@
         """Places what waits, and returns all actions since the last call."""
         if self.recovered and not self.fenced and self._may_start(now):
             self._place(now)
+            self._place_copies(now)
         actions, self._actions = self._actions, []
         return actions
 
--- /dev/null
+++ b/acaciawing/jobs/cellcopies.py
@@ -0,0 +1,130 @@
+"""Copies of subtasks that take much longer than the others of their step."""
+
+from statistics import median
+
+from acaciawing.jobs.actions import EndedRow, EndKind, StartRun
+from acaciawing.jobs.celllimits import RUNS_PER_FENCE
+from acaciawing.jobs.cellplacement import CellPlacement
+from acaciawing.jobs.choice import choose_worker
+from acaciawing.jobs.model import SubtaskId
+from acaciawing.jobs.waiting import StepKey
+from acaciawing.jobs.workers import Run, WorkerView
+
+# A subtask is copied after this many times the median of those of its step
+# that are done; run times within a step vary by about half.
+SLOW_FACTOR = 2.0
+
+# No copy is made before this time, in seconds: stopping the slower one takes
+# up to 0.9 s of a worker's room.
+LEAST_AGE_S = 0.5
+
+# Share of a step that must be done before its run times are compared.
+DONE_SHARE = 0.5
+
+
+class CellCopies(CellPlacement):
+    """Copies of subtasks that take much longer than the others of their step.
+
+    Only steps that allow it have copies; the first one that is done counts.
+    """
+
+    def _end_run(self, view: WorkerView, row: EndedRow, now: float) -> None:
+        run = view.runs.get(row.subtask)
+        if (
+            row.kind is EndKind.DONE
+            and run is not None
+            and run.number == row.run
+            and _may_copy(run)
+        ):
+            times = self._run_times.setdefault(row.subtask[:3], [])
+            times.append(now - run.ordered_at)
+        super()._end_run(view, row, now)
+
+    def _place_copies(self, now: float) -> None:
+        """Copies slow subtasks, and those on workers that do not answer."""
+        if self._waiting:
+            # Work that has not begun at all goes first.
+            return
+        slow = [*self._slow_runs(now), *self._silent_runs()]
+        if not slow:
+            return
+        usable = [v for v in self.views.values() if v.usable(now)]
+        for view, run in slow:
+            others = [
+                v
+                for v in usable
+                if v is not view and v.listed.service == view.listed.service
+            ]
+            chosen = choose_worker(others, run.step, run.subtask)
+            if chosen is not None:
+                self._start_copy(chosen, run, now)
+
+    def _slow_runs(self, now: float) -> list[tuple[WorkerView, Run]]:
+        slow = []
+        for key, times in list(self._run_times.items()):
+            progress = self.table.jobs.get(key[0])
+            if progress is None or progress.step_done(key[1], key[2]):
+                del self._run_times[key]
+                continue
+            step = progress.job.steps[key[2]]
+            if len(times) < DONE_SHARE * step.count:
+                continue
+            limit = max(LEAST_AGE_S, SLOW_FACTOR * median(times))
+            slow += [
+                (view, run)
+                for view, run in self._single_runs(key, step.count)
+                if now - run.ordered_at > limit
+            ]
+        return slow
+
+    def _single_runs(
+        self, key: StepKey, count: int
+    ) -> list[tuple[WorkerView, Run]]:
+        """Runs of a step that have no copy."""
+        runs = []
+        for index in range(count):
+            subtask = SubtaskId(*key, index)
+            view = self._active.get(subtask)
+            if view is not None and subtask not in self._copies:
+                runs.append((view, view.runs[subtask]))
+        return runs
+
+    def _silent_runs(self) -> list[tuple[WorkerView, Run]]:
+        return [
+            (view, run)
+            for view in self.views.values()
+            if view.contacted and not view.reachable
+            for run in view.runs.values()
+            if _may_copy(run)
+            and self._active.get(run.subtask) is view
+            and run.subtask not in self._copies
+        ]
+
+    def _start_copy(self, view: WorkerView, run: Run, now: float) -> None:
+        subtask = run.subtask
+        count = self._run_counts.get(subtask, 0) + 1
+        self._run_counts[subtask] = count
+        copy = Run(subtask, self.fence * RUNS_PER_FENCE + count, run.step, now)
+        view.add(copy)
+        self._copies[subtask] = view
+        self._actions.append(
+            StartRun(
+                view.life,
+                subtask,
+                copy.number,
+                self.table.jobs[subtask.job].job.payload,
+                self._checkpoints.get(subtask, ""),
+                self._tickets.ticket(subtask[:3], view.life.worker, now) or "",
+            )
+        )
+        self._log(
+            "RUN_COPIED",
+            subtask=str(subtask),
+            run=copy.number,
+            worker=view.life.worker,
+            age_s=round(now - run.ordered_at, 3),
+        )
+
+
+def _may_copy(run: Run) -> bool:
+    return run.step.speculative and not run.step.gang and not run.step.lasting
--- a/acaciawing/jobs/cellplacement.py
+++ b/acaciawing/jobs/cellplacement.py
@@ -48,7 +48,8 @@
                 continue
             if group.step.charged.cpu > roomiest[queue.service]:
                 continue
-            if self._uncertain(group.key[0]):
+            # Copies of the others may run already; they may run twice.
+            if self._uncertain(group.key[0]) and not group.step.speculative:
                 continue
             if not self._place_step(group, queue, pools[queue.service], now):
                 roomiest[queue.service] = _most_free(pools[queue.service])
--- a/acaciawing/jobs/cellruns.py
+++ b/acaciawing/jobs/cellruns.py
@@ -175,11 +175,12 @@
         members = self._members(row.subtask) if gang else [row.subtask]
         for member in members:
             self._waiting.discard(member)
-            other = self._active.get(member)
-            if other is not None and not gang:
-                run = other.runs[member]
-                if run.number != row.run:
-                    self._stop(other, run, now)
+            for placed in (self._active, self._copies):
+                other = placed.get(member)
+                if other is not None and not gang:
+                    run = other.runs[member]
+                    if run.number != row.run:
+                        self._stop(other, run, now)
         if progress.finished:
             self._end_job(progress, now)
         else:
@@ -218,11 +219,13 @@
         job = progress.job.id
         progress.finished_at_ms = self._unix_ms
         self._waiting.discard_job(job)
-        for subtask, view in list(self._active.items()):
+        placed = [*self._active.items(), *self._copies.items()]
+        for subtask, view in placed:
             if subtask.job != job:
                 continue
             run = view.runs[subtask]
-            gang_done = run.step.gang and progress.is_done(subtask)
-            if run.phase is not Phase.STOPPING and not gang_done:
+            # A done subtask has just ended here, or is being stopped.
+            done = progress.is_done(subtask)
+            if run.phase is not Phase.STOPPING and not done:
                 self._stop(view, run, now)
         self._log("JOB_ENDED", job=job, state=progress.state)
--- a/acaciawing/jobs/cellstate.py
+++ b/acaciawing/jobs/cellstate.py
@@ -21,7 +21,7 @@
     Record,
 )
 from acaciawing.jobs.tickets import TicketBook
-from acaciawing.jobs.waiting import WaitingWork
+from acaciawing.jobs.waiting import StepKey, WaitingWork
 from acaciawing.jobs.workers import Phase, Run, WorkerView
 
 
@@ -61,6 +61,9 @@
         self._takeover = Takeover({}, frozenset())
         self._waiting = WaitingWork()
         self._active: dict[SubtaskId, WorkerView] = {}
+        # Second runs of subtasks whose step allows copies.
+        self._copies: dict[SubtaskId, WorkerView] = {}
+        self._run_times: dict[StepKey, list[float]] = {}
         self._gangs: dict[tuple[str, int, int], float] = {}
         self._checkpoints: dict[SubtaskId, str] = {}
         self._run_counts: dict[SubtaskId, int] = {}
@@ -121,8 +124,13 @@
     def _free(self, view: WorkerView, subtask: SubtaskId, now: float) -> None:
         """Frees a run's capacity and lets its subtask wait again if due."""
         view.remove(subtask)
-        if self._active.get(subtask) is view:
+        if self._copies.get(subtask) is view:
+            del self._copies[subtask]
+        elif self._active.get(subtask) is view:
             del self._active[subtask]
+            copy = self._copies.pop(subtask, None)
+            if copy is not None:
+                self._active[subtask] = copy
         if self._wanted(subtask):
             self._wait(subtask, now)
 
--- a/acaciawing/telemetry/events.py
+++ b/acaciawing/telemetry/events.py
@@ -51,6 +51,7 @@
     JOB_UNDECIDED = ("AW3403", "job submission undecided")
     JOB_STATE_TOLD = ("AW3404", "job state told")
     JOB_CANCELLED = ("AW3405", "job cancelled")
+    RUN_COPIED = ("AW3309", "run copied")
     POOL_SIZED = ("AW3503", "pool sized")
     MACHINE_ORDERED = ("AW3501", "machine ordered")
     WAVE_STATE = ("AW3502", "wave state written")
