--- a/soak/faults.py
+++ b/soak/faults.py
@@ -145,7 +145,7 @@
     def _worker_crash(self) -> None:
         number = self._random.randrange(len(self._workers))
         self._note(f"crash of worker {number}")
-        self._rig.restart_worker(number)
+        self._rig.restart_worker(number, self._workers[number].reset)
 
     def _resets(self) -> None:
         self._note("resets")
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -53,6 +53,7 @@
         self._numbers = 0
         self._lease_until = 0.0
         self.born = time.time_ns() // 1_000_000
+        self.down = False
         self.starts: list[tuple[str, int]] = []
         self.doubled: list[str] = []
         self.past: list[PastRun] = []
@@ -68,6 +69,8 @@
     ) -> Answer:
         """Serves one call."""
         del method, query, environ
+        if self.down:
+            return 503, {}, b""
         call = json.loads(body)
         with self._lock:
             if call.get("Fence", 0) < self._fence:
@@ -167,7 +170,7 @@
         while True:
             with self._lock:
                 self._advance()
-                if self.born != born:
+                if self.down or self.born != born:
                     # A crash ends the calls that wait.
                     return self._answer(503)
                 self.noted.update(
--- a/standins/platform_rig.py
+++ b/standins/platform_rig.py
@@ -27,6 +27,10 @@
 # Longest wait for a condition, in seconds; generous for a busy machine.
 PATIENCE_S = 60.0
 
+# A crashed worker is down for this time, in seconds, in which connections that
+# are being reset come to their end.
+_DOWN_S = 0.1
+
 _STORE_PORT, _WORKER_PORT, _MACHINES_PORT = 7800, 7900, 7700
 _FRONT, _READY, _PEER = 8624, 8622, 7060
 
@@ -110,9 +114,18 @@
         process.send_signal(signal.SIGSTOP)
         return lambda: process.send_signal(signal.SIGCONT)
 
-    def restart_worker(self, number: int) -> None:
-        """A worker crashes and starts again, with nothing running."""
+    def restart_worker(self, number: int, reset: Callable[[], None]) -> None:
+        """A worker crashes and starts again, with nothing running.
+
+        Args:
+            number: Which one.
+            reset: Ends all connections to it, as a crash does.
+        """
+        self.workers[number].down = True
+        reset()
+        time.sleep(_DOWN_S)
         self.workers[number].crash()
+        self.workers[number].down = False
         self._list_worker(number)
 
     @property
