--- a/acaciawing/commandline/main.py
+++ b/acaciawing/commandline/main.py
@@ -25,6 +25,8 @@
     as_json,
     report,
 )
+from acaciawing.commandline.story import read_logs, render
+from acaciawing.commandline.story import story as told
 from acaciawing.commandline.waves import WaveOrder, WaveUndecided, run_wave
 from acaciawing.configuration import (
     Findings,
@@ -188,6 +190,30 @@
     return _print_report(code, text)
 
 
+def story(id: str, *logs: Path) -> int:
+    """Show what the logs of instances tell of one id, in order.
+
+    Args:
+        id: Id of a job, subtask, worker or machine.
+        logs: Files with the lines of any number of instances.
+    """
+    texts: list[str] = []
+    for path in logs:
+        try:
+            texts += path.read_text("utf-8", "replace").splitlines()
+        except OSError as error:
+            raise UsageError(f"{path}: {type(error).__name__}") from error
+    read = read_logs(texts)
+    if read.unreadable:
+        print(f"{read.unreadable} lines could not be read", file=sys.stderr)
+    found = told(read, id)
+    for line in render(found):
+        print(line)
+    if not found:
+        print(f"no line about {id}", file=sys.stderr)
+    return DONE if found else REFUSED
+
+
 def entry(settings: Path) -> int:
     """Run an entry instance until it is told to stop.
 
@@ -216,7 +242,16 @@
     Args:
         arguments: Arguments without the program name; default `sys.argv`.
     """
-    commands = [entry, check, publish, wave, status, explain, version]
+    commands = [
+        entry,
+        check,
+        publish,
+        wave,
+        status,
+        explain,
+        story,
+        version,
+    ]
     try:
         code: int = defopt.run(
             commands,
