--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -6,26 +6,15 @@
 from typing import Any
 
 from acaciawing.jobs import (
-    Acknowledge,
-    Action,
     AskAdvice,
-    Cell,
-    CloseWorker,
     Configuration,
-    Incarnation,
-    OpenWorker,
-    PaceRun,
-    SaveRecord,
-    StartRun,
-    StopRun,
     Worker,
 )
-from acaciawing.jobs.fleet import CellReport, Evacuation
-from acaciawing.jobserver.celllog import CellReader, CellWriter
+from acaciawing.jobs.fleet import CellReport
 from acaciawing.jobserver.clock import steady_s, unix_ms
+from acaciawing.jobserver.heldcell import HeldCell
 from acaciawing.jobserver.limits import (
     AUTHORITY_S,
-    EVACUATION_KEPT_S,
     RETAIN_INTERVAL_S,
     TICK_S,
     UNCERTAIN_S,
@@ -50,8 +39,6 @@
     WorkerSaid,
     WorkersRead,
 )
-from acaciawing.jobserver.metrics import METRICS
-from acaciawing.jobserver.sessions import WorkerSession
 from acaciawing.jobserver.tasks import start_task
 from acaciawing.telemetry import Event, log_event
 
@@ -59,112 +46,6 @@
 _BURST = 200
 
 
-class HeldCell:
-    """A cell with the tasks that work for it.
-
-    Args:
-        key: The cell.
-        store: ``ip:port`` of the store.
-        send: Puts a message into the engine's inbox.
-        may_act: Whether this instance may still give orders.
-        ask: Asks the advice service.
-        now: Present time in seconds.
-    """
-
-    def __init__(
-        self,
-        key: CellKey,
-        store: str,
-        send: Callable[[Message], None],
-        may_act: Callable[[], bool],
-        ask: Callable[[CellKey, AskAdvice], None],
-        now: float,
-    ) -> None:
-        """Starts to read the cell's records."""
-        self.key = key
-        self.cell = Cell(key.fence, self._log)
-        self.acquired_at = now
-        self.current_at = float("-inf")
-        self.evacuation_at = now
-        self._send = send
-        self._may_act = may_act
-        self._ask = ask
-        self._sessions: dict[Incarnation, WorkerSession] = {}
-        self._reader = CellReader(key, store, send)
-        self._writer = CellWriter(key, store, send)
-        self._reader.start()
-        self._writer.start()
-
-    def close(self) -> None:
-        """Ends all tasks of the cell."""
-        self._reader.close()
-        self._writer.close()
-        for session in self._sessions.values():
-            session.close()
-        self._sessions.clear()
-
-    def tick(self, now: float) -> None:
-        """Lets time pass."""
-        if now - self.evacuation_at > EVACUATION_KEPT_S:
-            self.evacuation_at = now
-            self.cell.evacuate(Evacuation(), now)
-        self.cell.tick(now, unix_ms())
-
-    def act(self, actions: list[Action]) -> None:
-        """Hands actions to the tasks that carry them out."""
-        for action in actions:
-            match action:
-                case SaveRecord():
-                    self._writer.save(action)
-                case AskAdvice():
-                    self._ask(self.key, action)
-                case OpenWorker():
-                    self._open(action)
-                case CloseWorker():
-                    self._close(action.worker)
-                case StartRun() | StopRun() | PaceRun() | Acknowledge():
-                    self._order(action)
-
-    def _order(self, order: StartRun | StopRun | PaceRun | Acknowledge) -> None:
-        session = self._sessions.get(order.worker)
-        if session is None:
-            return
-        if isinstance(order, Acknowledge):
-            session.acknowledge(order.end_number)
-        else:
-            session.order(order)
-
-    def _close(self, life: Incarnation) -> None:
-        session = self._sessions.pop(life, None)
-        if session is not None:
-            session.close()
-
-    def _open(self, action: OpenWorker) -> None:
-        if action.worker in self._sessions:
-            return
-        session = WorkerSession(
-            self.key,
-            action.worker,
-            action.address,
-            self._send,
-            self._may_act,
-        )
-        self._sessions[action.worker] = session
-        session.start()
-
-    def _log(self, event: str, **values: Any) -> None:
-        if event == "RUN_PLACED":
-            METRICS.time(
-                "acaciawing.jobs.start_wait", values["waited_ms"] / 1000
-            )
-        elif event == "RUN_ENDED":
-            METRICS.count("acaciawing.jobs.ends", kind=values["how"])
-        log_event(
-            Event[event],
-            {"cell": self.key.partition, "fence": self.key.fence, **values},
-        )
-
-
 def _no_advice(key: CellKey, question: AskAdvice) -> None:
     log_event(
         Event.FINDING,
--- a/acaciawing/jobserver/tests/test_ordering.py
+++ b/acaciawing/jobserver/tests/test_ordering.py
@@ -4,12 +4,10 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from cheroot import wsgi
-
 from acaciawing.jobs.fleet import FleetOrder, Maintain, Move
 from acaciawing.jobserver.ordering import MachineOrders
 from acaciawing.platform.machines import MachineOrder
-from standins.server import Answer, json_answer, wsgi_application
+from standins.server import Answer, json_answer, serving
 
 _WAIT_S = 10.0
 
@@ -32,16 +30,8 @@
         meeting.wait(_WAIT_S)
         return json_answer(200, {})
 
-    server = wsgi.Server(
-        ("127.0.0.1", 0), wsgi_application(handle), numthreads=16
-    )
-    server.shutdown_timeout = 1
-    server.prepare()
-    threading.Thread(target=server.serve, daemon=True).start()
-    try:
-        yield f"127.0.0.1:{server.bind_addr[1]}"
-    finally:
-        server.stop()
+    with serving(handle, threads=16) as address:
+        yield address
 
 
 class TestMachineOrders:
--- a/acaciawing/platform/tests/test_clients.py
+++ b/acaciawing/platform/tests/test_clients.py
@@ -1,11 +1,8 @@
 """Tests of the platform's clients against the stand-in, over real sockets."""
 
-import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from cheroot import wsgi
-
 from acaciawing.platform import (
     Appended,
     AppendUnknown,
@@ -25,27 +22,15 @@
 )
 from standins.platform_service import PlatformService
 from standins.platform_state import Instance, PlatformState
-from standins.server import wsgi_application
+from standins.server import serving
 
 
 @contextmanager
 def platform() -> Iterator[tuple[PlatformState, str]]:
     """Runs the platform stand-in on a free loopback port."""
     state = PlatformState()
-    server = wsgi.Server(
-        ("127.0.0.1", 0),
-        wsgi_application(PlatformService(state).handle),
-        numthreads=4,
-    )
-    server.prepare()
-    thread = threading.Thread(target=server.serve, daemon=True)
-    thread.start()
-    host, port = server.bind_addr
-    try:
-        yield state, f"http://{host}:{port}"
-    finally:
-        server.stop()
-        thread.join(5)
+    with serving(PlatformService(state).handle) as address:
+        yield state, f"http://{address}"
 
 
 class TestLogClient:
--- a/acaciawing/platform/tests/test_runs.py
+++ b/acaciawing/platform/tests/test_runs.py
@@ -1,43 +1,23 @@
 """Tests of the client of a worker's runs against the stand-in."""
 
-import threading
 import time
-from collections.abc import Iterator
-from contextlib import contextmanager
-
-from cheroot import wsgi
 
 from acaciawing.jobs import Incarnation, StartOutcome, StartRun, SubtaskId
 from acaciawing.platform.runs import Held, RunClient
 from standins.job_worker import JobWorker
-from standins.server import wsgi_application
+from standins.server import serving
 
 _SUBTASK = SubtaskId("0" * 16, 0, 0, 0)
 _FAR_MS = 10**12
 
 
-@contextmanager
-def a_worker(worker: JobWorker) -> Iterator[str]:
-    """Serves a worker on a free loopback port."""
-    server = wsgi.Server(
-        ("127.0.0.1", 0), wsgi_application(worker.handle), numthreads=4
-    )
-    server.shutdown_timeout = 1
-    server.prepare()
-    threading.Thread(target=server.serve, daemon=True).start()
-    try:
-        yield f"127.0.0.1:{server.bind_addr[1]}"
-    finally:
-        server.stop()
-
-
 class TestRunClient:
     """Guards against ends that a worker forgets before they were read."""
 
     def test_a_new_connection_acknowledges_nothing(self) -> None:
         # The soak found it: a worker that had started again numbered its ends
         # anew, and the count of its old life made it forget them.
-        with a_worker(JobWorker(run_s=0.0)) as address:
+        with serving(JobWorker(run_s=0.0).handle) as address:
             client = RunClient(address, "w", 1)
             order = StartRun(Incarnation("w", 1), _SUBTASK, 1, "", "")
             started = client.start(order, _FAR_MS)
--- a/standins/server.py
+++ b/standins/server.py
@@ -3,7 +3,8 @@
 import json
 import signal
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from cheroot import wsgi
@@ -57,6 +58,24 @@
     return application
 
 
+@contextmanager
+def serving(handler: Handler, threads: int = 4) -> Iterator[str]:
+    """Serves a handler on a free loopback port; yields its ``ip:port``."""
+    server = wsgi.Server(
+        ("127.0.0.1", 0), wsgi_application(handler), numthreads=threads
+    )
+    server.shutdown_timeout = 1
+    server.prepare()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    host, port = server.bind_addr
+    try:
+        yield f"{host}:{port}"
+    finally:
+        server.stop()
+        thread.join(5)
+
+
 def _has_body(environ: dict[str, Any]) -> bool:
     return bool(
         environ.get("CONTENT_LENGTH") or environ.get("HTTP_TRANSFER_ENCODING")
