--- a/acaciawing/jobs/cellcopies.py
+++ b/acaciawing/jobs/cellcopies.py
@@ -8,7 +8,7 @@
 from acaciawing.jobs.choice import choose_worker
 from acaciawing.jobs.model import SubtaskId
 from acaciawing.jobs.waiting import StepKey
-from acaciawing.jobs.workers import Run, WorkerView
+from acaciawing.jobs.workers import Phase, Run, WorkerView
 
 # A subtask is copied after this many times the median of those of its step
 # that are done; run times within a step vary by about half.
@@ -85,7 +85,7 @@
         for index in range(count):
             subtask = SubtaskId(*key, index)
             view = self._active.get(subtask)
-            if view is not None and subtask not in self._copies:
+            if view is not None and self._lacks_copy(view.runs[subtask]):
                 runs.append((view, view.runs[subtask]))
         return runs
 
@@ -97,9 +97,17 @@
             for run in view.runs.values()
             if _may_copy(run)
             and self._active.get(run.subtask) is view
-            and run.subtask not in self._copies
+            and self._lacks_copy(run)
         ]
 
+    def _lacks_copy(self, run: Run) -> bool:
+        """Whether a run is still wanted, and is the only one."""
+        return (
+            run.phase not in (Phase.CLOSING, Phase.STOPPING)
+            and run.subtask not in self._copies
+            and self._wanted(run.subtask)
+        )
+
     def _start_copy(self, view: WorkerView, run: Run, now: float) -> None:
         subtask = run.subtask
         count = self._run_counts.get(subtask, 0) + 1
--- a/acaciawing/jobs/tests/test_copies.py
+++ b/acaciawing/jobs/tests/test_copies.py
@@ -13,7 +13,7 @@
 from acaciawing.jobs.tests.builders import CellRig, a_job, a_worker
 
 
-def _rig(*, speculative: bool = True) -> CellRig:
+def _rig(*, speculative: bool = True, cpu: int = 9_000) -> CellRig:
     rig = CellRig()
     rig.recover()
     workers = [a_worker("w0"), a_worker("w1")]
@@ -21,7 +21,7 @@
     for worker in workers:
         rig.report(worker, ())
     rig.settle()
-    step = Step(4, Resources(9_000), speculative=speculative)
+    step = Step(4, Resources(cpu), speculative=speculative)
     rig.submit(a_job("j", step))
     rig.settle()
     assert len(rig.starts) == 4
@@ -97,6 +97,22 @@
         assert copied <= {s.subtask for s in rig.starts if s.worker == silent}
         assert copied
 
+    def test_a_done_subtask_is_not_copied_while_its_copy_stops(self) -> None:
+        # Hunt, frizura trouble-3 seed 487548552808: the worker of a copy that
+        # was being stopped fell silent, and the subtask was started again.
+        rig = _rig(cpu=4_000)
+        silent = rig.starts[0].worker
+        rig.cell.receive(Unreachable(silent, rig.now + 5), rig.now)
+        rig.settle()
+        copy = rig.starts[4]
+        first = next(s for s in rig.starts if s.subtask == copy.subtask)
+        _finish(rig, first)
+        before = len([s for s in rig.starts if s.subtask == copy.subtask])
+        rig.cell.receive(Unreachable(copy.worker, rig.now + 5), rig.now)
+        rig.settle()
+        after = len([s for s in rig.starts if s.subtask == copy.subtask])
+        assert after == before
+
     def test_a_step_that_does_not_allow_it_has_no_copies(self) -> None:
         rig = _rig(speculative=False)
         _later(rig, 0.4)
