--- a/acaciawing/jobserver/sessions.py
+++ b/acaciawing/jobserver/sessions.py
@@ -14,6 +14,7 @@
     StartRun,
     StopAnswered,
     StopRun,
+    SubtaskId,
     Unreachable,
 )
 from acaciawing.jobserver.clock import steady_s
@@ -105,6 +106,7 @@
         self._may_act = may_act
         self._clock = LeaseClock()
         self._orders: SimpleQueue[Order | None] = SimpleQueue()
+        self._stopped: set[tuple[SubtaskId, int]] = set()
         self._closed = threading.Event()
         self._acknowledged = 0
         self._acknowledged_event = threading.Event()
@@ -122,7 +124,13 @@
         self._orders.put(None)
 
     def order(self, order: Order) -> None:
-        """Queues an order; they are carried out one after the other."""
+        """Queues an order; they are carried out one after the other.
+
+        A start that waits behind unanswered orders is not sent any more once
+        its stop is ordered.
+        """
+        if isinstance(order, StopRun):
+            self._stopped.add((order.subtask, order.run))
         self._orders.put(order)
 
     def acknowledge(self, end_number: int) -> None:
@@ -215,6 +223,7 @@
             return self._start(client, order)
         if isinstance(order, StopRun):
             result = client.stop(order.subtask, order.run)
+            self._stopped.discard((order.subtask, order.run))
             fenced = isinstance(result, HigherFence)
             self._say(StopAnswered(order, result is None, fenced))
             return result is None
@@ -222,7 +231,8 @@
 
     def _start(self, client: RunClient, order: StartRun) -> bool:
         deadline = self._clock.grant(steady_s())
-        if deadline is None or not self._may_act():
+        stopped = (order.subtask, order.run) in self._stopped
+        if deadline is None or stopped or not self._may_act():
             self._say(StartAnswered(order, StartOutcome.REFUSED))
             return True
         result = client.start(order, deadline, order.ticket)
--- /dev/null
+++ b/acaciawing/jobserver/tests/test_sessions.py
@@ -0,0 +1,68 @@
+"""Tests of the session with a worker."""
+
+import pytest
+
+from acaciawing.jobs import (
+    Incarnation,
+    StartAnswered,
+    StartOutcome,
+    StartRun,
+    StopAnswered,
+    StopRun,
+    SubtaskId,
+)
+from acaciawing.jobserver import sessions
+from acaciawing.jobserver.messages import CellFenced, CellKey, WorkerSaid
+from acaciawing.jobserver.sessions import WorkerSession
+from acaciawing.platform.runs import StartResult
+
+_LIFE = Incarnation("w", 1)
+_SUBTASK = SubtaskId("0" * 16, 0, 0, 0)
+
+
+class _Client:
+    """Notes the calls that reach the worker."""
+
+    calls: list[tuple[str, int]] = []
+
+    def __init__(self, *_: object) -> None:
+        """Notes nothing yet."""
+
+    def start(self, order: StartRun, *_: object) -> StartResult:
+        self.calls.append(("start", order.run))
+        return StartResult(StartOutcome.STARTED)
+
+    def stop(self, subtask: SubtaskId, run: int) -> None:
+        self.calls.append(("stop", run))
+
+    def close(self) -> None:
+        """Nothing to close."""
+
+
+class TestOrders:
+    """Guards against starts that leave the queue after their stop was ordered.
+
+    Hunt, frizura: behind unanswered orders a copy started 1.2 s after the end of
+    its subtask had been noted.
+    """
+
+    def test_a_start_is_not_sent_after_its_stop_was_ordered(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(sessions, "RunClient", _Client)
+        _Client.calls = []
+        said: list[WorkerSaid | CellFenced] = []
+        session = WorkerSession(
+            CellKey(1, 1), _LIFE, "192.0.2.1:80", said.append, lambda: True
+        )
+        session._clock.sample(1_000, 0.0)
+        session.order(StartRun(_LIFE, _SUBTASK, 1, "", ""))
+        session.order(StartRun(_LIFE, _SUBTASK, 2, "", ""))
+        session.order(StopRun(_LIFE, _SUBTASK, 1))
+        session._orders.put(None)
+        session._carry_out()
+        assert _Client.calls == [("start", 2), ("stop", 1)]
+        messages = [m.message for m in said if isinstance(m, WorkerSaid)]
+        assert isinstance(messages[0], StartAnswered)
+        assert messages[0].outcome is StartOutcome.REFUSED
+        assert isinstance(messages[2], StopAnswered)
