One way to order a run, for first runs and copies; seeded jitter, no sleep in the callers' side

Change: CellPlacement._order_run serves both; the jitter is given by the daemon, seeded by the instance's name. Decisions and assertions are as they were.

--- a/acaciawing/jobs/cellcopies.py
+++ b/acaciawing/jobs/cellcopies.py
@@ -2,8 +2,7 @@
 
 from statistics import median
 
-from acaciawing.jobs.actions import EndedRow, EndKind, StartRun
-from acaciawing.jobs.celllimits import RUNS_PER_FENCE
+from acaciawing.jobs.actions import EndedRow, EndKind
 from acaciawing.jobs.cellplacement import CellPlacement
 from acaciawing.jobs.choice import choose_worker
 from acaciawing.jobs.model import SubtaskId
@@ -109,25 +108,11 @@
         )
 
     def _start_copy(self, view: WorkerView, run: Run, now: float) -> None:
-        subtask = run.subtask
-        count = self._run_counts.get(subtask, 0) + 1
-        self._run_counts[subtask] = count
-        copy = Run(subtask, self.fence * RUNS_PER_FENCE + count, run.step, now)
-        view.add(copy)
-        self._copies[subtask] = view
-        self._actions.append(
-            StartRun(
-                view.life,
-                subtask,
-                copy.number,
-                self.table.jobs[subtask.job].job.payload,
-                self._checkpoints.get(subtask, ""),
-                self._tickets.ticket(subtask[:3], view.life.worker, now) or "",
-            )
-        )
+        copy = self._order_run(view, run.subtask, run.step, now)
+        self._copies[run.subtask] = view
         self._log(
             "RUN_COPIED",
-            subtask=str(subtask),
+            subtask=str(run.subtask),
             run=copy.number,
             worker=view.life.worker,
             age_s=round(now - run.ordered_at, 3),
--- a/acaciawing/jobs/cellplacement.py
+++ b/acaciawing/jobs/cellplacement.py
@@ -8,7 +8,7 @@
 from acaciawing.jobs.cellevacuation import CellEvacuation
 from acaciawing.jobs.celllimits import CONFIRMED_S, GANG_START_S, RUNS_PER_FENCE
 from acaciawing.jobs.choice import choose_gang, choose_worker
-from acaciawing.jobs.model import Queue, SubtaskId
+from acaciawing.jobs.model import Queue, Step, SubtaskId
 from acaciawing.jobs.order import Rank, Urgency, urgency
 from acaciawing.jobs.waiting import StepKey, WaitingStep
 from acaciawing.jobs.workers import CONTACT_S, Phase, Run, WorkerView
@@ -166,39 +166,44 @@
         entry: WaitingStep,
         now: float,
     ) -> None:
-        count = self._run_counts.get(subtask, 0) + 1
-        self._run_counts[subtask] = count
-        number = self.fence * RUNS_PER_FENCE + count
         waited_s = now - entry.since.get(subtask, now)
         self._waiting.discard(subtask)
-        run = Run(subtask, number, entry.step, now)
-        view.add(run)
+        run = self._order_run(view, subtask, entry.step, now)
         self._active[subtask] = view
-        progress = self.table.jobs[subtask.job]
-        progress.started = True
+        self.table.jobs[subtask.job].started = True
+        self._log(
+            "RUN_PLACED",
+            subtask=str(subtask),
+            run=run.number,
+            worker=view.life.worker,
+            waited_ms=round(waited_s * 1000),
+            free_cpu=view.free.cpu,
+        )
+
+    def _order_run(
+        self, view: WorkerView, subtask: SubtaskId, step: Step, now: float
+    ) -> Run:
+        """Charges a new run to a worker and orders its start."""
+        count = self._run_counts.get(subtask, 0) + 1
+        self._run_counts[subtask] = count
+        run = Run(subtask, self.fence * RUNS_PER_FENCE + count, step, now)
+        view.add(run)
         checkpoint = (
             self._gang_checkpoint(subtask)
-            if entry.step.gang
+            if step.gang
             else self._checkpoints.get(subtask, "")
         )
         self._actions.append(
             StartRun(
                 view.life,
                 subtask,
-                number,
-                progress.job.payload,
+                run.number,
+                self.table.jobs[subtask.job].job.payload,
                 checkpoint,
                 self._tickets.ticket(subtask[:3], view.life.worker, now) or "",
             )
         )
-        self._log(
-            "RUN_PLACED",
-            subtask=str(subtask),
-            run=number,
-            worker=view.life.worker,
-            waited_ms=round(waited_s * 1000),
-            free_cpu=view.free.cpu,
-        )
+        return run
 
     def _gang_checkpoint(self, subtask: SubtaskId) -> str:
         saved = [self._checkpoints.get(m, "") for m in self._members(subtask)]
--- a/acaciawing/jobserver/callers.py
+++ b/acaciawing/jobserver/callers.py
@@ -1,7 +1,7 @@
 """WSGI application of the clients' listener: jobs and queues."""
 
 import random
-import time
+import threading
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -64,6 +64,7 @@
         contact: Whether the store answers this instance.
         partitions: Number of cells.
         visible_s: Age up to which a holder's records count as current.
+        jitter: Spreads the repeats of several instances.
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         contact: Contact,
         partitions: int,
         visible_s: float,
+        jitter: random.Random,
     ) -> None:
         """Keeps the arguments."""
         self._orders = orders
@@ -82,7 +84,8 @@
         self._contact = contact
         self._partitions = partitions
         self._visible_s = visible_s
-        self._random = random.Random()
+        self._jitter = jitter
+        self._pause = threading.Event()
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -234,7 +237,7 @@
             )
             if now + pause >= patience or self._contact.lost(now):
                 return unknown if unknown is not None else result
-            time.sleep(pause * self._random.uniform(0.5, 1.0))
+            self._pause.wait(pause * self._jitter.uniform(0.5, 1.0))
             pause = min(2 * pause, LONGEST_PAUSE_S)
 
     def _cell(self, queue: Queue) -> int:
--- a/acaciawing/jobserver/daemon.py
+++ b/acaciawing/jobserver/daemon.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import sys
 import threading
@@ -93,6 +94,7 @@
             self._contact,
             settings.partitions,
             settings.visible_ms / 1000,
+            random.Random(settings.name),
         )
         self._fleet = FleetTask(
             settings, self._orders, self._peers, self._engine.tenure
