--- a/acaciawing/jobs/cellworkers.py
+++ b/acaciawing/jobs/cellworkers.py
@@ -163,8 +163,11 @@
                 runs=len(view.runs),
                 age_s=round(now - view.contact_at, 3),
             )
-            for subtask in list(view.runs):
-                self._free(view, subtask, now)
+            for run in list(view.runs.values()):
+                if run.phase is Phase.ORDERED:
+                    # The order may still wait to be sent, with a new lease.
+                    self._stop(view, run, now)
+                self._free(view, run.subtask, now)
         unknown = view.life in self._takeover.until
         if not view.present and lapsed and not view.runs and not unknown:
             self._depart(view.life, now)
--- a/acaciawing/jobs/tests/test_cell.py
+++ b/acaciawing/jobs/tests/test_cell.py
@@ -461,3 +461,31 @@
         rig.wait(0.1)
         rig.report(a_worker("w", born_ms=5_000), ())
         assert len(rig.starts) == 1
+
+
+class TestLapsedOrders:
+    """Guards against a start that is sent after its run was given up."""
+
+    def test_a_start_that_still_waits_is_withdrawn_when_leases_lapse(
+        self,
+    ) -> None:
+        # It waits behind orders that a silent worker does not answer, and
+        # would be sent with a new lease once the worker answers again.
+        rig = CellRig()
+        silent, other = a_worker("w"), a_worker("x")
+        rig.recover()
+        rig.list_workers(silent)
+        rig.report(silent, ())
+        rig.settle()
+        rig.submit(a_job("j"))
+        rig.step(answer=False)
+        assert len(rig.starts) == 1
+        rig.list_workers(silent, other)
+        rig.wait(LEASE_S + 1)
+        rig.report(other, ())
+        rig.settle()
+        stops = [a for a in rig.actions if isinstance(a, StopRun)]
+        assert [(s.worker.worker, s.run) for s in stops] == [
+            ("w", rig.starts[0].run)
+        ]
+        assert [s.worker.worker for s in rig.starts] == ["w", "x"]
