Keep machines evacuated until an unanswered order is settled

Orders were also sent without a limit after the reports that they rest on: a batch of 40 with timeouts takes 5 s, cells end an evacuation after 2 s without a request, and a frozen holder sent its orders after waking. Change: an unanswered order is repeated and its machine stays evacuated until it is answered or listed in its new pool; no order is sent later than 1 s after the reports were requested, and evacuations last 3 s. Numbers of the wave's pace got names. Ruled out: forgetting the order and only reserving the machine (the order would remain unsettled). Measured: four new tests, three of the planner's and the one of the executor fail before.

--- a/acaciawing/jobs/fleet_planner.py
+++ b/acaciawing/jobs/fleet_planner.py
@@ -31,6 +31,16 @@
 # platform's documentation gives this limit for orders to workers.
 MAX_ORDER_DELAY_S = 12.0
 
+# Factor on the number of machines that a wave maintains at the same time: some
+# take longer than `MAINTENANCE_STEP_S`.
+MAINTENANCE_HEADROOM_FACTOR = 1.3
+
+# Minimum number of machines that a wave may maintain at the same time.
+MIN_MAINTAINED_AT_ONCE = 2
+
+# A wave is late when less than this many maintenance steps are left.
+LATE_MAINTENANCE_STEPS = 2
+
 # A zone is treated as unreachable when at least this many of its workers are
 # silent and none answers.
 MIN_SILENT_WORKERS = 2
@@ -52,6 +62,18 @@
     since: float
 
 
+class UnconfirmedOrder(NamedTuple):
+    """An order without an answer, which may still be carried out.
+
+    Attributes:
+        order: The order.
+        until: After this time it is not carried out any more, in seconds.
+    """
+
+    order: FleetOrder
+    until: float
+
+
 class FleetPlanner:
     """Chooses machines to evacuate, and issues orders for evacuated ones.
 
@@ -68,9 +90,7 @@
         self._pending_orders: dict[str, PendingOrder] = {}
         self._sizing = PoolSizing()
         self._refused_moves: set[tuple[str, str]] = set()
-        # Until when, in seconds, an unconfirmed maintenance order may still be
-        # carried out, by machine.
-        self._unconfirmed_until: dict[str, float] = {}
+        self._unconfirmed: dict[str, UnconfirmedOrder] = {}
 
     def evacuate(self, snapshot: FleetSnapshot) -> Evacuation:
         """Returns the workers to evacuate."""
@@ -89,12 +109,17 @@
     def discard_order(self, machine: str) -> None:
         """Discards a machine's order after it was carried out or refused."""
         self._pending_orders.pop(machine, None)
+        self._unconfirmed.pop(machine, None)
 
     def record_unconfirmed(self, order: FleetOrder, now: float) -> None:
-        """Records an unanswered order, which may be carried out later."""
-        self.discard_order(order.machine)
-        if isinstance(order, Maintain):
-            self._unconfirmed_until[order.machine] = now + MAX_ORDER_DELAY_S
+        """Records an unanswered order, which may be carried out later.
+
+        The machine stays evacuated and the order is repeated until it is
+        answered, because a late execution ends everything that runs there.
+        """
+        self._unconfirmed[order.machine] = UnconfirmedOrder(
+            order, now + MAX_ORDER_DELAY_S
+        )
 
     def record_refusal(self, order: FleetOrder) -> None:
         """Records a refused order; a refused move is not ordered again."""
@@ -121,9 +146,10 @@
             order = pending_order.order
             if isinstance(order, Maintain):
                 wave = next(w for w in snapshot.waves if w.number == order.wave)
-                if down >= wave.max_down:
-                    continue
-                down += 1
+                if not self._may_be_maintained(machine_id):
+                    if down >= wave.max_down:
+                        continue
+                    down += 1
             orders.append(order)
         return tuple(orders)
 
@@ -141,23 +167,38 @@
             maintained = (
                 isinstance(order, Maintain) and machine_id not in in_waves
             )
+            moved = (
+                not removed
+                and isinstance(order, Move)
+                and machines[machine_id].service == order.service
+            )
             expired = (
                 isinstance(order, Move)
                 and order.service not in snapshot.spare
                 and now - pending_order.since > LOAN_TIMEOUT_S
+                and machine_id not in self._unconfirmed
             )
-            if removed or maintained or expired:
+            if removed or maintained or moved or expired:
                 del self._pending_orders[machine_id]
+                if not maintained:
+                    self._unconfirmed.pop(machine_id, None)
 
     def _count_down(self, snapshot: FleetSnapshot, now: float) -> int:
         """Counts machines in maintenance, and unconfirmed orders for it."""
-        for machine, until in list(self._unconfirmed_until.items()):
-            if now > until:
-                del self._unconfirmed_until[machine]
+        for machine, unconfirmed in list(self._unconfirmed.items()):
+            if now > unconfirmed.until:
+                del self._unconfirmed[machine]
         return sum(
             1
             for m in snapshot.machines
-            if m.in_maintenance or m.id in self._unconfirmed_until
+            if m.in_maintenance or self._may_be_maintained(m.id)
+        )
+
+    def _may_be_maintained(self, machine: str) -> bool:
+        """Whether an unconfirmed order may maintain a machine."""
+        unconfirmed = self._unconfirmed.get(machine)
+        return unconfirmed is not None and isinstance(
+            unconfirmed.order, Maintain
         )
 
     def _choose_maintenance(
@@ -170,14 +211,23 @@
             pending = [
                 machines[m]
                 for m in wave.machines
-                if m in machines and not self._is_maintenance_pending(m)
+                if m in machines
+                and not self._is_maintenance_pending(m)
+                and m not in self._unconfirmed
             ]
             steps_left = max(1.0, (wave.due_at - now) / MAINTENANCE_STEP_S)
             at_once = min(
                 wave.max_down,
-                max(2, math.ceil(len(pending) * 1.3 / steps_left)),
+                max(
+                    MIN_MAINTAINED_AT_ONCE,
+                    math.ceil(
+                        len(pending) * MAINTENANCE_HEADROOM_FACTOR / steps_left
+                    ),
+                ),
+            )
+            late = (
+                wave.due_at - now < LATE_MAINTENANCE_STEPS * MAINTENANCE_STEP_S
             )
-            late = wave.due_at - now < 2 * MAINTENANCE_STEP_S
             for machine in sorted(
                 pending, key=lambda m: _evacuation_priority(m, snapshot)
             ):
@@ -278,10 +328,11 @@
     def _is_release_pending(
         self, machine: MachineState, snapshot: FleetSnapshot
     ) -> bool:
-        """Whether a machine is being evacuated to be turned off."""
+        """Whether a machine is evacuated to be turned off, but not yet told."""
         pending_order = self._pending_orders.get(machine.id)
         return (
             pending_order is not None
+            and machine.id not in self._unconfirmed
             and isinstance(pending_order.order, Move)
             and pending_order.order.service in snapshot.spare
         )
--- a/acaciawing/jobs/tests/test_fleet_planner.py
+++ b/acaciawing/jobs/tests/test_fleet_planner.py
@@ -233,3 +233,58 @@
                 name, "idle", False, "", _SIZE, True, in_maintenance=True
             )
         assert not [o for o in fleet.rounds(0.5) if isinstance(o, Maintain)]
+
+
+class TestUnconfirmedOrders:
+    """Guards against runs on a machine that a late order may still take."""
+
+    def _release(self, fleet: Fleet) -> Move:
+        """Lets a release stay unanswered; returns it."""
+        fleet.loads = {"b0": 1_000, "i0": 1_000}
+        for _ in range(100):
+            fleet.now += 0.15
+            orders = fleet.plan.decide(fleet._snapshot(), fleet.now)
+            if orders:
+                order = orders[0]
+                assert isinstance(order, Move)
+                fleet.plan.record_unconfirmed(order, fleet.now)
+                return order
+        raise AssertionError("no machine was released")
+
+    def test_machine_stays_evacuated_and_the_order_is_repeated(self) -> None:
+        fleet = Fleet()
+        order = self._release(fleet)
+        fleet.now += 0.15
+        repeated = fleet.plan.decide(fleet._snapshot(), fleet.now)
+        evacuated = fleet.plan.evacuate(fleet._snapshot()).workers
+        assert order in repeated
+        assert f"w-{order.machine}" in evacuated
+
+    def test_returning_load_does_not_reclaim_the_machine(self) -> None:
+        fleet = Fleet(off=0)
+        order = self._release(fleet)
+        fleet.waiting = {"idle": 400_000, "busy": 400_000}
+        fleet.now += 0.15
+        fleet.plan.decide(fleet._snapshot(), fleet.now)
+        evacuated = fleet.plan.evacuate(fleet._snapshot()).workers
+        assert f"w-{order.machine}" in evacuated
+        assert fleet.plan._pending_orders[order.machine].order == order
+
+    def test_machine_that_has_moved_is_used_again(self) -> None:
+        fleet = Fleet()
+        order = self._release(fleet)
+        fleet.machines[order.machine] = fleet._machine(
+            order.machine, order.service
+        )
+        fleet.now += 0.15
+        fleet.plan.decide(fleet._snapshot(), fleet.now)
+        assert order.machine not in fleet.plan._pending_orders
+
+    def test_unanswered_maintenance_is_repeated_within_the_limit(self) -> None:
+        fleet = Fleet(busy=MIN_MACHINES, idle=MIN_MACHINES)
+        fleet.waves = (MaintenanceWave(1, ("o0", "o1"), 1, 35.0),)
+        first = fleet.plan.decide(fleet._snapshot(), fleet.now)
+        assert first == (Maintain("o0", 1),)
+        fleet.plan.record_unconfirmed(first[0], fleet.now)
+        fleet.now += 0.15
+        assert fleet.plan.decide(fleet._snapshot(), fleet.now) == first
--- a/acaciawing/jobserver/fleet_task.py
+++ b/acaciawing/jobserver/fleet_task.py
@@ -21,6 +21,7 @@
 )
 from acaciawing.jobserver.clock import steady_s, unix_ms
 from acaciawing.jobserver.keyed_topics import ConfigurationFollower
+from acaciawing.jobserver.limits import MACHINE_ORDER_VALIDITY_S
 from acaciawing.jobserver.machine_orders import MachineOrderExecutor
 from acaciawing.jobserver.membership import cell_of
 from acaciawing.jobserver.messages import FleetTenure
@@ -120,6 +121,7 @@
             )
             return
         waves = self._update_waves(listed.machines)
+        not_after = steady_s() + MACHINE_ORDER_VALIDITY_S
         snapshot = self._snapshot(listed.machines, waves)
         if snapshot is None:
             return
@@ -133,7 +135,7 @@
             and self._tenure() == tenure
             and self._record_orders(orders, tenure)
         ):
-            self._carry_out(orders, tenure)
+            self._carry_out(orders, tenure, not_after)
 
     def _may_order(self, machine: str, tenure: FleetTenure) -> bool:
         """Returns whether this holder may order a machine yet.
@@ -236,8 +238,12 @@
         ]
         return _with_reports(snapshot, reports)
 
-    def _carry_out(self, orders: list[FleetOrder], tenure: FleetTenure) -> None:
-        outcomes = self._order_executor.carry_out(orders, tenure.fence)
+    def _carry_out(
+        self, orders: list[FleetOrder], tenure: FleetTenure, not_after: float
+    ) -> None:
+        outcomes = self._order_executor.carry_out(
+            orders, tenure.fence, not_after
+        )
         for order, outcome in zip(orders, outcomes, strict=True):
             self._handle_outcome(order, outcome, tenure)
 
--- a/acaciawing/jobserver/limits.py
+++ b/acaciawing/jobserver/limits.py
@@ -64,8 +64,13 @@
 MAX_RETRY_PAUSE_S = 0.4
 
 # The evacuation of workers ends after this time without a request of the fleet's
-# holder, which sends one in each round; the time covers several rounds.
-EVACUATION_RETENTION_S = 2.0
+# holder, which sends one in each round. The time covers a round whose orders are
+# all sent at the end of their validity and then time out after 1 s.
+EVACUATION_RETENTION_S = 3.0
+
+# An order for an evacuated machine is sent only for this time after the reports
+# that show it as evacuated were requested.
+MACHINE_ORDER_VALIDITY_S = 1.0
 
 # Part of a client's timeout that is reserved for the transit of the answer.
 ANSWER_MARGIN_S = 0.15
--- a/acaciawing/jobserver/machine_orders.py
+++ b/acaciawing/jobserver/machine_orders.py
@@ -5,6 +5,7 @@
 from queue import SimpleQueue
 
 from acaciawing.jobs.fleet import FleetOrder, Maintain
+from acaciawing.jobserver.clock import steady_s
 from acaciawing.platform.machines import MachineClient, MachineOrderOutcome
 
 # An order takes 10 to 16 ms, and a peak of a large pool needs a hundred machines
@@ -30,16 +31,32 @@
         )
 
     def carry_out(
-        self, orders: Sequence[FleetOrder], fence: int
+        self, orders: Sequence[FleetOrder], fence: int, not_after: float
     ) -> list[MachineOrderOutcome]:
-        """Sends orders for different machines; returns their outcomes in order."""
+        """Sends orders for different machines.
+
+        Args:
+            orders: The orders.
+            fence: Fencing token of the fleet's cell.
+            not_after: Time in seconds after which no order is sent, because
+                its machine may have new runs.
+
+        Returns:
+            The outcomes in the order of `orders`.
+        """
         return list(
-            self._executor.map(lambda order: self._send(order, fence), orders)
+            self._executor.map(
+                lambda order: self._send(order, fence, not_after), orders
+            )
         )
 
-    def _send(self, order: FleetOrder, fence: int) -> MachineOrderOutcome:
+    def _send(
+        self, order: FleetOrder, fence: int, not_after: float
+    ) -> MachineOrderOutcome:
         client = self._clients.get()
         try:
+            if steady_s() > not_after:
+                return MachineOrderOutcome.NOT_DONE
             if isinstance(order, Maintain):
                 return client.maintain(order.machine, order.wave, fence)
             return client.move(order.machine, order.service, fence)
--- a/acaciawing/jobserver/tests/test_machine_orders.py
+++ b/acaciawing/jobserver/tests/test_machine_orders.py
@@ -1,5 +1,7 @@
 """Tests of sending machine orders."""
 
+import math
+
 from acaciawing.jobs.fleet import FleetOrder, Maintain, Move
 from acaciawing.jobserver.machine_orders import MachineOrderExecutor
 from acaciawing.platform.machines import MachineOrderOutcome
@@ -19,7 +21,8 @@
                 Move(f"m{n}", "visits") for n in range(4)
             ]
             assert (
-                executor.carry_out(orders, 1) == [MachineOrderOutcome.DONE] * 4
+                executor.carry_out(orders, 1, math.inf)
+                == [MachineOrderOutcome.DONE] * 4
             )
 
     def test_outcomes_are_returned_in_order(self) -> None:
@@ -28,7 +31,15 @@
         ) as address:
             executor = MachineOrderExecutor(address, "entry-1")
             orders: list[FleetOrder] = [Move("m0", "visits"), Maintain("m1", 1)]
-            assert executor.carry_out(orders, 1) == [
+            assert executor.carry_out(orders, 1, math.inf) == [
                 MachineOrderOutcome.DONE,
                 MachineOrderOutcome.NOT_IN_WAVE,
             ]
+
+    def test_outdated_order_is_not_sent(self) -> None:
+        # After a freeze, the machine may have runs that the order would end.
+        machines = JobMachines(concurrent_moves=1)
+        with serving(machines.handle, threads=16) as address:
+            executor = MachineOrderExecutor(address, "entry-1")
+            outcomes = executor.carry_out([Move("m0", "visits")], 1, -math.inf)
+            assert outcomes == [MachineOrderOutcome.NOT_DONE]
