Treat a holder's own long-running run as serving once it reports full speed

Change: the wait applies only to runs that an earlier holder started, whose stop that holder may have ordered.

--- a/acaciawing/jobs/evacuation.py
+++ b/acaciawing/jobs/evacuation.py
@@ -8,6 +8,7 @@
     CHECKPOINTED_EVACUATION_TIMEOUT_S,
     EVACUATION_TIMEOUT_S,
     FULL_SPEED_PERCENT,
+    RUN_NUMBERS_PER_FENCE,
     SETTLING_TIME_S,
 )
 from acaciawing.jobs.model import (
@@ -149,13 +150,26 @@
             if (
                 view is None
                 or not view.reachable
-                or not _is_serving(view.runs[member], now)
+                or not self._is_serving(view.runs[member], now)
             ):
                 unavailable += 1
         return not self._takeover.unconfirmed_until and unavailable < max(
             1, run.step.may_miss
         )
 
+    def _is_serving(self, run: Run, now: float) -> bool:
+        """Whether a long-running run reports full speed and will go on.
+
+        An earlier holder may have ordered the stop of a run that it started;
+        until the worker has carried that out, it reports the run as before.
+        """
+        own = run.number >= self.fence * RUN_NUMBERS_PER_FENCE
+        return (
+            run.phase is Phase.RUNNING
+            and run.percent >= FULL_SPEED_PERCENT
+            and (own or now - run.since > SETTLING_TIME_S)
+        )
+
     def _has_room_elsewhere(
         self, view: WorkerView, run: Run, now: float
     ) -> bool:
@@ -170,15 +184,6 @@
         return choose_worker(others, run.step, run.subtask) is not None
 
 
-def _is_serving(run: Run, now: float) -> bool:
-    """Whether a long-running run has settled and reports full speed."""
-    return (
-        run.phase is Phase.RUNNING
-        and run.percent >= FULL_SPEED_PERCENT
-        and now - run.since > SETTLING_TIME_S
-    )
-
-
 def _worker_load(view: WorkerView) -> WorkerLoad:
     silent = view.contacted and not view.reachable
     return WorkerLoad(len(view.runs), view.lasting, view.used.cpu, silent)
--- a/acaciawing/jobs/limits.py
+++ b/acaciawing/jobs/limits.py
@@ -42,7 +42,7 @@
 # Percent that a worker reports for a long-running run at full speed.
 FULL_SPEED_PERCENT = 100
 
-# A long-running run is treated as serving only this long after it was started
-# or adopted: an earlier holder's order to stop it takes up to 0.9 s, and until
-# then the worker reports the run at full speed.
+# A long-running run of an earlier holder is treated as serving only this long
+# after it was adopted: that holder's order to stop it takes up to 0.9 s, and
+# until then the worker reports the run at full speed.
 SETTLING_TIME_S = 1.5
