Evacuate as many machines with long-running subtasks as a wave's end needs

Change: their number at the same time follows from the machines left and the time left. The disruption budget still limits each step. Ruled out: all at once (the workers in evacuation take no new runs).

--- a/acaciawing/jobs/fleet_planner.py
+++ b/acaciawing/jobs/fleet_planner.py
@@ -16,6 +16,7 @@
     FleetSnapshot,
     MachineState,
     Maintain,
+    MaintenanceWave,
     Move,
 )
 from acaciawing.jobs.pool_sizing import PoolSizing
@@ -31,6 +32,10 @@
 # platform's documentation gives this limit for orders to workers.
 MAX_ORDER_DELAY_S = 12.0
 
+# Usual time of an evacuation that moves long-running subtasks in batches, as
+# their disruption budget allows.
+LASTING_EVACUATION_S = 6.0
+
 # Factor on the number of machines that a wave maintains at the same time: some
 # take longer than `MAINTENANCE_STEP_S`.
 MAINTENANCE_HEADROOM_FACTOR = 1.3
@@ -231,9 +236,13 @@
             for machine in sorted(
                 pending, key=lambda m: _evacuation_priority(m, snapshot)
             ):
-                if machine.up and self._may_evacuate(
-                    machine, snapshot, at_once, late
-                ):
+                if _has_lasting(machine, snapshot):
+                    allowed = late or self._may_evacuate_lasting(
+                        machine, wave, machines, snapshot, now
+                    )
+                else:
+                    allowed = self._count_evacuating(snapshot) < at_once
+                if machine.up and allowed:
                     order = Maintain(machine.id, wave.number)
                     self._pending_orders[machine.id] = PendingOrder(order, now)
 
@@ -244,31 +253,39 @@
             pending_order.order, Maintain
         )
 
-    def _may_evacuate(
+    def _count_evacuating(self, snapshot: FleetSnapshot) -> int:
+        """Counts machines in a wave without long-running subtasks."""
+        return sum(
+            self._is_maintenance_pending(m.id) and not _has_lasting(m, snapshot)
+            for m in snapshot.machines
+        )
+
+    def _may_evacuate_lasting(
         self,
         machine: MachineState,
+        wave: MaintenanceWave,
+        machines: Mapping[str, MachineState],
         snapshot: FleetSnapshot,
-        at_once: int,
-        late: bool,
+        now: float,
     ) -> bool:
-        """Whether the evacuation of a machine for maintenance may begin.
+        """Whether a machine with long-running subtasks may be evacuated.
 
-        Long-running subtasks move one by one, so machines that run them begin
-        early, but only one machine of a pool at a time unless the wave is
-        late. Other machines begin as fast as the wave requires.
+        These subtasks move in small batches, so such machines begin early, and
+        a pool evacuates as few at the same time as the wave's end allows.
         """
-        if not machine.worker:
-            return True
-        lasting = _has_lasting(machine, snapshot)
-        same = [
-            m
-            for m in snapshot.machines
-            if self._is_maintenance_pending(m.id)
-            and _has_lasting(m, snapshot) == lasting
+        left = [
+            machines[m]
+            for m in wave.machines
+            if m in machines
+            and machines[m].service == machine.service
+            and _has_lasting(machines[m], snapshot)
         ]
-        if lasting:
-            return late or all(m.service != machine.service for m in same)
-        return len(same) < at_once
+        evacuating = sum(self._is_maintenance_pending(m.id) for m in left)
+        time_left = max(
+            LASTING_EVACUATION_S, wave.due_at - now - MAINTENANCE_STEP_S
+        )
+        at_once = math.ceil(len(left) * LASTING_EVACUATION_S / time_left)
+        return evacuating < max(1, at_once)
 
     def _choose_loans(self, snapshot: FleetSnapshot, now: float) -> None:
         for service, _ in sorted(
--- a/acaciawing/jobs/tests/test_fleet_planner.py
+++ b/acaciawing/jobs/tests/test_fleet_planner.py
@@ -234,6 +234,15 @@
             )
         assert not [o for o in fleet.rounds(0.5) if isinstance(o, Maintain)]
 
+    def test_many_long_running_machines_begin_in_time(self) -> None:
+        # One after the other, the last of them missed the end of the wave.
+        fleet = Fleet(busy=MIN_MACHINES, idle=8)
+        fleet.lasting = {f"i{n}": 1 for n in range(8)}
+        fleet.waves = (self._wave(*(f"i{n}" for n in range(8))),)
+        fleet.rounds(0.2)
+        # 8 machines of 6 s each in 20 s.
+        assert len(fleet.plan.evacuate(fleet._snapshot()).workers) == 3
+
 
 class TestUnconfirmedOrders:
     """Guards against runs on a machine that a late order may still take."""
