Divide the machines so that late work yields to work that can be on time

Cause: each pool's size counted all waiting work alike. Change: cells report which part of their load will miss its objective; the new package allocation divides the machines: floors, then work that can be on time, then late work, each in equal shares of what is lacking. The load report is a module of its own. Ruled out: refusing late work (it is answered late today, and machines left over still serve it); concentrating on one pool (equal benefit for the same work).

--- a/acaciawing/jobs/evacuation.py
+++ b/acaciawing/jobs/evacuation.py
@@ -1,9 +1,9 @@
-"""Evacuation of workers, load reports and the pace of best-effort runs."""
+"""Evacuation of workers and the pace of best-effort runs."""
 
 from acaciawing.jobs.actions import (
     PaceRun,
 )
-from acaciawing.jobs.fleet import CellReport, Evacuation, PoolLoad, WorkerLoad
+from acaciawing.jobs.fleet import Evacuation
 from acaciawing.jobs.limits import (
     CHECKPOINTED_EVACUATION_TIMEOUT_S,
     EVACUATION_TIMEOUT_S,
@@ -11,9 +11,6 @@
     RUN_NUMBERS_PER_FENCE,
     SETTLING_TIME_S,
 )
-from acaciawing.jobs.model import (
-    Resources,
-)
 from acaciawing.jobs.pacing import (
     MIN_PACE_INTERVAL_S,
     SLOW_DOWN_ABOVE_SHARE,
@@ -26,7 +23,7 @@
 
 
 class WorkerEvacuation(WorkerTracking):
-    """Evacuation of workers, load reports and the pace of best-effort runs."""
+    """Evacuation of workers and the pace of best-effort runs."""
 
     def evacuate(self, evacuation: Evacuation, now: float) -> None:
         """Evacuates the listed workers and ends the evacuation of all others.
@@ -45,50 +42,6 @@
                 hurried = view.incarnation.worker in evacuation.hurried
                 self._evacuate_worker(view, hurried, now)
 
-    def report(self, now: float) -> CellReport:
-        """Returns the load of the cell's pools and workers."""
-        used: dict[str, Resources] = {}
-        capacity: dict[str, Resources] = {}
-        waiting: dict[str, Resources] = {}
-        none = Resources()
-        for view in self.views.values():
-            service = view.registration.service
-            if not service:
-                continue
-            used[service] = used.get(service, none) + view.used
-            if view.usable(now):
-                total = capacity.get(service, none)
-                capacity[service] = total + view.registration.capacity
-        for waiting_step in self._waiting.steps:
-            queue = self._queues.get(waiting_step.progress.job.queue)
-            if queue is not None:
-                total = waiting.get(queue.service, none)
-                requested = waiting_step.step.reserved.times(
-                    len(waiting_step.since)
-                )
-                waiting[queue.service] = total + requested
-        pools = {
-            service: PoolLoad(
-                waiting.get(service, none),
-                used.get(service, none),
-                capacity.get(service, none),
-            )
-            for service in {*used, *waiting}
-        }
-        return CellReport(
-            self.recovered,
-            pools,
-            {
-                v.incarnation.worker: _worker_load(v)
-                for v in self.views.values()
-            },
-            tuple(
-                v.incarnation.worker
-                for v in self.views.values()
-                if v.evacuating
-            ),
-        )
-
     def _evacuate_worker(
         self, view: WorkerView, hurried: bool, now: float
     ) -> None:
@@ -182,8 +135,3 @@
             and v.registration.service == service
         ]
         return choose_worker(others, run.step, run.subtask) is not None
-
-
-def _worker_load(view: WorkerView) -> WorkerLoad:
-    silent = view.contacted and not view.reachable
-    return WorkerLoad(len(view.runs), view.lasting, view.used.cpu, silent)
--- a/acaciawing/jobs/fleet.py
+++ b/acaciawing/jobs/fleet.py
@@ -31,11 +31,14 @@
         waiting: Resources that waiting subtasks request.
         used: Resources reserved for runs.
         capacity: Capacity of the workers that may get new runs.
+        late: Part of `waiting` and `used` for jobs that will miss their
+            latency objective.
     """
 
     waiting: Resources
     used: Resources
     capacity: Resources
+    late: Resources = Resources()
 
 
 class CellReport(msgspec.Struct, frozen=True):
--- a/acaciawing/jobs/fleet_planner.py
+++ b/acaciawing/jobs/fleet_planner.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
+from acaciawing.allocation import divide_machines
 from acaciawing.jobs.fleet import (
     Evacuation,
     FleetOrder,
@@ -94,6 +95,7 @@
         self._logged: dict[str, tuple[float, int]] = {}
         self._pending_orders: dict[str, PendingOrder] = {}
         self._sizing = PoolSizing()
+        self._target_sizes: dict[str, int] = {}
         self._refused_moves: set[tuple[str, str]] = set()
         self._unconfirmed: dict[str, UnconfirmedOrder] = {}
 
@@ -138,6 +140,7 @@
         """Chooses machines to evacuate, and returns the orders to give now."""
         machines = {m.id: m for m in snapshot.machines}
         self._sizing.observe(snapshot, now)
+        self._target_sizes = self._divide(snapshot)
         self._drop_obsolete_orders(snapshot, machines, now)
         self._choose_maintenance(snapshot, machines, now)
         self._choose_loans(snapshot, now)
@@ -301,15 +304,30 @@
                 self._order_move(machine, service, now)
                 shortage -= 1
 
+    def _divide(self, snapshot: FleetSnapshot) -> dict[str, int]:
+        """Returns the number of machines that each pool should have."""
+        demands = {
+            service: self._sizing.demand(service, snapshot)
+            for service in snapshot.pools
+            if service not in snapshot.spare
+        }
+        available = sum(
+            (m.up or m.up_soon) and not _is_silent(m, snapshot)
+            for m in snapshot.machines
+        )
+        return divide_machines(demands, available)
+
     def _log_size(
         self, service: str, shortage: int, snapshot: FleetSnapshot, now: float
     ) -> None:
         """Logs a pool's target size, and its reasons, when it has changed."""
-        target_size = self._sizing.target_size(service, snapshot)
+        if service in snapshot.spare:
+            return
+        target_size = self._target_sizes[service]
         logged_at, logged = self._logged.get(
             service, (now - LOG_INTERVAL_S, -1)
         )
-        if service in snapshot.spare or target_size == logged:
+        if target_size == logged:
             return
         if now - logged_at < LOG_INTERVAL_S:
             return
@@ -323,6 +341,7 @@
             present=sum(m.service == service for m in snapshot.machines),
             used_cpu=pool.used.cpu,
             waiting_cpu=pool.waiting.cpu,
+            late_cpu=pool.late.cpu,
         )
 
     def _cancel_releases(
@@ -392,7 +411,7 @@
             and m.id not in self._pending_orders
             and not _is_silent(m, snapshot)
         )
-        return self._sizing.target_size(service, snapshot) - present - incoming
+        return self._target_sizes.get(service, 0) - present - incoming
 
     def _donors(
         self, service: str, snapshot: FleetSnapshot
--- /dev/null
+++ b/acaciawing/jobs/load_report.py
@@ -0,0 +1,107 @@
+"""Reports of a cell's load, from which the fleet's machines are divided."""
+
+from acaciawing.jobs.evacuation import WorkerEvacuation
+from acaciawing.jobs.fleet import CellReport, PoolLoad, WorkerLoad
+from acaciawing.jobs.model import Queue, Resources
+from acaciawing.jobs.progress import JobProgress
+from acaciawing.jobs.urgency import Urgency, assess_urgency, is_certainly_late
+from acaciawing.jobs.waiting import StepKey
+from acaciawing.jobs.workers import WorkerView
+
+
+class LoadReporting(WorkerEvacuation):
+    """Reports of a cell's load, from which the fleet's machines are divided."""
+
+    def report(self, now: float) -> CellReport:
+        """Returns the load of the cell's pools and workers."""
+        used: dict[str, Resources] = {}
+        capacity: dict[str, Resources] = {}
+        waiting: dict[str, Resources] = {}
+        late: dict[str, Resources] = {}
+        none = Resources()
+        late_runs = self._late_runs()
+        for view in self.views.values():
+            service = view.registration.service
+            if not service:
+                continue
+            used[service] = used.get(service, none) + view.used
+            for key in view.runs_per_step.keys() & late_runs.keys():
+                reserved = late_runs[key].times(view.runs_per_step[key])
+                late[service] = late.get(service, none) + reserved
+            if view.usable(now):
+                total = capacity.get(service, none)
+                capacity[service] = total + view.registration.capacity
+        for waiting_step in self._waiting.steps:
+            queue = self._queues.get(waiting_step.progress.job.queue)
+            if queue is None:
+                continue
+            service = queue.service
+            requested = waiting_step.step.reserved.times(
+                len(waiting_step.since)
+            )
+            waiting[service] = waiting.get(service, none) + requested
+            urgency = self._urgency(
+                waiting_step.progress, queue, waiting_step.key
+            )
+            if urgency is not Urgency.ON_TIME:
+                late[service] = late.get(service, none) + requested
+        pools = {
+            service: PoolLoad(
+                waiting.get(service, none),
+                used.get(service, none),
+                capacity.get(service, none),
+                late.get(service, none),
+            )
+            for service in {*used, *waiting}
+        }
+        return CellReport(
+            self.recovered,
+            pools,
+            {
+                v.incarnation.worker: _worker_load(v)
+                for v in self.views.values()
+            },
+            tuple(
+                v.incarnation.worker
+                for v in self.views.values()
+                if v.evacuating
+            ),
+        )
+
+    def _urgency(
+        self, progress: JobProgress, queue: Queue, key: StepKey
+    ) -> Urgency:
+        """Returns the urgency of a job whose step `key` waits for workers."""
+        _, occurrence, step = key
+        if progress.job.steps[step].lasting:
+            return Urgency.ON_TIME
+        return assess_urgency(
+            progress.critical_paths_ms,
+            queue,
+            progress.due_ms(occurrence) or progress.submitted_ms,
+            step,
+            self._unix_ms,
+        )
+
+    def _late_runs(self) -> dict[StepKey, Resources]:
+        """Returns what a run reserves in each step of a job that is late."""
+        late: dict[StepKey, Resources] = {}
+        for key in {subtask[:3] for subtask in self._active}:
+            progress = self.table.jobs[key[0]]
+            queue = self._queues.get(progress.job.queue)
+            step = progress.job.steps[key[2]]
+            if queue is None or step.lasting:
+                continue
+            since_ms = progress.due_ms(key[1]) or progress.submitted_ms
+            paths = progress.critical_paths_ms
+            left_ms = max(0, paths[key[2]] - step.estimated_ms)
+            if is_certainly_late(
+                paths, queue, since_ms, left_ms, self._unix_ms
+            ):
+                late[key] = step.reserved
+        return late
+
+
+def _worker_load(view: WorkerView) -> WorkerLoad:
+    silent = view.contacted and not view.reachable
+    return WorkerLoad(len(view.runs), view.lasting, view.used.cpu, silent)
--- a/acaciawing/jobs/pool_sizing.py
+++ b/acaciawing/jobs/pool_sizing.py
@@ -3,6 +3,7 @@
 import math
 from collections import deque
 
+from acaciawing.allocation import PoolDemand
 from acaciawing.jobs.fleet import FleetSnapshot
 
 # Factor on the expected load of a pool: subtasks don't use machines evenly, and
@@ -75,8 +76,8 @@
             MAX_LEAD_S, BASE_LEAD_S * lead_scale
         )
 
-    def target_size(self, service: str, snapshot: FleetSnapshot) -> int:
-        """Returns the number of machines that a pool should have."""
+    def demand(self, service: str, snapshot: FleetSnapshot) -> PoolDemand:
+        """Returns the machines that a pool can use."""
         pool = snapshot.pools.get(service)
         sizes = [
             m.capacity
@@ -84,7 +85,7 @@
             if m.capacity.cpu and m.service == service
         ] or [m.capacity for m in snapshot.machines if m.capacity.cpu]
         if pool is None or not sizes:
-            return 0
+            return PoolDemand(0, 0, 0)
         cpu = sum(size.cpu for size in sizes) / len(sizes)
         memory_mb = sum(size.memory_mb for size in sizes) / len(sizes)
         load = pool.used + pool.waiting
@@ -92,10 +93,16 @@
             self.expected_cpu(service, cpu) / cpu,
             load.memory_mb / max(1, memory_mb),
         )
-        minimum = max(
+        late_machines = max(
+            pool.late.cpu / cpu, pool.late.memory_mb / max(1, memory_mb)
+        )
+        floor = max(
             MIN_MACHINES, round(MIN_MACHINES_SHARE * len(snapshot.machines))
         )
-        return max(minimum, math.ceil(needed_machines * HEADROOM_FACTOR))
+        size = max(floor, math.ceil(needed_machines * HEADROOM_FACTOR))
+        on_time = math.ceil((needed_machines - late_machines) * HEADROOM_FACTOR)
+        on_time = min(size, max(floor, on_time))
+        return PoolDemand(floor, on_time, size - on_time)
 
     def may_shrink(self, service: str, surplus: int, now: float) -> bool:
         """Whether a pool has had a surplus for long enough to give it up."""
--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -5,20 +5,20 @@
     AdviceResponse,
     StartRun,
 )
-from acaciawing.jobs.evacuation import WorkerEvacuation
 from acaciawing.jobs.limits import (
     CONFIRMATION_VALIDITY_S,
     GANG_START_TIMEOUT_S,
     RUN_NUMBERS_PER_FENCE,
 )
+from acaciawing.jobs.load_report import LoadReporting
 from acaciawing.jobs.model import Queue, Step, SubtaskId
-from acaciawing.jobs.urgency import Rank, Urgency, assess_urgency
+from acaciawing.jobs.urgency import Rank, Urgency
 from acaciawing.jobs.waiting import StepKey, WaitingStep
 from acaciawing.jobs.worker_choice import choose_gang, choose_worker
 from acaciawing.jobs.workers import CONTACT_TIMEOUT_S, Phase, Run, WorkerView
 
 
-class RunPlacement(WorkerEvacuation):
+class RunPlacement(LoadReporting):
     """Placement of waiting subtasks on workers."""
 
     def _may_start_runs(self, now: float) -> bool:
@@ -120,13 +120,11 @@
         progress = waiting_step.progress
         queue = self._queues.get(progress.job.queue)
         priority = queue.priority if queue is not None else 0
-        urgency = Urgency.ON_TIME
-        _, occurrence, step = waiting_step.key
-        if queue is not None and not waiting_step.step.lasting:
-            since_ms = progress.due_ms(occurrence) or progress.submitted_ms
-            urgency = assess_urgency(
-                progress.critical_paths_ms, queue, since_ms, step, self._unix_ms
-            )
+        urgency = (
+            self._urgency(progress, queue, waiting_step.key)
+            if queue is not None
+            else Urgency.ON_TIME
+        )
         rank = Rank(
             priority,
             not waiting_step.step.lasting,
--- a/acaciawing/jobs/urgency.py
+++ b/acaciawing/jobs/urgency.py
@@ -91,8 +91,9 @@
         first_step: Step that waits for a worker.
         unix_ms: Current Unix time in milliseconds.
     """
-    whole = queue.stretch * critical_paths[0] + queue.objective_ms
-    objective = whole * (1 - ESTIMATE_MARGIN_SHARE)
+    objective = _objective_ms(critical_paths, queue) * (
+        1 - ESTIMATE_MARGIN_SHARE
+    )
     spent = unix_ms - since_ms + critical_paths[first_step]
     if spent <= objective:
         return Urgency.ON_TIME
@@ -100,3 +101,27 @@
     if left < 0:
         return Urgency.EXPIRED
     return Urgency.EXPIRING if left < EXPIRING_MS else Urgency.LATE
+
+
+def is_certainly_late(
+    critical_paths: Sequence[int],
+    queue: Queue,
+    since_ms: int,
+    left_ms: int,
+    unix_ms: int,
+) -> bool:
+    """Whether a job misses its objective even if its current step ends now.
+
+    Args:
+        critical_paths: Result of `critical_paths_ms` for the job.
+        queue: Its queue.
+        since_ms: When it was submitted or due, Unix time in milliseconds.
+        left_ms: Estimated time of the steps after the current one.
+        unix_ms: Current Unix time in milliseconds.
+    """
+    objective = _objective_ms(critical_paths, queue)
+    return unix_ms - since_ms + left_ms > objective
+
+
+def _objective_ms(critical_paths: Sequence[int], queue: Queue) -> float:
+    return queue.stretch * critical_paths[0] + queue.objective_ms
--- a/acaciawing/tests/test_layers.py
+++ b/acaciawing/tests/test_layers.py
@@ -10,6 +10,7 @@
 _ROOT = Path(acaciawing.__file__).parent
 _DECIDING = (
     "admission",
+    "allocation",
     "budgets",
     "configuration",
     "fold",
