Lend a replacement to a pool whose long-running subtasks have no room to move

Change: while such a machine is evacuated, its pool has room for it on a machine without long-running subtasks, or borrows one.

--- a/acaciawing/jobs/fleet_planner.py
+++ b/acaciawing/jobs/fleet_planner.py
@@ -403,15 +403,27 @@
             if isinstance(pending.order, Move)
             and pending.order.service == service
         )
-        present = sum(
-            1
+        present = [
+            m
             for m in snapshot.machines
             if m.service == service
             and (m.up or m.up_soon)
             and m.id not in self._pending_orders
             and not _is_silent(m, snapshot)
+        ]
+        shortage = self._target_sizes.get(service, 0) - len(present)
+        # Long-running subtasks fill their machines, so those of a machine in
+        # evacuation find room only on a machine without such subtasks.
+        evacuating = sum(
+            m.service == service
+            and self._is_maintenance_pending(m.id)
+            and _has_lasting(m, snapshot)
+            for m in snapshot.machines
         )
-        return self._target_sizes.get(service, 0) - present - incoming
+        if evacuating:
+            room = sum(not _has_lasting(m, snapshot) for m in present)
+            shortage = max(shortage, evacuating - room)
+        return shortage - incoming
 
     def _donors(
         self, service: str, snapshot: FleetSnapshot
--- a/acaciawing/jobs/tests/test_fleet_planner.py
+++ b/acaciawing/jobs/tests/test_fleet_planner.py
@@ -243,6 +243,16 @@
         # 8 machines of 6 s each in 20 s.
         assert len(fleet.plan.evacuate(fleet._snapshot()).workers) == 3
 
+    def test_pool_full_of_long_running_subtasks_gets_a_replacement(
+        self,
+    ) -> None:
+        # Without room elsewhere, the evacuation waited until the wave was late.
+        fleet = Fleet(busy=MIN_MACHINES, idle=5)
+        fleet.lasting = {f"i{n}": 1 for n in range(5)}
+        fleet.waves = (self._wave("i0"),)
+        orders = fleet.rounds(0.5)
+        assert [o.service for o in orders if isinstance(o, Move)] == ["idle"]
+
 
 class TestUnconfirmedOrders:
     """Guards against runs on a machine that a late order may still take."""
