Read all topics of a cell at the same time during a takeover

Change: after the fence all topics are read at the same time, progress is folded after the submissions, and recovery ends with them; if the workers' list comes later, it ends with that. Ruled out: reading before the fence (an earlier holder could still record progress of a job that the new one has not read, and its subtask would run twice).

--- a/acaciawing/jobserver/cell_log.py
+++ b/acaciawing/jobserver/cell_log.py
@@ -92,31 +92,44 @@
     def _run(self) -> None:
         if not self._fence_earlier_holders():
             return
+        requested_at = steady_s()
+        with ThreadPoolExecutor(len(_JOBS_TOPICS) + 1) as executor:
+            progress = executor.submit(self._read_to_end, PROGRESS_TOPIC)
+            jobs = list(executor.map(self._read_to_end, _JOBS_TOPICS))
         # Progress of a job is folded only after its submission.
-        with ThreadPoolExecutor(len(_JOBS_TOPICS)) as executor:
-            ends = list(executor.map(self._read_to_end, _JOBS_TOPICS))
-        self._read_to_end(PROGRESS_TOPIC)
-        for topic, end in zip(_JOBS_TOPICS, ends, strict=True):
+        for topic, (batches, _) in zip(_JOBS_TOPICS, jobs, strict=True):
+            self._send_batches(topic, batches)
+        self._send_batches(PROGRESS_TOPIC, progress.result()[0])
+        self._caught_up_at = dict.fromkeys(_JOBS_TOPICS, requested_at)
+        if not self._closed.is_set():
+            self._send(RecordsCaughtUp(self._key, requested_at))
+        for topic, (_, end) in zip(_JOBS_TOPICS, jobs, strict=True):
             start_task(f"{topic} reader", partial(self._follow, topic, end))
 
-    def _read_to_end(self, topic: str) -> int:
-        """Reads a topic from its start and returns the end offset."""
+    def _read_to_end(self, topic: str) -> tuple[list[RecordBatch], int]:
+        """Reads a topic from its start; returns its records and its end."""
         store = Store(self._address)
+        batches: list[RecordBatch] = []
         offset = 0
         pause = RETRY_PAUSE_S
         while not self._closed.is_set():
             result = store.read(topic, self._key.partition, offset, 0)
             if isinstance(result, RecordBatch):
-                self._send_records(result, topic, offset)
+                batches.append(result)
                 offset = result.next_offset
                 if offset >= result.end:
-                    return offset
+                    break
             elif isinstance(result, OffsetExpired):
                 offset = max(offset + 1, result.first)
             else:
                 self._closed.wait(pause)
                 pause = min(2 * pause, MAX_RETRY_PAUSE_S)
-        return offset
+        return batches, offset
+
+    def _send_batches(self, topic: str, batches: list[RecordBatch]) -> None:
+        for batch in batches:
+            first = batch.next_offset - len(batch.records)
+            self._send_records(batch, topic, first)
 
     def _fence_earlier_holders(self) -> bool:
         """Makes the store reject appends of earlier holders.
@@ -140,16 +153,16 @@
     def _follow(self, topic: str, offset: int) -> None:
         """Follows a topic of jobs from the end offset of recovery."""
         store = Store(self._address)
-        wait_ms = 0
         while not self._closed.is_set():
             requested_at = steady_s()
-            result = store.read(topic, self._key.partition, offset, wait_ms)
+            result = store.read(
+                topic, self._key.partition, offset, READ_WAIT_MS
+            )
             if isinstance(result, RecordBatch):
                 self._send_records(result, topic, offset)
                 offset = result.next_offset
                 if offset >= result.end:
                     self._report_caught_up(topic, requested_at)
-                    wait_ms = READ_WAIT_MS
             elif isinstance(result, OffsetExpired):
                 offset = max(offset + 1, result.first)
             else:
@@ -159,8 +172,6 @@
         """Reports the time up to which the records of all topics were read."""
         with self._lock:
             self._caught_up_at[topic] = requested_at
-            if len(self._caught_up_at) < len(_JOBS_TOPICS):
-                return
             oldest = min(self._caught_up_at.values())
             self._send(RecordsCaughtUp(self._key, oldest))
 
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -193,18 +193,7 @@
         if held is None:
             return
         held.records_current_at = message.requested_at
-        if not held.cell.recovered and self._workers is not None:
-            held.cell.tick(now, unix_ms())
-            held.cell.finish_recovery(now, UNCONFIRMED_RUNS_S)
-            log_event(
-                Event.CELL_RECOVERED,
-                {
-                    "cell": message.key.partition,
-                    "fence": message.key.fence,
-                    "jobs": len(held.cell.table.jobs),
-                    "took_s": round(now - held.acquired_at, 3),
-                },
-            )
+        self._finish_recovery(held, now)
 
     @_receive.register
     def _(self, message: AdviceReceived, now: float) -> None:
@@ -249,6 +238,7 @@
         self._workers = message.workers
         for held in self._cells.values():
             self._update_workers(held, now)
+            self._finish_recovery(held, now)
 
     @_receive.register
     def _(self, message: MachineListRead, now: float) -> None:
@@ -280,6 +270,26 @@
             self._drop(partition, "instance is stopping")
         message.reply.set_result(None)
 
+    def _finish_recovery(self, held: HeldCell, now: float) -> None:
+        """Ends a cell's recovery once its records and workers were read."""
+        if (
+            held.cell.recovered
+            or self._workers is None
+            or held.records_current_at == float("-inf")
+        ):
+            return
+        held.cell.tick(now, unix_ms())
+        held.cell.finish_recovery(now, UNCONFIRMED_RUNS_S)
+        log_event(
+            Event.CELL_RECOVERED,
+            {
+                "cell": held.key.partition,
+                "fence": held.key.fence,
+                "jobs": len(held.cell.table.jobs),
+                "took_s": round(now - held.acquired_at, 3),
+            },
+        )
+
     def _answer(self, query: JobStateQuery, now: float) -> JobAnswer:
         held = self._cells.get(query.partition)
         if held is None or not held.cell.recovered:
--- a/standins/job_store.py
+++ b/standins/job_store.py
@@ -95,7 +95,7 @@
         """
         encoded_key = key.encode()
         body = b"" if value is None else json.dumps(value).encode()
-        self._append(topic, 0, [bytes([len(encoded_key)]) + encoded_key + body])
+        self.append(topic, 0, [bytes([len(encoded_key)]) + encoded_key + body])
 
     def handle(
         self,
@@ -121,7 +121,8 @@
             return self._serve_member(path, json.loads(body))
         return json_response(404, {})
 
-    def _append(self, topic: str, partition: int, records: list[bytes]) -> int:
+    def append(self, topic: str, partition: int, records: list[bytes]) -> int:
+        """Appends records; returns the offset of the first."""
         with self._changed:
             log = self._logs.setdefault((topic, partition), [])
             offset = len(log)
@@ -137,7 +138,7 @@
             records.append(body[position + 4 : position + 4 + size])
             position += 4 + size
         if "Producer" not in query:
-            offset = self._append(topic, partition, records)
+            offset = self.append(topic, partition, records)
             return json_response(
                 200, {"Offset": offset, "End": offset + len(records)}
             )
@@ -153,7 +154,7 @@
                 return json_response(
                     409, {"Reason": "seq", "Sequence": latest[1] + 1}
                 )
-            offset = self._append(topic, partition, records)
+            offset = self.append(topic, partition, records)
             answer = {"Offset": offset, "End": offset + len(records)}
             self._producers[key] = (epoch, sequence, answer)
         return json_response(200, answer)
