--- a/acaciawing/budgets/ledger.py
+++ b/acaciawing/budgets/ledger.py
@@ -244,8 +244,9 @@
     reservation = table.reservations.get(record.reservation)
     if reservation is None or reservation.released:
         return table, Ignored("unknown-reservation", record.reservation)
-    # Failures that the action caused are counted up to one interval later.
-    # Until then the reservation covers them.
+    # Failures that the action caused end up in the counts of its interval or of
+    # the next one, which are appended up to two intervals later. Until then the
+    # reservation covers them.
     expires_at = min(
         reservation.expires_at, position.appended_at + 2 * COUNTS_INTERVAL_S
     )
--- a/acaciawing/commandline/publish_decisions.py
+++ b/acaciawing/commandline/publish_decisions.py
@@ -20,6 +20,9 @@
 # the client's timeout of 2 s each.
 PUBLISH_TIMEOUT_S = 15.0
 _INITIAL_PAUSE_S = 0.1
+
+# Pause before a read of a log that does not answer is repeated, in seconds.
+_UNAVAILABLE_PAUSE_S = 0.5
 _MAX_PAUSE_S = 2.0
 
 
@@ -191,7 +194,7 @@
     if isinstance(observed, LogUnavailable):
         if timed_out:
             return PublishUnfinished(observed.detail, progress.unconfirmed)
-        return RetryRead(_INITIAL_PAUSE_S * 5)
+        return RetryRead(_UNAVAILABLE_PAUSE_S)
     base = _base_version(publication, progress, observed)
     if observed.own_records:
         return _own_outcome(observed, base)
--- a/acaciawing/commandline/tests/test_main.py
+++ b/acaciawing/commandline/tests/test_main.py
@@ -1,6 +1,7 @@
 """Tests of the commands and their exit codes."""
 
 import json
+import subprocess
 import sys
 import threading
 from collections.abc import Callable, Iterable, Iterator
@@ -146,6 +147,14 @@
         )
         assert any(line.startswith(settings) for line in lines)
 
+    def test_module_exits_with_the_code_of_the_command(self) -> None:
+        # Scripts took lists with findings for valid ones.
+        command = [sys.executable, "-m", "acaciawing", "check"]
+        broken = str(BROKEN / "plans.toml")
+        for lists, code in ((LISTS, 0), ([LISTS[0], broken], 1)):
+            done = subprocess.run([*command, *lists], capture_output=True)
+            assert done.returncode == code
+
 
 class TestPublishCommand:
     """Guards against exit codes that hide whether anything was changed."""
--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -161,7 +161,6 @@
         for member, chosen_view in zip(members, chosen, strict=True):
             self._run_counts[member] = count - 1
             self._start(chosen_view, member, waiting_step, now)
-        self._gang_started_at[subtask[:3]] = now
 
     def _check_gangs(self, now: float) -> None:
         """Stops gangs of which a member did not start in time."""
--- a/acaciawing/jobserver/membership.py
+++ b/acaciawing/jobserver/membership.py
@@ -25,6 +25,9 @@
 # Interval between two reads of the cells' holders.
 _HOLDERS_READ_INTERVAL_S = 1.0
 
+# Minimum time between two reads, however many were requested.
+_MIN_HOLDERS_READ_INTERVAL_S = 0.05
+
 # Suffix of the names of members that hold cells only if no other does.
 _STANDBY_SUFFIX = "/standby"
 
@@ -226,7 +229,7 @@
             self._refresh_requested.wait(_HOLDERS_READ_INTERVAL_S)
             self._refresh_requested.clear()
             # Several requests in close succession need only one refresh.
-            threading.Event().wait(0.05)
+            threading.Event().wait(_MIN_HOLDERS_READ_INTERVAL_S)
 
     def _update_standby_only_since(self, now: float) -> None:
         members = self._members.values()
--- a/acaciawing/placement/choice.py
+++ b/acaciawing/placement/choice.py
@@ -29,6 +29,9 @@
 # makes a decision slower.
 _SAMPLE_SIZE = 16
 
+# Weight of a free accelerator in a score; the other parts are at most 3 in sum.
+_ACCELERATOR_WEIGHT = 4.0
+
 # Up to this multiple of `_SAMPLE_SIZE` workers are sampled from one bucket. The
 # others are checked only if no sampled worker was feasible.
 _BUCKET_SAMPLE_FACTOR = 2
@@ -165,8 +168,9 @@
     )
     if size == declared or _fits_idle_worker(snapshot, task, size):
         return size
-    # Caps the size at the total of each worker, in any zone, that can hold the
-    # declared size and chooses the result with the most memory.
+    # Caps the size at the total of each worker that can hold the declared size
+    # and chooses the result with the most memory.
+    zones = task.submitted.zones
     capped = [
         replace(
             size,
@@ -174,7 +178,7 @@
             memory_mb=min(size.memory_mb, shape.total.memory_mb),
         )
         for shape in snapshot.index.shapes
-        if shape.total.covers(declared)
+        if shape.total.covers(declared) and (not zones or shape.zone in zones)
     ]
     return max(capped, key=lambda s: s.memory_mb, default=declared)
 
@@ -281,7 +285,12 @@
     processors = remaining.processors / max(1.0, total.processors)
     memory = remaining.memory_mb / max(1, total.memory_mb)
     imbalance = abs(processors - memory)
-    return 4.0 * remaining.accelerators + processors + memory + imbalance
+    return (
+        _ACCELERATOR_WEIGHT * remaining.accelerators
+        + processors
+        + memory
+        + imbalance
+    )
 
 
 def _explain(
--- a/acaciawing/placement/tests/test_placement.py
+++ b/acaciawing/placement/tests/test_placement.py
@@ -343,6 +343,21 @@
         assert isinstance(decision, Placed)
         assert decision.size.memory_mb == 128_000
 
+    def test_correction_is_capped_by_workers_of_the_task_s_zones(self) -> None:
+        # A larger worker of another zone left the task beside an idle worker.
+        large = worker(1)
+        large = replace(large, total=replace(large.total, memory_mb=256_000))
+        fake = FakeWorkers([worker(0), large])
+        declared = Resources(8, 100_000)
+        for _ in range(5):
+            fake.corrections = record_usage(
+                fake.corrections, "render", declared, Resources(8, 200_000)
+            )
+        fake.submit("t", declared, zones=("z0",))
+        decision = fake.decide("t")
+        assert isinstance(decision, Placed)
+        assert decision.worker.worker == "w0"
+
     def test_out_of_memory_doubles_memory_of_the_next_attempt(self) -> None:
         fake = FakeWorkers([worker(n) for n in range(8)])
         fake.submit("t", _SMALL)
