Store a round's started maintenance in one append and ask all cells at once

Reports were read one after the other, 1.2 s for each lost holder. Change: one append a round for all waves, repeated by the next round if it fails; the cells' reports are read at the same time. Ruled out: processor time of the holder (0.41 cores at most of 2.15).

--- a/acaciawing/jobserver/fleet_task.py
+++ b/acaciawing/jobserver/fleet_task.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 from acaciawing.jobs.fleet import (
@@ -46,6 +47,10 @@
 # know yet that it has lost the cell. Longer than the join interval.
 _TAKEOVER_DELAY_S = 0.5
 
+# Cells are asked for their reports at the same time, because a lost holder takes
+# up to 1.2 s to be recognized.
+MAX_PARALLEL_REPORTS = 8
+
 # Limits the orders of a round, so that later orders are decided on newer data.
 MAX_ORDERS_PER_ROUND = 40
 
@@ -76,6 +81,9 @@
         self._order_executor = MachineOrderExecutor(
             settings.machines_address, settings.name
         )
+        self._executor = ThreadPoolExecutor(
+            MAX_PARALLEL_REPORTS, "cell reports"
+        )
         self._statuses = WaveStatusStore(settings.store_address)
         self._plan = FleetPlanner(_log_decision)
         self._waves_observed_at: dict[int, float] = {}
@@ -233,10 +241,10 @@
             cell_of(service, self._settings.partitions)
             for service in configuration.pools
         }
-        reports = [
-            self._peers.cell_report(cell, evacuate) for cell in sorted(cells)
-        ]
-        return _with_reports(snapshot, reports)
+        reports = self._executor.map(
+            lambda cell: self._peers.cell_report(cell, evacuate), sorted(cells)
+        )
+        return _with_reports(snapshot, list(reports))
 
     def _carry_out(
         self, orders: list[FleetOrder], tenure: FleetTenure, not_after: float
@@ -246,6 +254,7 @@
         )
         for order, outcome in zip(orders, outcomes, strict=True):
             self._handle_outcome(order, outcome, tenure)
+        self._statuses.save_maintenance_started()
 
     def _handle_outcome(
         self,
--- a/acaciawing/platform/fleet_records.py
+++ b/acaciawing/platform/fleet_records.py
@@ -46,15 +46,14 @@
     def read(self, waves: Set[int]) -> bool | None:
         """Reads the stored progress if any of the waves was not read yet.
 
-        If all of them were read, it retries the failed writes of machines whose
-        maintenance has started.
+        If all of them were read, it stores machines whose maintenance has
+        started and that were not stored yet.
 
         Returns:
             True, or None if the store did not respond.
         """
         if self._waves_read is not None and waves <= self._waves_read:
-            for number in list(self._unwritten_waves):
-                self._write_maintenance_started(number)
+            self.save_maintenance_started()
             return True
         states = self._store.newest(_STATUS_TOPIC)
         progress = self._store.newest(_PROGRESS_TOPIC)
@@ -86,9 +85,30 @@
         return self._maintenance_started.get(wave, set())
 
     def record_maintenance_started(self, wave: int, machine: str) -> None:
-        """Records that the maintenance of a machine has started."""
+        """Records that the maintenance of a machine has started.
+
+        `save_maintenance_started` stores it.
+        """
         self._maintenance_started.setdefault(wave, set()).add(machine)
-        self._write_maintenance_started(wave)
+        self._unwritten_waves.add(wave)
+
+    def save_maintenance_started(self) -> None:
+        """Stores what was recorded since the last call, in one append."""
+        waves = sorted(self._unwritten_waves)
+        if not waves:
+            return
+        records = [
+            encode_keyed_record(
+                f"wave/{wave}",
+                msgspec.json.encode(
+                    sorted(self._maintenance_started.get(wave, ()))
+                ),
+            )
+            for wave in waves
+        ]
+        result = self._store.append(_PROGRESS_TOPIC, 0, records)
+        if isinstance(result, Stored):
+            self._unwritten_waves.clear()
 
     def write(self, wave: int, *, completed: bool) -> None:
         """Writes the state of a wave for the operator, if it has changed."""
@@ -103,18 +123,6 @@
         if isinstance(result, Stored):
             self._stored_states[wave] = state
 
-    def _write_maintenance_started(self, wave: int) -> None:
-        value = msgspec.json.encode(
-            sorted(self._maintenance_started.get(wave, ()))
-        )
-        result = self._store.append_keyed(
-            _PROGRESS_TOPIC, f"wave/{wave}", value
-        )
-        if isinstance(result, Stored):
-            self._unwritten_waves.discard(wave)
-        else:
-            self._unwritten_waves.add(wave)
-
 
 def _parse_wave_number(key: str) -> int | None:
     prefix, _, number = key.rpartition("/")
