Place the newest jobs first in pools whose work can't all be on time

Cause: in order of arrival an overloaded pool places each job just when it becomes late; estimates are off by half, so most of what it places is late. The planner tells the cells that cpu with its evacuations.

--- a/acaciawing/jobs/fleet_planner.py
+++ b/acaciawing/jobs/fleet_planner.py
@@ -111,8 +111,21 @@
             frozenset(orders),
             frozenset(w for w, o in orders.items() if isinstance(o, Maintain)),
             frozenset(m.worker for m in snapshot.machines if m.id in in_waves),
+            self._expected_cpu(snapshot),
         )
 
+    def _expected_cpu(self, snapshot: FleetSnapshot) -> dict[str, int]:
+        """Returns the cpu of each pool once all ordered moves have ended."""
+        expected: Counter[str] = Counter()
+        for machine in snapshot.machines:
+            pending = self._pending_orders.get(machine.id)
+            if pending is not None:
+                if isinstance(pending.order, Move):
+                    expected[pending.order.service] += machine.capacity.cpu
+            elif machine.up or machine.up_soon:
+                expected[machine.service] += machine.capacity.cpu
+        return dict(expected)
+
     def discard_order(self, machine: str) -> None:
         """Discards a machine's order after it was carried out or refused."""
         self._pending_orders.pop(machine, None)
--- a/acaciawing/jobs/urgency.py
+++ b/acaciawing/jobs/urgency.py
@@ -45,14 +45,15 @@
         batch: Whether the subtask ends by itself; long-running ones go first.
         urgency: Urgency of the job.
         not_started: Whether no run of the job has started; others go first.
-        submitted_ms: When the job was submitted, Unix time in milliseconds.
+        arrival_ms: When the job was submitted, Unix time in milliseconds;
+            negative to place the newest first.
     """
 
     priority: int
     batch: bool
     urgency: Urgency
     not_started: bool
-    submitted_ms: int
+    arrival_ms: int
 
 
 def critical_paths_ms(job: Job) -> tuple[int, ...]:
