Tell clients to come back later the longer the store has been away

Cause: a refusal always asked for a return after 1 s. Change: a decision of its own (jobs/retry_after.py): the pause follows the time since the store's last answer, 1 to 3 s, rounded at random so that clients return spread. Ruled out: longer pauses from the start (another instance may serve at once); more than 3 s (the job has lost its value by then).

--- a/acaciawing/jobserver/client_api.py
+++ b/acaciawing/jobserver/client_api.py
@@ -15,13 +15,13 @@
     Record,
     encode_record,
 )
+from acaciawing.jobs.retry_after import MIN_RETRY_AFTER_S, retry_after_s
 from acaciawing.jobserver.appender import Appender
 from acaciawing.jobserver.clock import steady_s, unix_ms
 from acaciawing.jobserver.keyed_topics import ConfigurationFollower
 from acaciawing.jobserver.limits import (
     ANSWER_MARGIN_S,
     MAX_RETRY_PAUSE_S,
-    RETRY_AFTER_S,
     RETRY_PAUSE_S,
 )
 from acaciawing.jobserver.membership import StoreContact, cell_of
@@ -48,10 +48,17 @@
 
 @dataclass(frozen=True)
 class Reply:
-    """Response to a client."""
+    """Response to a client.
+
+    Attributes:
+        status: HTTP status code.
+        body: Fields of the JSON body.
+        retry_after_s: Value of the Retry-After header of a refusal, in seconds.
+    """
 
     status: int
     body: dict[str, Any]
+    retry_after_s: int = MIN_RETRY_AFTER_S
 
 
 class ClientApi:
@@ -111,7 +118,7 @@
             ("Content-Length", str(len(body))),
         ]
         if reply.status in (429, 503):
-            headers.append(("Retry-After", str(RETRY_AFTER_S)))
+            headers.append(("Retry-After", str(reply.retry_after_s)))
         start_response(
             f"{reply.status} {_REASON_PHRASES.get(reply.status, 'Status')}",
             headers,
@@ -190,7 +197,11 @@
             log_event(
                 Event.JOB_REFUSED, {"job": job_id, "reason": result.detail}
             )
-            return Reply(503, {"error": "not run: the store refused the job"})
+            return Reply(
+                503,
+                {"error": "not run: the store refused the job"},
+                self._retry_after_s(),
+            )
         log_event(Event.JOB_UNDECIDED, {"job": job_id, "reason": str(result)})
         return Reply(504, {"error": "not known whether the job is stored"})
 
@@ -204,9 +215,17 @@
         if isinstance(result, Stored):
             return Reply(200, {})
         if isinstance(result, NotStored):
-            return Reply(503, {"error": "the store refused the call"})
+            return Reply(
+                503,
+                {"error": "the store refused the call"},
+                self._retry_after_s(),
+            )
         return Reply(504, {"error": "not known whether the call is stored"})
 
+    def _retry_after_s(self) -> int:
+        outage_s = steady_s() - self._contact.answered_at
+        return retry_after_s(outage_s, self._jitter.random())
+
     def _append(
         self, queue: Queue, job: str, record: Record, deadline: float
     ) -> AppendResult:
--- a/acaciawing/jobserver/limits.py
+++ b/acaciawing/jobserver/limits.py
@@ -75,9 +75,6 @@
 # Part of a client's timeout that is reserved for the transit of the answer.
 ANSWER_MARGIN_S = 0.15
 
-# Value of the Retry-After header for requests that were not executed.
-RETRY_AFTER_S = 1
-
 # Number of threads for clients and number of threads for other instances.
 CLIENT_THREADS = 16
 PEER_THREADS = 6
