Don't move a machine on while an unanswered move of it may still follow

The order is repeated and answered, the machine gets runs in its pool or is lent on, and the first call then takes it away. Ruled out: a late upkeep (an upkeep of a wave that is done has no effect).

--- a/acaciawing/jobs/fleet_planner.py
+++ b/acaciawing/jobs/fleet_planner.py
@@ -98,6 +98,9 @@
         self._target_sizes: dict[str, int] = {}
         self._refused_moves: set[tuple[str, str]] = set()
         self._unconfirmed: dict[str, UnconfirmedOrder] = {}
+        # Until when, in seconds, a move may be carried out once more by a call
+        # that was not answered, by machine.
+        self._late_moves_until: dict[str, float] = {}
 
     def evacuate(self, snapshot: FleetSnapshot) -> Evacuation:
         """Returns the workers to evacuate."""
@@ -137,9 +140,10 @@
         The machine stays evacuated and the order is repeated until it is
         answered, because a late execution ends everything that runs there.
         """
-        self._unconfirmed[order.machine] = UnconfirmedOrder(
-            order, now + MAX_ORDER_DELAY_S
-        )
+        until = now + MAX_ORDER_DELAY_S
+        self._unconfirmed[order.machine] = UnconfirmedOrder(order, until)
+        if isinstance(order, Move):
+            self._late_moves_until[order.machine] = until
 
     def record_refusal(self, order: FleetOrder) -> None:
         """Records a refused order; a refused move is not ordered again."""
@@ -153,6 +157,11 @@
         """Chooses machines to evacuate, and returns the orders to give now."""
         machines = {m.id: m for m in snapshot.machines}
         self._sizing.observe(snapshot, now)
+        self._late_moves_until = {
+            m: until
+            for m, until in self._late_moves_until.items()
+            if now < until
+        }
         self._target_sizes = self._divide(snapshot)
         self._drop_obsolete_orders(snapshot, machines, now)
         self._choose_maintenance(snapshot, machines, now)
@@ -456,7 +465,7 @@
             if m.service in snapshot.spare
             and not m.worker
             and m.up
-            and m.id not in self._pending_orders
+            and self._may_move(m)
             and m.zone not in unreachable
         ]
         chosen += [
@@ -470,6 +479,17 @@
                 chosen += self._idle_machines(other, snapshot)[:surplus]
         return [m for m in chosen if (m.id, service) not in self._refused_moves]
 
+    def _may_move(self, machine: MachineState) -> bool:
+        """Whether no earlier order can take the machine away again.
+
+        An unanswered move is repeated until it is answered; the first call may
+        still be carried out after that, which only matters in another pool.
+        """
+        return (
+            machine.id not in self._pending_orders
+            and machine.id not in self._late_moves_until
+        )
+
     def _idle_machines(
         self, service: str, snapshot: FleetSnapshot
     ) -> list[MachineState]:
@@ -485,7 +505,7 @@
             if (
                 machine.service == service
                 and machine.up
-                and machine.id not in self._pending_orders
+                and self._may_move(machine)
                 and machine.id not in in_waves
                 and load is not None
                 and not load.lasting
--- a/acaciawing/jobs/tests/test_fleet_planner.py
+++ b/acaciawing/jobs/tests/test_fleet_planner.py
@@ -313,6 +313,22 @@
         fleet.plan.decide(fleet._snapshot(), fleet.now)
         assert order.machine not in fleet.plan._pending_orders
 
+    def test_machine_is_not_moved_on_while_a_late_move_may_follow(
+        self,
+    ) -> None:
+        # The first call, carried out late, would take it from its new pool.
+        fleet = Fleet(busy=MIN_MACHINES, idle=MIN_MACHINES, off=1)
+        fleet.waiting = {"idle": 200_000}
+        (order,) = fleet.plan.decide(fleet._snapshot(), fleet.now)
+        fleet.plan.record_unconfirmed(order, fleet.now)
+        fleet.plan.discard_order(order.machine)
+        fleet.machines["o0"] = fleet._machine("o0", "idle")
+        fleet.waiting = {"busy": 200_000}
+        fleet.loads = {"i0": 1_000, "i1": 1_000, "i2": 1_000}
+        early = fleet.rounds(MAX_ORDER_DELAY_S - 1)
+        assert not [o for o in early if o.machine == "o0"]
+        assert [o for o in fleet.rounds(2) if o.machine == "o0"]
+
     def test_unanswered_maintenance_is_repeated_within_the_limit(self) -> None:
         fleet = Fleet(busy=MIN_MACHINES, idle=MIN_MACHINES)
         fleet.waves = (MaintenanceWave(1, ("o0", "o1"), 1, 35.0),)
