--- a/acaciawing/jobs/tests/test_fleet_planner.py
+++ b/acaciawing/jobs/tests/test_fleet_planner.py
@@ -11,7 +11,8 @@
     PoolLoad,
     WorkerLoad,
 )
-from acaciawing.jobs.fleet_planner import MAX_ORDER_DELAY_S, FleetPlanner
+from acaciawing.jobs.fleet_planner import FleetPlanner
+from acaciawing.jobs.pending_orders import MAX_ORDER_DELAY_S
 from acaciawing.jobs.pool_sizing import (
     MIN_MACHINES,
     MIN_OBSERVATION_S,
@@ -301,7 +302,7 @@
         fleet.plan.decide(fleet._snapshot(), fleet.now)
         evacuated = fleet.plan.evacuate(fleet._snapshot()).workers
         assert f"w-{order.machine}" in evacuated
-        assert fleet.plan._pending_orders[order.machine].order == order
+        assert fleet.plan._orders.find(order.machine) == order
 
     def test_machine_that_has_moved_is_used_again(self) -> None:
         fleet = Fleet()
@@ -311,7 +312,7 @@
         )
         fleet.now += 0.15
         fleet.plan.decide(fleet._snapshot(), fleet.now)
-        assert order.machine not in fleet.plan._pending_orders
+        assert order.machine not in fleet.plan._orders
 
     def test_machine_is_not_moved_on_while_a_late_move_may_follow(
         self,
