--- a/acaciawing/jobserver/tests/test_cell_log.py
+++ b/acaciawing/jobserver/tests/test_cell_log.py
@@ -1,11 +1,9 @@
 """Tests of the topics that submissions are appended to."""
 
 import random
-import threading
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from queue import SimpleQueue
-from typing import Any
 
 from acaciawing.jobs import JobSubmitted, SubtaskDone, encode_record
 from acaciawing.jobs.tests.builders import make_job
@@ -22,7 +20,7 @@
     RecordsRead,
 )
 from standins.job_store import JobStore
-from standins.server import Response, serving
+from standins.server import serving
 
 # Duration of an append at a slow store, which makes the appends to a partition
 # one at a time, in seconds.
@@ -49,32 +47,11 @@
     return waits
 
 
-class _DelayedStore(JobStore):
-    """Counts the calls that follow one another in a recovery."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.rounds: list[str] = []
-        self._round_lock = threading.Lock()
-
-    def handle(
-        self,
-        method: str,
-        path: str,
-        query: dict[str, str],
-        body: bytes,
-        environ: dict[str, Any],
-    ) -> Response:
-        with self._round_lock:
-            self.rounds.append(f"{path} {query.get('Topic', '')}")
-        return super().handle(method, path, query, body, environ)
-
-
 class TestRecovery:
     """Guards against a takeover that a slow store makes long or wrong."""
 
     def test_progress_is_delivered_after_all_submissions(self) -> None:
-        store = _DelayedStore()
+        store = JobStore()
         job = make_job("00000000000000a1")
         submitted = JobSubmitted(job, 0)
         done = SubtaskDone("00000000000000a1.0.0.0", 1)
@@ -90,8 +67,8 @@
         assert read == [(submitted,), (done,)]
         assert isinstance(messages[2], RecordsCaughtUp)
         # Everything is read once after the fence; the rest follows new records.
-        assert store.rounds[0] == f"/v1/log-append {PROGRESS_TOPIC}"
-        assert sorted(store.rounds[1:10]) == sorted(
+        assert store.calls[0] == f"/v1/log-append {PROGRESS_TOPIC}"
+        assert sorted(store.calls[1:10]) == sorted(
             {f"/v1/log-read {PROGRESS_TOPIC}"}
             | {f"/v1/log-read {jobs_topic(f'{n:016x}')}" for n in range(99)}
         )
--- a/standins/job_store.py
+++ b/standins/job_store.py
@@ -77,6 +77,7 @@
 
     Attributes:
         unavailable: Whether every request is answered with 503.
+        calls: Path and topic of each request, in order of arrival.
     """
 
     def __init__(self, partitions: int = 8) -> None:
@@ -87,6 +88,7 @@
         self._producers: dict[tuple[str, int, str], tuple[int, int, Any]] = {}
         self._groups: dict[str, _Group] = {}
         self.unavailable = False
+        self.calls: list[str] = []
 
     def put(self, topic: str, key: str, value: object) -> None:
         """Appends a value of a key, as an operator or a worker does.
@@ -107,6 +109,8 @@
     ) -> Response:
         """Handles one HTTP request."""
         del method, environ
+        with self._changed:
+            self.calls.append(f"{path} {query.get('Topic', '')}")
         if self.unavailable:
             return json_response(503, {})
         if path == "/v1/log-append":
