--- a/acaciawing/jobs/evacuation.py
+++ b/acaciawing/jobs/evacuation.py
@@ -32,7 +32,6 @@
         stopped after a timeout. A long-running run is moved when the
         disruption budget of its step allows it and another worker has room.
         """
-        self._expected_cpu = evacuation.expected_cpu
         for view in self.views.values():
             requested = view.incarnation.worker in evacuation.workers
             if requested and not view.evacuating:
--- a/acaciawing/jobs/fleet.py
+++ b/acaciawing/jobs/fleet.py
@@ -128,14 +128,11 @@
         workers: Ids of the workers.
         hurried: Those of them whose runs are stopped after a timeout.
         due: Workers whose machines are scheduled for maintenance.
-        expected_cpu: Cpu by service of the machines that a pool has or will
-            have when ordered moves have ended, in thousandths of a core.
     """
 
     workers: frozenset[str] = frozenset()
     hurried: frozenset[str] = frozenset()
     due: frozenset[str] = frozenset()
-    expected_cpu: dict[str, int] = {}
 
 
 class FleetSnapshot(NamedTuple):
--- a/acaciawing/jobs/fleet_planner.py
+++ b/acaciawing/jobs/fleet_planner.py
@@ -60,7 +60,6 @@
             frozenset(orders),
             frozenset(w for w, o in orders.items() if isinstance(o, Maintain)),
             frozenset(m.worker for m in snapshot.machines if m.id in in_waves),
-            self._orders.expected_cpu(snapshot),
         )
 
     def discard_order(self, machine: str) -> None:
--- a/acaciawing/jobs/pending_orders.py
+++ b/acaciawing/jobs/pending_orders.py
@@ -1,6 +1,5 @@
 """Orders for machines that wait for an evacuation or for an answer."""
 
-from collections import Counter
 from collections.abc import Iterator, Mapping, Set
 from typing import NamedTuple
 
@@ -142,17 +141,6 @@
             for order in self
         )
 
-    def expected_cpu(self, snapshot: FleetSnapshot) -> dict[str, int]:
-        """Returns the cpu of each pool once all ordered moves have ended."""
-        expected: Counter[str] = Counter()
-        for machine in snapshot.machines:
-            order = self.find(machine.id)
-            if isinstance(order, Move):
-                expected[order.service] += machine.capacity.cpu
-            elif order is None and (machine.up or machine.up_soon):
-                expected[machine.service] += machine.capacity.cpu
-        return dict(expected)
-
     def drop_obsolete(
         self,
         snapshot: FleetSnapshot,
--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -1,7 +1,5 @@
 """Placement of waiting subtasks on workers."""
 
-from collections.abc import Mapping
-
 from acaciawing.jobs.actions import (
     AdviceRequest,
     AdviceResponse,
@@ -14,9 +12,8 @@
 )
 from acaciawing.jobs.load_report import LoadReporting
 from acaciawing.jobs.model import Queue, Step, SubtaskId
-from acaciawing.jobs.overload import overloaded_services
 from acaciawing.jobs.urgency import Rank, Urgency
-from acaciawing.jobs.waiting import WaitingStep
+from acaciawing.jobs.waiting import StepKey, WaitingStep
 from acaciawing.jobs.worker_choice import choose_gang, choose_worker
 from acaciawing.jobs.workers import CONTACT_TIMEOUT_S, Phase, Run, WorkerView
 
@@ -50,8 +47,11 @@
         if not pools:
             return
         max_free_cpu = {s: _max_free_cpu(views) for s, views in pools.items()}
-        for waiting_step, queue in self._in_placement_order(pools):
-            if queue.service not in pools:
+        for waiting_step in sorted(
+            self._waiting.steps, key=self._placement_rank
+        ):
+            queue = self._queues.get(waiting_step.progress.job.queue)
+            if queue is None or queue.service not in pools:
                 continue
             if waiting_step.step.reserved.cpu > max_free_cpu[queue.service]:
                 continue
@@ -113,44 +113,26 @@
             if self._tickets.ticket(step, v.incarnation.worker, now) is not None
         ]
 
-    def _in_placement_order(
-        self, pools: Mapping[str, list[WorkerView]]
-    ) -> list[tuple[WaitingStep, Queue]]:
-        """Returns the waiting steps and their queues, most urgent first."""
-        steps: list[tuple[WaitingStep, Queue, Urgency]] = []
-        on_time_work: dict[str, float] = {}
-        for waiting_step in self._waiting.steps:
-            progress = waiting_step.progress
-            queue = self._queues.get(progress.job.queue)
-            if queue is None:
-                continue
-            urgency = self._urgency(progress, queue, waiting_step.key)
-            steps.append((waiting_step, queue, urgency))
-            if urgency is Urgency.ON_TIME:
-                on_time_work[queue.service] = (
-                    on_time_work.get(queue.service, 0.0)
-                    + len(waiting_step.since) * waiting_step.step.estimated_work
-                )
-        overloaded = overloaded_services(on_time_work, self._pool_cpu(pools))
-        steps.sort(
-            key=lambda item: (
-                _rank(*item, newest_first=item[1].service in overloaded),
-                item[0].key,
-            )
+    def _placement_rank(
+        self, waiting_step: WaitingStep
+    ) -> tuple[Rank, StepKey]:
+        """Returns the sort key of a waiting step; the smallest goes first."""
+        progress = waiting_step.progress
+        queue = self._queues.get(progress.job.queue)
+        priority = queue.priority if queue is not None else 0
+        urgency = (
+            self._urgency(progress, queue, waiting_step.key)
+            if queue is not None
+            else Urgency.ON_TIME
         )
-        return [(waiting_step, queue) for waiting_step, queue, _ in steps]
-
-    def _pool_cpu(
-        self, pools: Mapping[str, list[WorkerView]]
-    ) -> dict[str, int]:
-        """Returns the cpu that each pool has or is about to have."""
-        return {
-            service: max(
-                self._expected_cpu.get(service, 0),
-                sum(view.registration.capacity.cpu for view in views),
-            )
-            for service, views in pools.items()
-        }
+        rank = Rank(
+            priority,
+            not waiting_step.step.lasting,
+            urgency,
+            not progress.started,
+            progress.submitted_ms,
+        )
+        return rank, waiting_step.key
 
     def _may_still_run(self, job: str) -> bool:
         """Whether a job may have runs that an earlier holder started."""
@@ -260,25 +242,6 @@
         return max(checkpoints)
 
 
-def _rank(
-    waiting_step: WaitingStep,
-    queue: Queue,
-    urgency: Urgency,
-    *,
-    newest_first: bool,
-) -> Rank:
-    """Returns the sort key of a waiting step; the smallest goes first."""
-    progress = waiting_step.progress
-    newest_first = newest_first and urgency is Urgency.ON_TIME
-    return Rank(
-        queue.priority,
-        not waiting_step.step.lasting,
-        urgency,
-        not progress.started,
-        -progress.submitted_ms if newest_first else progress.submitted_ms,
-    )
-
-
 def _max_free_cpu(views: list[WorkerView]) -> int:
     """Returns the largest free cpu of a worker, in thousandths of a core."""
     return max(view.registration.capacity.cpu - view.used.cpu for view in views)
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -66,8 +66,6 @@
         self._run_times_s: dict[StepKey, list[float]] = {}
         # Work that became ready since the takeover, by service, in core-seconds.
         self._arrived_work: dict[str, float] = {}
-        # Cpu by service that the fleet's planner expects, see `Evacuation`.
-        self._expected_cpu: dict[str, int] = {}
         self._checkpoints: dict[SubtaskId, str] = {}
         self._run_counts: dict[SubtaskId, int] = {}
         self._last_durable_number = 0
--- a/acaciawing/jobs/tests/pool_emulator.py
+++ b/acaciawing/jobs/tests/pool_emulator.py
@@ -17,7 +17,6 @@
     WorkerLoad,
 )
 from acaciawing.jobs.fleet_planner import FleetPlanner
-from acaciawing.jobs.overload import overloaded_services
 
 _ROUND_S = 0.15
 _MOVE_S = 1.5
@@ -61,8 +60,6 @@
         peak_rate: Jobs a second of the service whose turn it is.
         turn_s: Duration of a turn, in seconds.
         tells_late_work: Whether the planner learns which work is late.
-        newest_first_if_overloaded: Whether overloaded pools place the newest
-            jobs first.
 
     Attributes:
         latencies_s: Time from arrival to completion of each job, by service.
@@ -78,12 +75,10 @@
         turn_s: float,
         *,
         tells_late_work: bool = True,
-        newest_first_if_overloaded: bool = True,
     ) -> None:
         self._peak_rate = peak_rate
         self._turn_s = turn_s
         self._tells_late_work = tells_late_work
-        self._newest_first_if_overloaded = newest_first_if_overloaded
         self._rng = random.Random(11)
         self._planner = FleetPlanner()
         self._jobs: list[_Job] = []
@@ -136,7 +131,9 @@
 
     def _place(self, now: float) -> None:
         evacuation = self._planner.evacuate(self._snapshot(now))
-        for job in self._in_order(evacuation.expected_cpu, now):
+        for job in sorted(
+            self._jobs, key=lambda j: (j.is_late(now), j.arrived_at)
+        ):
             for machine in self._machines:
                 if (
                     machine.service == job.service
@@ -148,27 +145,6 @@
                     job.waiting -= count
                     job.running += count
 
-    def _in_order(self, cpu: dict[str, int], now: float) -> list[_Job]:
-        work: Counter[str] = Counter()
-        for job in self._jobs:
-            if not job.is_late(now):
-                work[job.service] += job.waiting
-        on_time_work = {s: n * _SUBTASK_WORK for s, n in work.items()}
-        overloaded = overloaded_services(on_time_work, cpu)
-        newest_first = self._newest_first_if_overloaded
-        return sorted(
-            self._jobs,
-            key=lambda job: (
-                job.is_late(now),
-                job.waiting == _SUBTASKS,
-                -job.arrived_at
-                if newest_first
-                and job.service in overloaded
-                and not job.is_late(now)
-                else job.arrived_at,
-            ),
-        )
-
     def _move(self, now: float) -> None:
         by_name = {m.name: m for m in self._machines}
         for order in self._planner.decide(self._snapshot(now), now):
--- a/acaciawing/jobs/urgency.py
+++ b/acaciawing/jobs/urgency.py
@@ -45,15 +45,14 @@
         batch: Whether the subtask ends by itself; long-running ones go first.
         urgency: Urgency of the job.
         not_started: Whether no run of the job has started; others go first.
-        arrival_ms: When the job was submitted, Unix time in milliseconds;
-            negative to place the newest first.
+        submitted_ms: When the job was submitted, Unix time in milliseconds.
     """
 
     priority: int
     batch: bool
     urgency: Urgency
     not_started: bool
-    arrival_ms: int
+    submitted_ms: int
 
 
 def critical_paths_ms(job: Job) -> tuple[int, ...]:
