Size pools by their load and its trend again

Runs take a fifth longer than estimated (stragglers), so machines for the estimated work have no headroom left, which the emulator with exact estimates hides. Change: the sizes and reports from before; the division of machines stays.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -83,8 +83,6 @@
                 progress.finished_at_ms = self._unix_ms
             else:
                 self._queue_ready_steps(progress, now)
-        # The work of an earlier holder's jobs is a backlog, not an arrival.
-        self._arrived_work.clear()
         early_reports, self._early_reports = self._early_reports, {}
         for report in early_reports.values():
             self.receive(report, now)
--- a/acaciawing/jobs/fleet.py
+++ b/acaciawing/jobs/fleet.py
@@ -31,21 +31,14 @@
         waiting: Resources that waiting subtasks request.
         used: Resources reserved for runs.
         capacity: Capacity of the workers that may get new runs.
-        arrived_work: Estimated work of all batch subtasks that became ready
-            since the holder's takeover, in core-seconds.
-        waiting_work: Estimated work of waiting batch subtasks, in core-seconds.
-        late_work: Part of `waiting_work` for jobs that will miss their latency
-            objective.
-        late_cpu: Part of the used cpu for such jobs, in thousandths of a core.
+        late: Part of `waiting` and `used` for jobs that will miss their
+            latency objective.
     """
 
     waiting: Resources
     used: Resources
     capacity: Resources
-    arrived_work: float = 0.0
-    waiting_work: float = 0.0
-    late_work: float = 0.0
-    late_cpu: int = 0
+    late: Resources = Resources()
 
 
 class CellReport(msgspec.Struct, frozen=True):
--- a/acaciawing/jobs/fleet_planner.py
+++ b/acaciawing/jobs/fleet_planner.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable, Iterable
 
-from acaciawing.allocation import PoolDemand, divide_machines
+from acaciawing.allocation import divide_machines
 from acaciawing.jobs.fleet import (
     Evacuation,
     FleetOrder,
@@ -116,24 +116,17 @@
 
     def _divide(self, snapshot: FleetSnapshot) -> dict[str, int]:
         """Returns the number of machines that each pool should have."""
+        demands = {
+            service: self._sizing.demand(service, snapshot)
+            for service in snapshot.pools
+            if service not in snapshot.spare
+        }
         available = sum(
             (m.up or m.up_soon) and not is_silent(m, snapshot)
             for m in snapshot.machines
         )
-        demands = self._demands(snapshot, scarce=False)
-        if sum(d.on_time + d.late for d in demands.values()) > available:
-            demands = self._demands(snapshot, scarce=True)
         return divide_machines(demands, available)
 
-    def _demands(
-        self, snapshot: FleetSnapshot, *, scarce: bool
-    ) -> dict[str, PoolDemand]:
-        return {
-            service: self._sizing.demand(service, snapshot, scarce=scarce)
-            for service in snapshot.pools
-            if service not in snapshot.spare
-        }
-
     def _log_size(
         self, service: str, shortage: int, snapshot: FleetSnapshot, now: float
     ) -> None:
@@ -158,7 +151,7 @@
             present=sum(m.service == service for m in snapshot.machines),
             used_cpu=pool.used.cpu,
             waiting_cpu=pool.waiting.cpu,
-            late_cpu=pool.late_cpu,
+            late_cpu=pool.late.cpu,
         )
 
     def _cancel_releases(
--- a/acaciawing/jobs/load_report.py
+++ b/acaciawing/jobs/load_report.py
@@ -1,7 +1,5 @@
 """Reports of a cell's load, from which the fleet's machines are divided."""
 
-from collections import Counter
-
 from acaciawing.jobs.evacuation import WorkerEvacuation
 from acaciawing.jobs.fleet import CellReport, PoolLoad, WorkerLoad
 from acaciawing.jobs.model import Queue, Resources
@@ -19,7 +17,7 @@
         used: dict[str, Resources] = {}
         capacity: dict[str, Resources] = {}
         waiting: dict[str, Resources] = {}
-        late_cpu: Counter[str] = Counter()
+        late: dict[str, Resources] = {}
         none = Resources()
         late_runs = self._late_runs()
         for view in self.views.values():
@@ -28,37 +26,31 @@
                 continue
             used[service] = used.get(service, none) + view.used
             for key in view.runs_per_step.keys() & late_runs.keys():
-                late_cpu[service] += late_runs[key] * view.runs_per_step[key]
+                reserved = late_runs[key].times(view.runs_per_step[key])
+                late[service] = late.get(service, none) + reserved
             if view.usable(now):
                 total = capacity.get(service, none)
                 capacity[service] = total + view.registration.capacity
-        work: dict[str, float] = {}
-        late_work: dict[str, float] = {}
         for waiting_step in self._waiting.steps:
             queue = self._queues.get(waiting_step.progress.job.queue)
             if queue is None:
                 continue
-            service, step = queue.service, waiting_step.step
-            count = len(waiting_step.since)
-            waiting[service] = waiting.get(service, none) + (
-                step.reserved.times(count)
+            service = queue.service
+            requested = waiting_step.step.reserved.times(
+                len(waiting_step.since)
             )
-            step_work = count * step.estimated_work
-            work[service] = work.get(service, 0.0) + step_work
+            waiting[service] = waiting.get(service, none) + requested
             urgency = self._urgency(
                 waiting_step.progress, queue, waiting_step.key
             )
             if urgency is not Urgency.ON_TIME:
-                late_work[service] = late_work.get(service, 0.0) + step_work
+                late[service] = late.get(service, none) + requested
         pools = {
             service: PoolLoad(
                 waiting.get(service, none),
                 used.get(service, none),
                 capacity.get(service, none),
-                self._arrived_work.get(service, 0.0),
-                work.get(service, 0.0),
-                late_work.get(service, 0.0),
-                late_cpu[service],
+                late.get(service, none),
             )
             for service in {*used, *waiting}
         }
@@ -91,9 +83,9 @@
             self._unix_ms,
         )
 
-    def _late_runs(self) -> dict[StepKey, int]:
-        """Returns the cpu of a run for each running step of a late job."""
-        late: dict[StepKey, int] = {}
+    def _late_runs(self) -> dict[StepKey, Resources]:
+        """Returns what a run reserves in each step of a job that is late."""
+        late: dict[StepKey, Resources] = {}
         for key in {subtask[:3] for subtask in self._active}:
             progress = self.table.jobs[key[0]]
             queue = self._queues.get(progress.job.queue)
@@ -106,7 +98,7 @@
             if is_certainly_late(
                 paths, queue, since_ms, left_ms, self._unix_ms
             ):
-                late[key] = step.reserved.cpu
+                late[key] = step.reserved
         return late
 
 
--- a/acaciawing/jobs/pool_sizing.py
+++ b/acaciawing/jobs/pool_sizing.py
@@ -4,7 +4,7 @@
 from collections import deque
 
 from acaciawing.allocation import PoolDemand
-from acaciawing.jobs.fleet import FleetSnapshot, PoolLoad
+from acaciawing.jobs.fleet import FleetSnapshot
 
 # Factor on the expected load of a pool: subtasks don't use machines evenly, and
 # some machines are slow.
@@ -16,19 +16,14 @@
 MIN_MACHINES = 3
 MIN_MACHINES_SHARE = 0.03
 
-# The rate at which work arrives is computed over this time.
-ARRIVAL_WINDOW_S = 0.6
+# A rising load is extrapolated by a lead time. The base applies to a load of up
+# to three machines, where a single large job looks like a trend; the lead time
+# grows with the load up to the maximum, the time that a move takes.
+BASE_LEAD_S = 0.7
+MAX_LEAD_S = 1.7
 
-# Minimum time between the first and the last observation of a rate.
-MIN_ARRIVAL_WINDOW_S = 0.3
-
-# Waiting work is to be done in this time. Machines for all of it at once would
-# arrive after 1.5 s, when others have done most of it.
-BACKLOG_DRAIN_S = 2.5
-
-# While the machines don't suffice for all pools, the share of each follows what
-# its waiting work needs to be on time.
-SCARCE_BACKLOG_DRAIN_S = 1.0
+# The trend of a load is computed over this time.
+TREND_WINDOW_S = 1.0
 
 # A pool retains surplus machines for this time; moving a machine away and back
 # costs as much as 2.3 s of its running time.
@@ -44,59 +39,45 @@
 
     def __init__(self) -> None:
         """Creates the sizing without observed loads."""
-        self._arrivals: dict[str, deque[tuple[float, float]]] = {}
+        self._loads: dict[str, deque[tuple[float, int]]] = {}
         self._surplus_since: dict[str, float] = {}
         self._active_since: dict[str, float] = {}
 
     def observe(self, snapshot: FleetSnapshot, now: float) -> None:
-        """Records the work that has arrived in all pools."""
+        """Records the current loads of all pools."""
         for service, pool in snapshot.pools.items():
-            arrivals = self._arrivals.setdefault(service, deque())
-            if arrivals and pool.arrived_work < arrivals[-1][1]:
-                # A new holder of the cell counts from zero.
-                arrivals.clear()
-            arrivals.append((now, pool.arrived_work))
-            if pool.used.cpu or pool.waiting.cpu:
+            loads = self._loads.setdefault(service, deque())
+            load = pool.used.cpu + pool.waiting.cpu
+            loads.append((now, load))
+            if load:
                 self._active_since.setdefault(service, now)
-            while now - arrivals[0][0] > ARRIVAL_WINDOW_S:
-                arrivals.popleft()
-
-    def needed_cpu(
-        self, service: str, pool: PoolLoad, *, scarce: bool = False
-    ) -> float:
-        """Returns the cpu that a pool's load needs, in thousandths of a core.
-
-        By Little's law, the cpu in use tends to the rate at which work
-        arrives; a backlog needs more until it is done.
-        """
-        drain_s = SCARCE_BACKLOG_DRAIN_S if scarce else BACKLOG_DRAIN_S
-        on_time_work = pool.waiting_work - pool.late_work
-        backlog = on_time_work / drain_s + pool.late_work / BACKLOG_DRAIN_S
-        # Long-running subtasks have no amount of work.
-        at_least = float(pool.used.cpu)
-        if not pool.waiting_work:
-            at_least += pool.waiting.cpu
-        return max(at_least, 1000 * (self._arrival_rate(service) + backlog))
-
-    def _arrival_rate(self, service: str) -> float:
-        """Returns the work that arrives in a second, in core-seconds."""
-        arrivals = self._arrivals.get(service)
-        if not arrivals:
-            return 0.0
-        first_at, first = arrivals[0]
-        last_at, last = arrivals[-1]
-        return (last - first) / max(last_at - first_at, MIN_ARRIVAL_WINDOW_S)
+            while now - loads[0][0] > TREND_WINDOW_S:
+                loads.popleft()
 
-    def demand(
-        self, service: str, snapshot: FleetSnapshot, *, scarce: bool = False
-    ) -> PoolDemand:
-        """Returns the machines that a pool can use.
+    def expected_cpu(self, service: str, machine_cpu: float) -> float:
+        """Returns the cpu load expected when an ordered machine would arrive.
 
         Args:
             service: The pool's service.
-            snapshot: Machines and loads.
-            scarce: Whether the machines don't suffice for all pools.
+            machine_cpu: Cpu of a machine, in thousandths of a core.
         """
+        loads = self._loads.get(service)
+        if not loads:
+            return 0.0
+        first_at, first = loads[0]
+        last_at, last = loads[-1]
+        if last_at - first_at < TREND_WINDOW_S / 4:
+            return last
+        growth = (last - first) / (last_at - first_at)
+        # The noise of a load of n machines grows with the square root of n, so
+        # its relative size shrinks and a longer lead time is reliable.
+        lead_scale = math.sqrt(max(1.0, last / machine_cpu / 3))
+        return last + max(0.0, growth) * min(
+            MAX_LEAD_S, BASE_LEAD_S * lead_scale
+        )
+
+    def demand(self, service: str, snapshot: FleetSnapshot) -> PoolDemand:
+        """Returns the machines that a pool can use."""
         pool = snapshot.pools.get(service)
         sizes = [
             m.capacity
@@ -107,13 +88,14 @@
             return PoolDemand(0, 0, 0)
         cpu = sum(size.cpu for size in sizes) / len(sizes)
         memory_mb = sum(size.memory_mb for size in sizes) / len(sizes)
-        needed_cpu = self.needed_cpu(service, pool, scarce=scarce)
+        load = pool.used + pool.waiting
         needed_machines = max(
-            needed_cpu / cpu, _needed_memory_mb(pool, needed_cpu) / memory_mb
+            self.expected_cpu(service, cpu) / cpu,
+            load.memory_mb / max(1, memory_mb),
+        )
+        late_machines = max(
+            pool.late.cpu / cpu, pool.late.memory_mb / max(1, memory_mb)
         )
-        late_machines = (
-            pool.late_cpu + 1000 * pool.late_work / BACKLOG_DRAIN_S
-        ) / cpu
         floor = max(
             MIN_MACHINES, round(MIN_MACHINES_SHARE * len(snapshot.machines))
         )
@@ -132,11 +114,3 @@
             now - self._surplus_since.setdefault(service, now)
             >= SURPLUS_RETENTION_S
         )
-
-
-def _needed_memory_mb(pool: PoolLoad, needed_cpu: float) -> float:
-    """Returns the memory that goes with the cpu that a pool needs, in MiB."""
-    if not pool.waiting.cpu:
-        return pool.used.memory_mb + pool.waiting.memory_mb
-    started = (needed_cpu - pool.used.cpu) / pool.waiting.cpu
-    return pool.used.memory_mb + pool.waiting.memory_mb * min(1.0, started)
--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -237,23 +237,11 @@
                 break
             for step in list(progress.next_steps(number)):
                 progress.occurrence(number).queued_steps.add(step)
-                self._count_arrival(progress, step)
                 for index in range(progress.job.steps[step].count):
                     subtask = SubtaskId(progress.job.id, number, step, index)
                     if not progress.is_done(subtask):
                         self._enqueue(subtask, now)
 
-    def _count_arrival(self, progress: JobProgress, number: int) -> None:
-        """Adds the work of a step that became ready."""
-        queue = self._queues.get(progress.job.queue)
-        if queue is None:
-            return
-        step = progress.job.steps[number]
-        self._arrived_work[queue.service] = (
-            self._arrived_work.get(queue.service, 0.0)
-            + step.count * step.estimated_work
-        )
-
     def _end_job(self, progress: JobProgress, now: float) -> None:
         """Stops the remaining runs of a finished job."""
         job = progress.job.id
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -64,8 +64,6 @@
         # Worker of the speculative copy of each subtask that has one.
         self._copies: dict[SubtaskId, WorkerView] = {}
         self._run_times_s: dict[StepKey, list[float]] = {}
-        # Work that became ready since the takeover, by service, in core-seconds.
-        self._arrived_work: dict[str, float] = {}
         self._checkpoints: dict[SubtaskId, str] = {}
         self._run_counts: dict[SubtaskId, int] = {}
         self._last_durable_number = 0
