--- a/acaciawing/allocation/division.py
+++ b/acaciawing/allocation/division.py
@@ -1,8 +1,8 @@
 """Division of a fleet's machines between its pools.
 
 Answers the load of days on which demand goes round the pools and exceeds the
-fleet: a pool whose work is late anyway yields machines to pools whose work can
-still be on time. Without this, each pool keeps its machines for a backlog that
+fleet: a pool whose work has lost its value yields machines to pools whose work
+still has some. Without this, each pool keeps its machines for a backlog that
 came too late, and makes the next pool's work late in turn.
 """
 
@@ -16,9 +16,9 @@
 
     Attributes:
         floor: Machines that it has in any case, so that no pool starves.
-        on_time: Machines for work that can still meet its objective, including
-            the floor.
-        late: Further machines, for work that will miss its objective.
+        on_time: Machines for work that ends in time to have some value,
+            including the floor.
+        late: Further machines, for work that will end too late for that.
     """
 
     floor: int
@@ -31,7 +31,7 @@
 ) -> dict[str, int]:
     """Divides machines between pools.
 
-    Floors come first, then work that can be on time, then late work. Where the
+    Floors come first, then work in time, then work that is too late. Where the
     machines don't suffice, each pool gets the same share of what it lacks.
 
     Args:
--- a/acaciawing/jobs/fleet.py
+++ b/acaciawing/jobs/fleet.py
@@ -31,8 +31,8 @@
         waiting: Resources that waiting subtasks request.
         used: Resources reserved for runs.
         capacity: Capacity of the workers that may get new runs.
-        late: Part of `waiting` and `used` for jobs that will miss their
-            latency objective.
+        late: Part of `waiting` and `used` for jobs that will end too late to
+            have any value.
     """
 
     waiting: Resources
--- a/acaciawing/jobs/load_report.py
+++ b/acaciawing/jobs/load_report.py
@@ -4,7 +4,11 @@
 from acaciawing.jobs.fleet import CellReport, PoolLoad, WorkerLoad
 from acaciawing.jobs.model import Queue, Resources
 from acaciawing.jobs.progress import JobProgress
-from acaciawing.jobs.urgency import Urgency, assess_urgency, is_certainly_late
+from acaciawing.jobs.urgency import (
+    Urgency,
+    assess_urgency,
+    is_certainly_expired,
+)
 from acaciawing.jobs.waiting import StepKey
 from acaciawing.jobs.workers import WorkerView
 
@@ -17,17 +21,17 @@
         used: dict[str, Resources] = {}
         capacity: dict[str, Resources] = {}
         waiting: dict[str, Resources] = {}
-        late: dict[str, Resources] = {}
+        expired: dict[str, Resources] = {}
         none = Resources()
-        late_runs = self._late_runs()
+        expired_runs = self._expired_runs()
         for view in self.views.values():
             service = view.registration.service
             if not service:
                 continue
             used[service] = used.get(service, none) + view.used
-            for key in view.runs_per_step.keys() & late_runs.keys():
-                reserved = late_runs[key].times(view.runs_per_step[key])
-                late[service] = late.get(service, none) + reserved
+            for key in view.runs_per_step.keys() & expired_runs.keys():
+                reserved = expired_runs[key].times(view.runs_per_step[key])
+                expired[service] = expired.get(service, none) + reserved
             if view.usable(now):
                 total = capacity.get(service, none)
                 capacity[service] = total + view.registration.capacity
@@ -43,14 +47,14 @@
             urgency = self._urgency(
                 waiting_step.progress, queue, waiting_step.key
             )
-            if urgency is not Urgency.ON_TIME:
-                late[service] = late.get(service, none) + requested
+            if urgency is Urgency.EXPIRED:
+                expired[service] = expired.get(service, none) + requested
         pools = {
             service: PoolLoad(
                 waiting.get(service, none),
                 used.get(service, none),
                 capacity.get(service, none),
-                late.get(service, none),
+                expired.get(service, none),
             )
             for service in {*used, *waiting}
         }
@@ -83,9 +87,9 @@
             self._unix_ms,
         )
 
-    def _late_runs(self) -> dict[StepKey, Resources]:
-        """Returns what a run reserves in each step of a job that is late."""
-        late: dict[StepKey, Resources] = {}
+    def _expired_runs(self) -> dict[StepKey, Resources]:
+        """Returns what a run reserves in each step of a job that has expired."""
+        expired: dict[StepKey, Resources] = {}
         for key in {subtask[:3] for subtask in self._active}:
             progress = self.table.jobs[key[0]]
             queue = self._queues.get(progress.job.queue)
@@ -95,11 +99,11 @@
             since_ms = progress.due_ms(key[1]) or progress.submitted_ms
             paths = progress.critical_paths_ms
             left_ms = max(0, paths[key[2]] - step.estimated_ms)
-            if is_certainly_late(
+            if is_certainly_expired(
                 paths, queue, since_ms, left_ms, self._unix_ms
             ):
-                late[key] = step.reserved
-        return late
+                expired[key] = step.reserved
+        return expired
 
 
 def _worker_load(view: WorkerView) -> WorkerLoad:
--- a/acaciawing/jobs/urgency.py
+++ b/acaciawing/jobs/urgency.py
@@ -103,14 +103,14 @@
     return Urgency.EXPIRING if left < EXPIRING_MS else Urgency.LATE
 
 
-def is_certainly_late(
+def is_certainly_expired(
     critical_paths: Sequence[int],
     queue: Queue,
     since_ms: int,
     left_ms: int,
     unix_ms: int,
 ) -> bool:
-    """Whether a job misses its objective even if its current step ends now.
+    """Whether a job has lost its value even if its current step ends now.
 
     Args:
         critical_paths: Result of `critical_paths_ms` for the job.
@@ -120,7 +120,7 @@
         unix_ms: Current Unix time in milliseconds.
     """
     objective = _objective_ms(critical_paths, queue)
-    return unix_ms - since_ms + left_ms > objective
+    return unix_ms - since_ms + left_ms > MAX_LATENESS_FACTOR * objective
 
 
 def _objective_ms(critical_paths: Sequence[int], queue: Queue) -> float:
