Log how a worker's end is known and the runs that it took along

The log could not tell a crash from a planned end, nor a deadly subtask from those beside it. AW3203 gets reason and planned, AW3310 is one line for each run lost with its worker, and ends_total counts them as lost.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -35,6 +35,7 @@
 from acaciawing.jobs.retention import expired_jobs, records_to_rewrite
 from acaciawing.jobs.speculation import Speculation
 from acaciawing.jobs.state import Takeover
+from acaciawing.jobs.worker_tracking import WorkerEnd
 from acaciawing.jobs.workers import Phase
 
 
@@ -71,7 +72,7 @@
         until = dict.fromkeys(self.table.engaged, now + unconfirmed_s)
         self._takeover = Takeover(until, frozenset(self.table.jobs))
         for incarnation in self._ended_incarnations & until.keys():
-            self._remove_worker(incarnation, now)
+            self._remove_worker(incarnation, WorkerEnd.REPLACED, now)
         for incarnation, record in self.table.engaged.items():
             if incarnation not in self.views:
                 unregistered = _unregistered_worker(incarnation, record.address)
@@ -161,7 +162,7 @@
         successor = message.successor
         view = self.views.get(message.worker)
         if successor is None or view is None:
-            self._end_incarnation(message.worker, now)
+            self._end_incarnation(message.worker, WorkerEnd.REPLACED, now)
             return
         if (
             successor not in self.views
@@ -212,7 +213,7 @@
             self._takeover.unconfirmed_until.items()
         ):
             if self._confirmed_at >= until:
-                self._remove_worker(incarnation, now)
+                self._remove_worker(incarnation, WorkerEnd.LAPSED, now)
         for view in list(self.views.values()):
             self._check_worker(view, now)
         for progress in self.table.jobs.values():
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -1,6 +1,7 @@
 """Tracking of a cell's workers and of the end of their incarnations."""
 
 from collections.abc import Iterable, Set
+from enum import Enum
 
 from acaciawing.jobs.actions import (
     ConnectWorker,
@@ -19,6 +20,22 @@
 from acaciawing.jobs.workers import CONTACT_TIMEOUT_S, Phase, Run, WorkerView
 
 
+class WorkerEnd(Enum):
+    """How it is known that nothing runs on a worker's incarnation any more.
+
+    Attributes:
+        RESTARTED: A later incarnation of the worker exists.
+        REPLACED: Another worker answers at its address.
+        NO_MACHINE: It is silent, and no machine runs it.
+        LAPSED: All leases that it may have held have lapsed.
+    """
+
+    RESTARTED = "restarted"
+    REPLACED = "replaced"
+    NO_MACHINE = "no machine runs it"
+    LAPSED = "leases lapsed"
+
+
 class WorkerTracking(RunTracking):
     """Tracking of a cell's workers and of the end of their incarnations."""
 
@@ -78,7 +95,7 @@
         """
         for incarnation in list(self._takeover.unconfirmed_until):
             if incarnation.worker not in workers:
-                self._end_incarnation(incarnation, now)
+                self._end_incarnation(incarnation, WorkerEnd.NO_MACHINE, now)
         for view in list(self.views.values()):
             silent = view.contacted and not view.reachable
             contact_is_older = view.last_contact_at < requested_at
@@ -87,7 +104,9 @@
                 and contact_is_older
                 and view.incarnation.worker not in workers
             ):
-                self._end_incarnation(view.incarnation, now)
+                self._end_incarnation(
+                    view.incarnation, WorkerEnd.NO_MACHINE, now
+                )
 
     def _add_view(self, worker: Worker) -> WorkerView:
         view = WorkerView(worker)
@@ -130,7 +149,7 @@
         if old is not None and new is not None:
             for run in [r for r in old.runs.values() if not r.reported]:
                 self._transfer_run(run, old, new, now)
-        self._end_incarnation(incarnation, now)
+        self._end_incarnation(incarnation, WorkerEnd.RESTARTED, now)
 
     def _transfer_run(
         self, run: Run, old: WorkerView, new: WorkerView, now: float
@@ -143,16 +162,21 @@
             if placed.get(run.subtask) is old:
                 placed[run.subtask] = new
 
-    def _end_incarnation(self, incarnation: Incarnation, now: float) -> None:
+    def _end_incarnation(
+        self, incarnation: Incarnation, reason: WorkerEnd, now: float
+    ) -> None:
         """Handles the end of an incarnation; its registration may remain."""
         self._ended_incarnations.add(incarnation)
-        self._remove_worker(incarnation, now)
+        self._remove_worker(incarnation, reason, now)
 
-    def _remove_worker(self, incarnation: Incarnation, now: float) -> None:
+    def _remove_worker(
+        self, incarnation: Incarnation, reason: WorkerEnd, now: float
+    ) -> None:
         """Removes an incarnation that has ended or whose leases have lapsed."""
         self._takeover.unconfirmed_until.pop(incarnation, None)
         view = self.views.pop(incarnation, None)
         if view is not None:
+            self._log_lost_runs(view, now)
             for subtask in list(view.runs):
                 self._remove_run(view, subtask, now)
         self._actions.append(DisconnectWorker(incarnation))
@@ -164,8 +188,21 @@
             "WORKER_GONE",
             worker=incarnation.worker,
             born_ms=incarnation.born_ms,
+            reason=reason.value,
+            planned=view is not None and view.leaving,
         )
 
+    def _log_lost_runs(self, view: WorkerView, now: float) -> None:
+        for run in view.runs.values():
+            self._log(
+                "RUN_LOST",
+                subtask=str(run.subtask),
+                run=run.number,
+                worker=view.incarnation.worker,
+                age_s=round(now - run.ordered_at, 3),
+                beside=len(view.runs) - 1,
+            )
+
     def _check_worker(self, view: WorkerView, now: float) -> None:
         # A later holder may have renewed the leases of a worker that only this
         # holder can't reach. The leases are treated as lapsed only when this
@@ -189,7 +226,7 @@
                 self._remove_run(view, run.subtask, now)
         unconfirmed = view.incarnation in self._takeover.unconfirmed_until
         if not view.present and lapsed and not view.runs and not unconfirmed:
-            self._remove_worker(view.incarnation, now)
+            self._remove_worker(view.incarnation, WorkerEnd.LAPSED, now)
             return
         for run in view.runs.values():
             overdue = now - run.since > STOP_RETRY_S
--- a/acaciawing/jobs/workers.py
+++ b/acaciawing/jobs/workers.py
@@ -181,6 +181,11 @@
         """Capacity that is not reserved for a run."""
         return self.registration.capacity - self.used
 
+    @property
+    def leaving(self) -> bool:
+        """Whether its end is expected: it drains or is being evacuated."""
+        return self.registration.draining or self.evacuating
+
     def add(self, run: Run) -> None:
         """Reserves capacity for a run."""
         self.runs[run.subtask] = run
--- a/acaciawing/jobserver/held_cell.py
+++ b/acaciawing/jobserver/held_cell.py
@@ -129,6 +129,8 @@
             )
         elif event == "RUN_ENDED":
             METRICS.count("acaciawing.jobs.ends", kind=values["how"])
+        elif event == "RUN_LOST":
+            METRICS.count("acaciawing.jobs.ends", kind="lost")
         log_event(
             Event[event],
             {"cell": self.key.partition, "fence": self.key.fence, **values},
