--- /dev/null
+++ b/acaciawing/jobs/tests/crash_emulator.py
@@ -0,0 +1,252 @@
+"""Emulates a pool in which some subtasks crash the workers that start them."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from acaciawing.jobs import (
+    Acknowledge,
+    EndedRow,
+    EndKind,
+    Job,
+    JobSubmitted,
+    Record,
+    RunningRow,
+    SaveRecord,
+    StartOrderResult,
+    StartOutcome,
+    StartRun,
+    StopOrderResult,
+    StopRun,
+    SubtaskId,
+    Worker,
+    WorkerReport,
+    WorkerUnreachable,
+)
+from acaciawing.jobs.tests.builders import (
+    LEASE_S,
+    CellHarness,
+    make_worker,
+)
+
+STEP_S = 0.05
+
+# From a crash until the list of machines shows it, and until the machine is back.
+DETECTION_S = 0.3
+DOWNTIME_S = 3.3
+
+
+class EmulatedRun:
+    """A run on an emulated worker."""
+
+    def __init__(self, number: int, ends_at: float) -> None:  # noqa: D107
+        self.number = number
+        self.ends_at = ends_at
+
+
+class EmulatedWorker:
+    """A worker that may crash, and is back later as another incarnation."""
+
+    def __init__(self, registration: Worker) -> None:  # noqa: D107
+        self.registration = registration
+        self.runs: dict[SubtaskId, EmulatedRun] = {}
+        self.ends: list[EndedRow] = []
+        self.end_count = 0
+        self.crashed_at: float | None = None
+        self.listed = True
+
+
+class CrashEmulator:
+    """Runs a cell on emulated workers.
+
+    Args:
+        workers: Number of workers.
+        deadly: Whether a run of a subtask crashes its worker.
+        crash_after_s: Time from a deadly run's start to the crash.
+        run_s: Run time of all other subtasks.
+        lasting: Whether a subtask runs until it is stopped.
+
+    Attributes:
+        records: Records that are durable.
+        crashes: Crashes that each deadly subtask has caused.
+        late_starts: Starts of each deadly subtask after its third crash.
+        losses: Runs that each sound subtask lost with a worker.
+        store_down: Whether no record becomes durable.
+    """
+
+    def __init__(  # noqa: D107
+        self,
+        workers: int = 6,
+        deadly: Callable[[SubtaskId], bool] = lambda _: False,
+        crash_after_s: float = 0.01,
+        run_s: float = 0.7,
+        lasting: Callable[[SubtaskId], bool] = lambda _: False,
+    ) -> None:
+        self._deadly = deadly
+        self._crash_after_s = crash_after_s
+        self._run_s = run_s
+        self._lasting = lasting
+        self.workers = [
+            EmulatedWorker(make_worker(f"w{n}")) for n in range(workers)
+        ]
+        self.records: list[Record] = []
+        self.crashes: Counter[SubtaskId] = Counter()
+        self.late_starts: Counter[SubtaskId] = Counter()
+        self.losses: Counter[SubtaskId] = Counter()
+        self.store_down = False
+        self._unsaved: list[SaveRecord] = []
+        self._fence = 0
+        self.harness: CellHarness
+        self.replace_holder(at=100.0)
+
+    @property
+    def now(self) -> float:
+        """Current time in seconds."""
+        return self.harness.now
+
+    def replace_holder(self, at: float | None = None) -> None:
+        """Lets another holder take over; unsaved records are lost."""
+        now = self.harness.now if at is None else at
+        self._fence += 1
+        self._unsaved = []
+        self.harness = CellHarness(self._fence)
+        self.harness.now = now
+        self.harness.cell.confirm_holder(now)
+        self._list_workers()
+        self.harness.recover(*self.records)
+
+    def submit(self, *jobs: Job) -> None:
+        """Submits jobs."""
+        for job in jobs:
+            record = JobSubmitted(job, 0)
+            self.records.append(record)
+            self.harness.cell.fold([record], self.now, 0)
+
+    def crash(self, numbers: Iterable[int]) -> None:
+        """Crashes workers, whatever they run."""
+        for number in numbers:
+            self._crash(self.workers[number])
+
+    def run(self, seconds: float) -> None:
+        """Advances the time."""
+        for _ in range(round(seconds / STEP_S)):
+            self.harness.wait(STEP_S)
+            for worker in self.workers:
+                self._advance(worker)
+            self._report_machines()
+            self._carry_out()
+
+    def _list_workers(self) -> None:
+        self.harness.update_workers(
+            *(w.registration for w in self.workers if w.listed)
+        )
+
+    def _advance(self, worker: EmulatedWorker) -> None:
+        if worker.crashed_at is not None:
+            if self.now - worker.crashed_at > DOWNTIME_S:
+                self._restart(worker)
+            return
+        for subtask, run in list(worker.runs.items()):
+            if run.ends_at > self.now or subtask not in worker.runs:
+                continue
+            if self._deadly(subtask):
+                self.crashes[subtask] += 1
+                self._crash(worker)
+                return
+            self._end(worker, subtask, EndKind.DONE)
+        self._report(worker)
+
+    def _report(self, worker: EmulatedWorker) -> None:
+        running = tuple(
+            RunningRow(subtask, run.number, "", 100, 0)
+            for subtask, run in worker.runs.items()
+        )
+        message = WorkerReport(
+            worker.registration.incarnation,
+            self.now,
+            self.now + LEASE_S,
+            running,
+            tuple(worker.ends),
+        )
+        self.harness.cell.receive(message, self.now)
+
+    def _crash(self, worker: EmulatedWorker) -> None:
+        worker.crashed_at = self.now
+        for subtask in worker.runs:
+            if not self._deadly(subtask):
+                self.losses[subtask] += 1
+        worker.runs.clear()
+        worker.ends.clear()
+        self.harness.cell.receive(
+            WorkerUnreachable(
+                worker.registration.incarnation, self.now + LEASE_S
+            ),
+            self.now,
+        )
+
+    def _restart(self, worker: EmulatedWorker) -> None:
+        name, _, life = worker.registration.incarnation.worker.partition("+")
+        worker.registration = make_worker(f"{name}+{int(life or 0) + 1}")
+        worker.crashed_at = None
+        worker.end_count = 0
+        self._list_workers()
+
+    def _report_machines(self) -> None:
+        listed = {
+            w.registration.incarnation.worker
+            for w in self.workers
+            if w.crashed_at is None or self.now - w.crashed_at < DETECTION_S
+        }
+        self.harness.cell.update_machines(listed, self.now, self.now)
+
+    def _end(
+        self, worker: EmulatedWorker, subtask: SubtaskId, kind: EndKind
+    ) -> None:
+        run = worker.runs.pop(subtask)
+        worker.end_count += 1
+        worker.ends.append(
+            EndedRow(worker.end_count, subtask, run.number, kind, "")
+        )
+
+    def _carry_out(self) -> None:
+        by_incarnation = {w.registration.incarnation: w for w in self.workers}
+        for action in self.harness.cell.take_actions(self.now):
+            if isinstance(action, SaveRecord):
+                self._unsaved.append(action)
+            elif isinstance(action, StartRun):
+                self._start(by_incarnation.get(action.worker), action)
+            elif isinstance(action, StopRun):
+                worker = by_incarnation.get(action.worker)
+                if worker is not None and action.subtask in worker.runs:
+                    self._end(worker, action.subtask, EndKind.STOPPED)
+                self.harness.cell.receive(
+                    StopOrderResult(action, worker is not None), self.now
+                )
+            elif isinstance(action, Acknowledge):
+                worker = by_incarnation.get(action.worker)
+                if worker is not None:
+                    worker.ends = [
+                        e for e in worker.ends if e.number > action.end_number
+                    ]
+        if not self.store_down:
+            for saved in self._unsaved:
+                self.records.append(saved.record)
+                self.harness.cell.records_saved(saved.number, self.now)
+            self._unsaved = []
+
+    def _start(self, worker: EmulatedWorker | None, order: StartRun) -> None:
+        if worker is None or worker.crashed_at is not None:
+            outcome = StartOutcome.REFUSED
+        else:
+            outcome = StartOutcome.STARTED
+            self.harness.starts.append(order)
+            worker.runs[order.subtask] = EmulatedRun(
+                order.run, self.now + self._duration_s(order.subtask)
+            )
+            if self.crashes[order.subtask] >= 3:
+                self.late_starts[order.subtask] += 1
+        self.harness.cell.receive(StartOrderResult(order, outcome), self.now)
+
+    def _duration_s(self, subtask: SubtaskId) -> float:
+        if self._deadly(subtask):
+            return self._crash_after_s
+        return float("inf") if self._lasting(subtask) else self._run_s
