Count crashes that a change of the holder hides, and isolate strictly

What callers saw: with takeovers beside a deadly subtask, it was started more than twice after three crashes, or a sound one beside it was given up.

Cause: only the starts of known suspects were recorded, so a crash around a takeover counted against none of the others; a suspect that had survived its probation could share a worker with a deadly one.

Change: for 60 s after a crash every start is recorded, and the next holder counts those that a worker never answered for. After three crashes a subtask has its worker for itself, for 5 s; a crash before the worker's first report weighs more than one after it.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -69,6 +69,8 @@
                 worker that can't be reached, in seconds.
         """
         self.recovered = True
+        if self.table.suspects or self.table.started or self.table.explained:
+            self._crash_seen_at = now
         until = dict.fromkeys(self.table.engaged, now + unconfirmed_s)
         self._takeover = Takeover(until, frozenset(self.table.jobs))
         for incarnation in self._ended_incarnations & until.keys():
@@ -119,7 +121,7 @@
         if not view.contacted:
             view.contacted = True
             self._engage_worker(view)
-            self._confirm_suspect_starts(
+            self._confirm_starts(
                 message.worker, {row.subtask for row in message.running}
             )
             self._log(
--- a/acaciawing/jobs/crash_tracking.py
+++ b/acaciawing/jobs/crash_tracking.py
@@ -3,19 +3,21 @@
 from collections.abc import Collection, Iterable
 
 from acaciawing.jobs.crashes import (
+    CRASH_ALERT_S,
+    PROBATION_S,
     PROVEN_AGE_S,
     SILENCE_TIMEOUT_S,
     LostRun,
     SilentRuns,
-    Suspicion,
-    assess_suspicion,
     guilt,
+    is_alone,
     is_deadly,
     lost_runs,
 )
-from acaciawing.jobs.model import Incarnation, SubtaskId
+from acaciawing.jobs.model import Incarnation, SubtaskId, parse_subtask_id
 from acaciawing.jobs.records import (
     RunCrashed,
+    RunStarted,
     SubtaskGivenUp,
     SuspicionCleared,
 )
@@ -26,18 +28,6 @@
 class CrashTracking(RunTracking):
     """Counting of workers' crashes against the runs that they took along."""
 
-    def _suspicion(self, subtask: SubtaskId) -> Suspicion:
-        if subtask not in self.table.suspects:
-            return Suspicion.NONE
-        return assess_suspicion(
-            len(self._crashes(subtask)),
-            len(self.table.unexplained_crashes(subtask)),
-        )
-
-    def _crashes(self, subtask: SubtaskId) -> list[RunCrashed]:
-        progress = self.table.jobs[subtask.job]
-        return list(progress.crashed_runs.get(subtask, {}).values())
-
     def _keep_silent_runs(self, view: WorkerView, now: float) -> None:
         """Keeps the runs of a silent worker, which may have crashed."""
         if not view.registration.draining:
@@ -69,22 +59,37 @@
         lost = list(silent.runs) if silent is not None else []
         if view is not None:
             lost += lost_runs(view, now)
-        lost += self._unseen_suspects(incarnation)
+        lost += self._unseen_runs(incarnation)
+        if lost or incarnation in self._takeover.unconfirmed_until:
+            self._crash_seen_at = now
         for run in lost:
             self._record_crash(incarnation, run)
         self._give_up_deadly({run.subtask for run in lost}, now)
 
-    def _unseen_suspects(self, incarnation: Incarnation) -> list[LostRun]:
-        """Returns suspects that an earlier holder started on an incarnation."""
-        unseen = []
-        for subtask in self.table.suspects:
-            start = self.table.jobs[subtask.job].suspect_starts.get(subtask)
-            if start is not None and incarnation == (
-                start.worker,
-                start.born_ms,
-            ):
-                unseen.append(LostRun(subtask, start.run, start.alone, 0.0))
-        return unseen
+    def _unseen_runs(self, incarnation: Incarnation) -> list[LostRun]:
+        """Returns runs that an earlier holder has started on a worker."""
+        return [
+            LostRun(subtask, start.run, start.alone, PROBATION_S)
+            for start in self.table.started.get(incarnation, ())
+            if (subtask := parse_subtask_id(start.subtask)) is not None
+        ]
+
+    def _record_start(self, view: WorkerView, run: Run, now: float) -> None:
+        """Records a start for the next holder, if workers have crashed lately.
+
+        Without that, a crash while the cell changes its holder counts against
+        no subtask.
+        """
+        if now - self._crash_seen_at > CRASH_ALERT_S:
+            return
+        record = RunStarted(
+            str(run.subtask),
+            run.number,
+            *view.incarnation,
+            is_alone(view, run),
+        )
+        self.table.apply(record)
+        self._save_record(record)
 
     def _record_crash(self, incarnation: Incarnation, lost: LostRun) -> None:
         if not self._still_needed(lost.subtask):
@@ -97,7 +102,7 @@
             lost.number,
             *incarnation,
             lost.alone,
-            round(lost.age_s * 1000),
+            round(lost.survived_s * 1000),
         )
         self.table.apply(record)
         self._save_record(record, progress)
@@ -133,13 +138,13 @@
         )
         self._fail_job(progress, now)
 
-    def _confirm_suspect_starts(
+    def _confirm_starts(
         self, incarnation: Incarnation, running: Collection[SubtaskId]
     ) -> None:
         """Forgets starts of an earlier holder that a worker does not report."""
-        for run in self._unseen_suspects(incarnation):
+        for run in self._unseen_runs(incarnation):
             if run.subtask not in running:
-                self._forget_suspect_start(run.subtask)
+                self.table.forget_start(incarnation, run.subtask, run.number)
 
     def _clear_proven_suspects(self, now: float) -> None:
         for subtask in list(self.table.suspects):
--- a/acaciawing/jobs/crashes.py
+++ b/acaciawing/jobs/crashes.py
@@ -17,22 +17,27 @@
 from acaciawing.jobs.records import RunCrashed
 from acaciawing.jobs.workers import Phase, Run, WorkerView
 
-# A subtask is isolated after this many crashes without another explanation.
-UNEXPLAINED_CRASHES_FOR_ISOLATION = 2
+# A subtask is started in isolation after this many crashes.
+SHARED_CRASHES_FOR_ISOLATION = 2
 
-# After this many crashes, a subtask is started only in isolation.
+# After this many crashes, a subtask is started only in isolation, and given up
+# if it crashed its worker there before any report of the worker named it.
 MAX_SHARED_CRASHES = 3
 
 # A subtask is given up after this many crashes in isolation: a single one may
 # be a coincidence.
 MAX_CRASHES_ALONE = 2
 
-# After this many crashes, one in isolation is enough.
-MAX_CRASHES_WITH_ONE_ALONE = 4
+# After this many crashes, it is enough that the last one was in isolation.
+MAX_CRASHES_WITH_LAST_ALONE = 4
 
-# A subtask is given up after this many crashes, in isolation or not, unless
-# another subtask explains all but one.
+# A subtask is given up after this many crashes, in isolation or not, if other
+# subtasks explain at most `MAX_EXPLAINED_CRASHES` of them.
 MAX_CRASHES = 5
+MAX_EXPLAINED_CRASHES = 2
+
+# A strictly isolated run has its worker for itself for this time.
+STRICT_PROBATION_S = 5.0
 
 # A run that has survived for this time since its start is not the cause of a
 # crash soon after another one's start.
@@ -43,10 +48,15 @@
 ISOLATION_TIMEOUT_S = 6.0
 
 # The same after `MAX_SHARED_CRASHES`; longer than nearly all runs.
-STRICT_ISOLATION_TIMEOUT_S = 15.0
+STRICT_ISOLATION_TIMEOUT_S = 30.0
 
-# At most this share of a pool is kept for isolated subtasks at once.
+# At most this share of a pool is kept for isolated subtasks at once, but up to
+# two workers of a small one.
 MAX_ISOLATED_SHARE = 0.34
+MIN_ISOLATED_WORKERS = 2
+
+# Starts are recorded for this time after a crash.
+CRASH_ALERT_S = 60.0
 
 # A long-running run that was at work for this time did not cause a crash, and
 # clears its subtask of earlier ones.
@@ -64,7 +74,7 @@
         NONE: No worker has crashed under it.
         SUSPECTED: One has; it is kept apart from other suspects.
         ISOLATED: Several have; it is started on a worker of its own.
-        STRICTLY_ISOLATED: As many have as it may share with other runs.
+        STRICTLY_ISOLATED: More have; nothing else may be on its worker.
     """
 
     NONE = 0
@@ -80,13 +90,13 @@
         subtask: The subtask.
         number: Its run number.
         alone: Whether it was alone on the worker, or isolated there.
-        age_s: Time since its start was ordered, in seconds.
+        survived_s: How long it is known to have run, in seconds.
     """
 
     subtask: SubtaskId
     number: int
     alone: bool
-    age_s: float
+    survived_s: float
 
 
 class SilentRuns(NamedTuple):
@@ -106,7 +116,8 @@
 
     Args:
         crashes: Number of crashes.
-        unexplained: Number of those that no other subtask has caused.
+        unexplained: Number of those that no subtask given up was part of. The
+            others may have been caused by it, but less likely.
 
     >>> assess_suspicion(2, 1).name
     'SUSPECTED'
@@ -115,11 +126,18 @@
     """
     if crashes >= MAX_SHARED_CRASHES and unexplained:
         return Suspicion.STRICTLY_ISOLATED
-    if unexplained >= UNEXPLAINED_CRASHES_FOR_ISOLATION:
+    if unexplained >= SHARED_CRASHES_FOR_ISOLATION:
         return Suspicion.ISOLATED
     return Suspicion.SUSPECTED if unexplained else Suspicion.NONE
 
 
+def probation_s(suspicion: Suspicion) -> float:
+    """Returns how long a started subtask keeps its worker for itself."""
+    if suspicion is Suspicion.STRICTLY_ISOLATED:
+        return STRICT_PROBATION_S
+    return PROBATION_S
+
+
 def isolation_timeout_s(suspicion: Suspicion) -> float:
     """Returns how long a subtask waits for a worker of its own."""
     if suspicion is Suspicion.STRICTLY_ISOLATED:
@@ -133,26 +151,32 @@
     """Whether a subtask is given up.
 
     Args:
-        crashes: Its crashed runs.
-        unexplained: Those of them that no other subtask has caused.
+        crashes: Its crashed runs, the last crash at the end.
+        unexplained: Those of them that no subtask given up was part of.
     """
-    alone = sum(crash.alone for crash in unexplained)
-    if len(crashes) >= MAX_CRASHES and len(unexplained) > 1:
+    if sum(crash.alone for crash in unexplained) >= MAX_CRASHES_ALONE:
         return True
-    if len(crashes) >= MAX_CRASHES_WITH_ONE_ALONE and alone:
+    if not unexplained or unexplained[-1] is not crashes[-1]:
+        return False
+    last = crashes[-1]
+    if last.alone and (
+        len(crashes) >= MAX_CRASHES_WITH_LAST_ALONE
+        or (len(crashes) >= MAX_SHARED_CRASHES and not last.survived_ms)
+    ):
         return True
-    return alone >= MAX_CRASHES_ALONE
+    explained = len(crashes) - len(unexplained)
+    return len(crashes) >= MAX_CRASHES and explained <= MAX_EXPLAINED_CRASHES
 
 
-def guilt(unexplained: Sequence[RunCrashed]) -> tuple[int, int, int]:
+def guilt(crashes: Sequence[RunCrashed]) -> tuple[int, int, int]:
     """Returns a sort key of suspects; the likeliest culprit has the largest.
 
-    A subtask that crashes workers at its start is the newest on each of them.
+    A subtask that crashes workers soon never survives for long.
     """
     return (
-        sum(crash.alone for crash in unexplained),
-        len(unexplained),
-        -max((crash.age_ms for crash in unexplained), default=0),
+        sum(crash.alone for crash in crashes),
+        len(crashes),
+        -max((crash.survived_ms for crash in crashes), default=0),
     )
 
 
@@ -163,7 +187,7 @@
             run.subtask,
             run.number,
             is_alone(view, run),
-            now - run.ordered_at,
+            _survived_s(view, run),
         )
         for run in view.runs.values()
         if not _is_innocent(view, run, now)
@@ -189,6 +213,12 @@
     )
 
 
+def _survived_s(view: WorkerView, run: Run) -> float:
+    if not run.reported:
+        return 0.0
+    return max(0.0, view.last_contact_at - run.ordered_at)
+
+
 def _is_innocent(view: WorkerView, run: Run, now: float) -> bool:
     """Whether a run is certainly not the cause of its worker's end."""
     if run.step.lasting and now - run.ordered_at > PROVEN_AGE_S:
--- a/acaciawing/jobs/progress.py
+++ b/acaciawing/jobs/progress.py
@@ -17,9 +17,9 @@
     Record,
     RunCrashed,
     RunFailed,
+    RunStarted,
     SubtaskDone,
     SubtaskGivenUp,
-    SuspectStarted,
     SuspicionCleared,
     WorkerEngaged,
     WorkerReleased,
@@ -61,8 +61,6 @@
         failed_runs: Numbers of the failed runs of each subtask.
         crashed_runs: Crashed runs, by number, of each subtask under which
             workers have crashed.
-        suspect_starts: Newest start of each such subtask, while its outcome is
-            unknown.
         finished_at_ms: When it was observed as finished, Unix time in
             milliseconds; 0 before.
         oldest_record_ms: When the oldest record that it needs was written, Unix
@@ -82,7 +80,6 @@
         "oldest_record_ms",
         "started",
         "submitted_ms",
-        "suspect_starts",
     )
 
     def __init__(self, job: Job, at_ms: int) -> None:
@@ -97,7 +94,6 @@
         self.occurrences: dict[int, Occurrence] = {}
         self.failed_runs: dict[SubtaskId, set[int]] = {}
         self.crashed_runs: dict[SubtaskId, dict[int, RunCrashed]] = {}
-        self.suspect_starts: dict[SubtaskId, SuspectStarted] = {}
         self.finished_at_ms = 0
         self.oldest_record_ms = at_ms
 
@@ -197,6 +193,7 @@
             their submission.
         engaged: Record of each worker on which runs may have been started.
         suspects: Subtasks that are not done and under which workers crashed.
+        started: Starts whose outcome is unknown, by incarnation of the worker.
         explained: Job of the subtask that is known to have crashed a worker, by
             the worker's incarnation.
     """
@@ -207,6 +204,7 @@
         self.early_cancellations: set[str] = set()
         self.engaged: dict[Incarnation, WorkerEngaged] = {}
         self.suspects: set[SubtaskId] = set()
+        self.started: dict[Incarnation, list[RunStarted]] = {}
         self.explained: dict[Incarnation, str] = {}
 
     def find_step(self, subtask: SubtaskId) -> Step | None:
@@ -253,6 +251,7 @@
             self.engaged[incarnation] = record
         else:
             self.engaged.pop(incarnation, None)
+            self.started.pop(incarnation, None)
 
     def _submit(self, job: Job, at_ms: int) -> JobProgress:
         known = self.jobs.get(job.id)
@@ -286,7 +285,7 @@
 
     def _apply_suspicion(
         self,
-        record: RunCrashed | SubtaskGivenUp | SuspectStarted | SuspicionCleared,
+        record: RunCrashed | RunStarted | SubtaskGivenUp | SuspicionCleared,
     ) -> JobProgress | None:
         subtask = parse_subtask_id(record.subtask)
         if subtask is None or self.find_step(subtask) is None:
@@ -296,13 +295,15 @@
             case RunCrashed():
                 crashes = progress.crashed_runs.setdefault(subtask, {})
                 crashes[record.run] = record
-                progress.suspect_starts.pop(subtask, None)
                 progress.started = True
                 if not progress.finished and not progress.is_done(subtask):
                     self.suspects.add(subtask)
-            case SuspectStarted():
-                if record.run not in progress.crashed_runs.get(subtask, ()):
-                    progress.suspect_starts[subtask] = record
+            case RunStarted():
+                incarnation = Incarnation(record.worker, record.born_ms)
+                starts = self.started.setdefault(incarnation, [])
+                if record not in starts:
+                    starts.append(record)
+                progress.started = True
             case SuspicionCleared():
                 self._clear_suspicion(subtask)
             case SubtaskGivenUp():
@@ -323,7 +324,6 @@
     def _clear_suspicion(self, subtask: SubtaskId) -> None:
         progress = self.jobs[subtask.job]
         progress.crashed_runs.pop(subtask, None)
-        progress.suspect_starts.pop(subtask, None)
         self.suspects.discard(subtask)
 
     def _mark_run_failed(self, name: str, run: int) -> JobProgress | None:
@@ -361,9 +361,29 @@
         self.jobs.pop(job, None)
         self.early_cancellations.discard(job)
         self._forget_suspects(job)
+        self._forget_starts(job)
         for incarnation in [i for i, j in self.explained.items() if j == job]:
             del self.explained[incarnation]
 
+    def forget_start(
+        self, incarnation: Incarnation, subtask: SubtaskId, run: int
+    ) -> None:
+        """Forgets a start whose outcome is known."""
+        starts = self.started.get(incarnation)
+        if starts is None:
+            return
+        starts[:] = [
+            s for s in starts if (s.subtask, s.run) != (str(subtask), run)
+        ]
+        if not starts:
+            del self.started[incarnation]
+
+    def _forget_starts(self, job: str) -> None:
+        for incarnation, starts in list(self.started.items()):
+            starts[:] = [s for s in starts if job_of(s.subtask) != job]
+            if not starts:
+                del self.started[incarnation]
+
     def _forget_suspects(self, job: str) -> None:
         self.suspects = {s for s in self.suspects if s.job != job}
 
@@ -387,10 +407,16 @@
     )
 
 
-def suspicion_records(
-    progress: JobProgress,
-) -> Iterator[RunCrashed | SuspectStarted]:
+def crash_records(
+    table: JobTable, progress: JobProgress
+) -> Iterator[RunCrashed | RunStarted]:
     """Yields the records of crashes that a `JobSummary` leaves out."""
     for runs in progress.crashed_runs.values():
         yield from runs.values()
-    yield from progress.suspect_starts.values()
+    for starts in table.started.values():
+        yield from (s for s in starts if job_of(s.subtask) == progress.job.id)
+
+
+def job_of(subtask: str) -> str:
+    """Returns the job in the dotted form of a subtask's id."""
+    return subtask.partition(".")[0]
--- a/acaciawing/jobs/records.py
+++ b/acaciawing/jobs/records.py
@@ -83,7 +83,7 @@
         worker: Id of the worker.
         born_ms: Start of its incarnation, Unix time in milliseconds.
         alone: Whether it was the only run on the worker.
-        age_ms: Time since its start was ordered, in milliseconds.
+        survived_ms: How long it is known to have run, in milliseconds.
     """
 
     subtask: str
@@ -91,11 +91,11 @@
     worker: str
     born_ms: int
     alone: bool
-    age_ms: int
+    survived_ms: int
 
 
-class SuspectStarted(msgspec.Struct, frozen=True, tag="suspect"):
-    """A run is started of a subtask under which workers have crashed.
+class RunStarted(msgspec.Struct, frozen=True, tag="started"):
+    """A run is started while workers crash.
 
     A later holder counts the run as crashed if the worker ends before it
     answers that holder.
@@ -162,7 +162,7 @@
     | JobSummary
     | RunCrashed
     | SubtaskGivenUp
-    | SuspectStarted
+    | RunStarted
     | SuspicionCleared
     | WorkerEngaged
     | WorkerReleased
--- a/acaciawing/jobs/retention.py
+++ b/acaciawing/jobs/retention.py
@@ -8,8 +8,8 @@
 
 from acaciawing.jobs.progress import (
     JobTable,
+    crash_records,
     summarize_job,
-    suspicion_records,
 )
 from acaciawing.jobs.records import Record, WorkerEngaged
 
@@ -32,7 +32,7 @@
     for progress in table.jobs.values():
         if progress.oldest_record_ms < oldest_ms:
             yield summarize_job(progress, unix_ms)
-            yield from suspicion_records(progress)
+            yield from crash_records(table, progress)
     for record in table.engaged.values():
         if record.at_ms < oldest_ms:
             yield WorkerEngaged(
--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -7,14 +7,12 @@
     AdviceResponse,
     StartRun,
 )
-from acaciawing.jobs.crashes import is_alone
 from acaciawing.jobs.limits import (
     CONFIRMATION_VALIDITY_S,
     GANG_START_TIMEOUT_S,
     RUN_NUMBERS_PER_FENCE,
 )
 from acaciawing.jobs.model import Queue, Step, SubtaskId
-from acaciawing.jobs.records import SuspectStarted
 from acaciawing.jobs.suspect_placement import SuspectPlacement
 from acaciawing.jobs.urgency import Rank, Urgency
 from acaciawing.jobs.waiting import StepKey, WaitingStep
@@ -119,10 +117,13 @@
             Those that still wait for one, which may not be started elsewhere.
         """
         held_back: set[SubtaskId] = set()
+        for subtask in self.table.suspects:
+            if subtask in self._waiting and self._waits_for_store(subtask):
+                held_back.update(self._started_together(subtask))
         for subtask in self._isolated_waiting():
             waiting_step = self._waiting.find(subtask[:3])
             queue = self._queue_of(subtask)
-            if waiting_step is None or queue is None or subtask in held_back:
+            if waiting_step is None or queue is None:
                 continue
             step = waiting_step.step
             blocked = self._may_still_run(subtask.job) and not step.speculative
@@ -137,7 +138,7 @@
                 )
                 ready = (
                     view is not None
-                    and self._ready_for_suspect(view, now)
+                    and self._is_ready(view, subtask, now)
                     and fits(view, step, subtask)
                 )
                 views = [view] if view is not None and ready else []
@@ -148,11 +149,15 @@
             if subtask in self._waiting and not (
                 durable and self._isolation_timed_out(subtask, now)
             ):
-                held_back.update(
-                    self._step_subtasks(subtask) if step.gang else [subtask]
-                )
+                held_back.update(self._started_together(subtask))
         return held_back
 
+    def _started_together(self, subtask: SubtaskId) -> list[SubtaskId]:
+        """Returns the members of a subtask's gang, or the subtask."""
+        step = self.table.find_step(subtask)
+        gang = step is not None and step.gang
+        return self._step_subtasks(subtask) if gang else [subtask]
+
     def _empty_workers(self, service: str, now: float) -> list[WorkerView]:
         return [
             view
@@ -266,9 +271,6 @@
         run = self._order_run(view, subtask, waiting_step.step, now)
         self._active[subtask] = view
         self.table.jobs[subtask.job].started = True
-        if subtask in self.table.suspects:
-            run.isolated = view.isolated_for == subtask
-            self._record_suspect_start(view, run)
         self._log(
             "RUN_PLACED",
             subtask=str(subtask),
@@ -279,16 +281,6 @@
             suspicion=self._suspicion(subtask).value,
         )
 
-    def _record_suspect_start(self, view: WorkerView, run: Run) -> None:
-        record = SuspectStarted(
-            str(run.subtask),
-            run.number,
-            *view.incarnation,
-            is_alone(view, run),
-        )
-        self.table.apply(record)
-        self._save_record(record, self.table.jobs[run.subtask.job])
-
     def _order_run(
         self, view: WorkerView, subtask: SubtaskId, step: Step, now: float
     ) -> Run:
@@ -298,7 +290,9 @@
         run = Run(
             subtask, self.fence * RUN_NUMBERS_PER_FENCE + count, step, now
         )
+        run.isolated = view.isolated_for == subtask
         view.add(run)
+        self._record_start(view, run, now)
         checkpoint = (
             self._gang_checkpoint(subtask)
             if step.gang
--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -7,6 +7,7 @@
     StartOutcome,
     StopRun,
 )
+from acaciawing.jobs.crashes import Suspicion
 from acaciawing.jobs.health import (
     SUSPECT_SUSPENSION_S,
     all_runs_failed,
@@ -107,6 +108,9 @@
             adopted.enter(Phase.RUNNING, now, now)
             adopted.percent, adopted.load_metric = row.percent, row.load_metric
             adopted.reported = True
+            if self._suspicion(row.subtask) >= Suspicion.ISOLATED:
+                adopted.isolated = not view.runs
+                view.isolated_for = row.subtask
             view.add(adopted)
             self._active[row.subtask] = view
             self._waiting.discard(row.subtask)
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -10,7 +10,11 @@
     StopRun,
     WorkerReport,
 )
-from acaciawing.jobs.crashes import SilentRuns
+from acaciawing.jobs.crashes import (
+    SilentRuns,
+    Suspicion,
+    assess_suspicion,
+)
 from acaciawing.jobs.model import (
     Configuration,
     Incarnation,
@@ -20,6 +24,7 @@
 from acaciawing.jobs.progress import JobProgress, JobTable
 from acaciawing.jobs.records import (
     Record,
+    RunCrashed,
 )
 from acaciawing.jobs.tickets import TicketBook
 from acaciawing.jobs.waiting import StepKey, WaitingWork
@@ -79,6 +84,7 @@
         self._ended_incarnations: set[Incarnation] = set()
         # Runs of workers that were silent until their leases lapsed.
         self._silent_runs: dict[Incarnation, SilentRuns] = {}
+        self._crash_seen_at = float("-inf")
         self._tickets = TicketBook()
         # The worker on which each subtask last failed or stalled.
         self._avoided_workers: dict[SubtaskId, str] = {}
@@ -138,8 +144,9 @@
         self, view: WorkerView, subtask: SubtaskId, now: float
     ) -> None:
         """Frees a run's capacity; queues its subtask if it is still needed."""
-        view.remove(subtask)
-        self._forget_suspect_start(subtask)
+        removed = view.remove(subtask)
+        if removed is not None:
+            self.table.forget_start(view.incarnation, subtask, removed.number)
         if self._copies.get(subtask) is view:
             del self._copies[subtask]
         elif self._active.get(subtask) is view:
@@ -150,12 +157,6 @@
         if self._still_needed(subtask):
             self._enqueue(subtask, now)
 
-    def _forget_suspect_start(self, subtask: SubtaskId) -> None:
-        """Forgets the start of a suspect that had another outcome."""
-        progress = self.table.jobs.get(subtask.job)
-        if progress is not None:
-            progress.suspect_starts.pop(subtask, None)
-
     def _still_needed(self, subtask: SubtaskId) -> bool:
         progress = self.table.jobs.get(subtask.job)
         return (
@@ -170,6 +171,18 @@
         run.enter(phase, now, None)
         self._actions.append(StopRun(view.incarnation, run.subtask, run.number))
 
+    def _suspicion(self, subtask: SubtaskId) -> Suspicion:
+        if subtask not in self.table.suspects:
+            return Suspicion.NONE
+        return assess_suspicion(
+            len(self._crashes(subtask)),
+            len(self.table.unexplained_crashes(subtask)),
+        )
+
+    def _crashes(self, subtask: SubtaskId) -> list[RunCrashed]:
+        progress = self.table.jobs[subtask.job]
+        return list(progress.crashed_runs.get(subtask, {}).values())
+
     def _enqueue(self, subtask: SubtaskId, now: float) -> None:
         if subtask not in self._active:
             self._waiting.add(subtask, self.table.jobs[subtask.job], now)
--- a/acaciawing/jobs/suspect_placement.py
+++ b/acaciawing/jobs/suspect_placement.py
@@ -2,10 +2,12 @@
 
 from acaciawing.jobs.crashes import (
     MAX_ISOLATED_SHARE,
+    MIN_ISOLATED_WORKERS,
     PROBATION_S,
     Suspicion,
     guilt,
     isolation_timeout_s,
+    probation_s,
 )
 from acaciawing.jobs.load_report import LoadReporting
 from acaciawing.jobs.model import Step, SubtaskId
@@ -42,6 +44,17 @@
         number = self._job_record_numbers.get(subtask.job, 0)
         return number <= self._last_durable_number
 
+    def _waits_for_store(self, subtask: SubtaskId) -> bool:
+        """Whether the crash under a subtask has to be durable first.
+
+        The others beside a crash, which their worker had reported before, go
+        on while the store is away.
+        """
+        return not self._crashes_are_durable(subtask) and any(
+            not crash.survived_ms
+            for crash in self.table.unexplained_crashes(subtask)
+        )
+
     def _isolation_timed_out(self, subtask: SubtaskId, now: float) -> bool:
         since = self._waiting.since(subtask)
         limit_s = isolation_timeout_s(self._suspicion(subtask))
@@ -57,14 +70,15 @@
             if view.registration.service == service and view.present
         ]
         kept = next((v for v in pool if v.isolated_for == subtask), None)
-        if kept is not None and self._ready_for_suspect(kept, now):
+        if kept is not None and self._is_ready(kept, subtask, now):
             return kept
         others = sum(
             1
             for view in pool
             if view.isolated_for is not None and view is not kept
         )
-        if others and others + 1 > MAX_ISOLATED_SHARE * len(pool):
+        limit = max(MIN_ISOLATED_WORKERS, MAX_ISOLATED_SHARE * len(pool))
+        if others + 1 > limit:
             return None
         candidates = [
             view
@@ -77,11 +91,11 @@
         ]
         chosen = min(
             candidates,
-            key=lambda v: (not self._ready_for_suspect(v, now), len(v.runs)),
+            key=lambda v: (not self._is_ready(v, subtask, now), len(v.runs)),
             default=None,
         )
         if chosen is None or (
-            kept is not None and not self._ready_for_suspect(chosen, now)
+            kept is not None and not self._is_ready(chosen, subtask, now)
         ):
             return kept
         if kept is not None:
@@ -89,8 +103,12 @@
         chosen.isolated_for = subtask
         return chosen
 
-    def _ready_for_suspect(self, view: WorkerView, now: float) -> bool:
-        """Whether a worker has only suspects that have survived their start."""
+    def _is_ready(
+        self, view: WorkerView, subtask: SubtaskId, now: float
+    ) -> bool:
+        """Whether a subtask can be started in isolation on a worker now."""
+        if self._suspicion(subtask) is Suspicion.STRICTLY_ISOLATED:
+            return not view.runs
         return all(
             run.isolated and now - run.ordered_at > PROBATION_S
             for run in view.runs.values()
@@ -109,5 +127,6 @@
     ) -> bool:
         run = view.runs.get(subtask)
         if run is not None:
-            return now - run.ordered_at <= PROBATION_S
+            limit_s = probation_s(self._suspicion(subtask))
+            return now - run.ordered_at <= limit_s
         return subtask in self._waiting and view.accepts_runs(now)
