Count an earlier holder's starts only while they stand

What callers saw: a job that could be done was shown as `failed` (LOST 2), 1.6 s after a rack of workers had crashed and the holder of its cell had changed.

It also took a run for alone on its worker when others were started there later (seed 15983 of the random test).

Change: only the newest start of each subtask stands, until a record tells how it ended; a start counts as alone only if none was started on the worker after it. The random test is derandomized, as all others.

Failing before: test_refused_starts_of_an_earlier_holder_are_no_crashes, seed 15983.

--- a/acaciawing/jobs/crash_tracking.py
+++ b/acaciawing/jobs/crash_tracking.py
@@ -14,7 +14,7 @@
     is_deadly,
     lost_runs,
 )
-from acaciawing.jobs.model import Incarnation, SubtaskId, parse_subtask_id
+from acaciawing.jobs.model import Incarnation, SubtaskId
 from acaciawing.jobs.records import (
     RunCrashed,
     RunStarted,
@@ -68,11 +68,28 @@
 
     def _unseen_runs(self, incarnation: Incarnation) -> list[LostRun]:
         """Returns runs that an earlier holder has started on a worker."""
-        return [
-            LostRun(subtask, start.run, start.alone, PROBATION_S)
-            for start in self.table.started.get(incarnation, ())
-            if (subtask := parse_subtask_id(start.subtask)) is not None
+        starts = [
+            (subtask, start)
+            for subtask, start in self.table.started.items()
+            if incarnation == (start.worker, start.born_ms)
         ]
+        lost = []
+        for position, (subtask, start) in enumerate(starts):
+            # A start says only whether earlier runs were on the worker.
+            later = [
+                other
+                for other, _ in starts[position + 1 :]
+                if self._still_needed(other)
+                and not self._in_one_gang(subtask, other)
+            ]
+            alone = start.alone and not later
+            lost.append(LostRun(subtask, start.run, alone, PROBATION_S))
+        return lost
+
+    def _in_one_gang(self, subtask: SubtaskId, other: SubtaskId) -> bool:
+        """Whether two subtasks are members of one gang."""
+        step = self.table.find_step(subtask)
+        return step is not None and step.gang and subtask[:3] == other[:3]
 
     def _record_start(self, view: WorkerView, run: Run, now: float) -> None:
         """Records a start for the next holder, if workers have crashed lately.
@@ -144,7 +161,7 @@
         """Forgets starts of an earlier holder that a worker does not report."""
         for run in self._unseen_runs(incarnation):
             if run.subtask not in running:
-                self.table.forget_start(incarnation, run.subtask, run.number)
+                self.table.forget_start(run.subtask, run.number)
 
     def _clear_proven_suspects(self, now: float) -> None:
         for subtask in list(self.table.suspects):
--- a/acaciawing/jobs/progress.py
+++ b/acaciawing/jobs/progress.py
@@ -193,7 +193,8 @@
             their submission.
         engaged: Record of each worker on which runs may have been started.
         suspects: Subtasks that are not done and under which workers crashed.
-        started: Starts whose outcome is unknown, by incarnation of the worker.
+        started: Newest start of each subtask that was started while workers
+            crashed, until its outcome is known; the oldest start first.
         explained: Job of the subtask that is known to have crashed a worker, by
             the worker's incarnation.
     """
@@ -204,7 +205,7 @@
         self.early_cancellations: set[str] = set()
         self.engaged: dict[Incarnation, WorkerEngaged] = {}
         self.suspects: set[SubtaskId] = set()
-        self.started: dict[Incarnation, list[RunStarted]] = {}
+        self.started: dict[SubtaskId, RunStarted] = {}
         self.explained: dict[Incarnation, str] = {}
 
     def find_step(self, subtask: SubtaskId) -> Step | None:
@@ -251,7 +252,6 @@
             self.engaged[incarnation] = record
         else:
             self.engaged.pop(incarnation, None)
-            self.started.pop(incarnation, None)
 
     def _submit(self, job: Job, at_ms: int) -> JobProgress:
         known = self.jobs.get(job.id)
@@ -278,6 +278,7 @@
             return None
         progress = self.jobs[subtask.job]
         progress.mark_done(subtask)
+        self.started.pop(subtask, None)
         for member in [s for s in self.suspects if s[:3] == subtask[:3]]:
             if progress.is_done(member):
                 self._clear_suspicion(member)
@@ -296,13 +297,12 @@
                 crashes = progress.crashed_runs.setdefault(subtask, {})
                 crashes[record.run] = record
                 progress.started = True
+                self.forget_start(subtask, record.run)
                 if not progress.finished and not progress.is_done(subtask):
                     self.suspects.add(subtask)
             case RunStarted():
-                incarnation = Incarnation(record.worker, record.born_ms)
-                starts = self.started.setdefault(incarnation, [])
-                if record not in starts:
-                    starts.append(record)
+                self.started.pop(subtask, None)  # Keeps the order of starts.
+                self.started[subtask] = record
                 progress.started = True
             case SuspicionCleared():
                 self._clear_suspicion(subtask)
@@ -333,6 +333,7 @@
         progress = self.jobs[subtask.job]
         progress.failed_runs.setdefault(subtask, set()).add(run)
         progress.started = True
+        self.forget_start(subtask, run)
         return progress
 
     def _mark_failed(self, job: str) -> JobProgress | None:
@@ -361,28 +362,16 @@
         self.jobs.pop(job, None)
         self.early_cancellations.discard(job)
         self._forget_suspects(job)
-        self._forget_starts(job)
+        for subtask in [s for s in self.started if s.job == job]:
+            del self.started[subtask]
         for incarnation in [i for i, j in self.explained.items() if j == job]:
             del self.explained[incarnation]
 
-    def forget_start(
-        self, incarnation: Incarnation, subtask: SubtaskId, run: int
-    ) -> None:
+    def forget_start(self, subtask: SubtaskId, run: int) -> None:
         """Forgets a start whose outcome is known."""
-        starts = self.started.get(incarnation)
-        if starts is None:
-            return
-        starts[:] = [
-            s for s in starts if (s.subtask, s.run) != (str(subtask), run)
-        ]
-        if not starts:
-            del self.started[incarnation]
-
-    def _forget_starts(self, job: str) -> None:
-        for incarnation, starts in list(self.started.items()):
-            starts[:] = [s for s in starts if job_of(s.subtask) != job]
-            if not starts:
-                del self.started[incarnation]
+        start = self.started.get(subtask)
+        if start is not None and start.run == run:
+            del self.started[subtask]
 
     def _forget_suspects(self, job: str) -> None:
         self.suspects = {s for s in self.suspects if s.job != job}
@@ -413,10 +402,8 @@
     """Yields the records of crashes that a `JobSummary` leaves out."""
     for runs in progress.crashed_runs.values():
         yield from runs.values()
-    for starts in table.started.values():
-        yield from (s for s in starts if job_of(s.subtask) == progress.job.id)
-
-
-def job_of(subtask: str) -> str:
-    """Returns the job in the dotted form of a subtask's id."""
-    return subtask.partition(".")[0]
+    yield from (
+        start
+        for subtask, start in table.started.items()
+        if subtask.job == progress.job.id
+    )
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -146,7 +146,7 @@
         """Frees a run's capacity; queues its subtask if it is still needed."""
         removed = view.remove(subtask)
         if removed is not None:
-            self.table.forget_start(view.incarnation, subtask, removed.number)
+            self.table.forget_start(subtask, removed.number)
         if self._copies.get(subtask) is view:
             del self._copies[subtask]
         elif self._active.get(subtask) is view:
--- a/acaciawing/jobs/tests/test_crashes.py
+++ b/acaciawing/jobs/tests/test_crashes.py
@@ -202,6 +202,21 @@
         crashed = emulator.harness.cell.table.jobs["deadly0"].crashed_runs
         assert len(crashed[DEADLY]) == emulator.crashes[DEADLY] == 2
 
+    def test_refused_starts_of_an_earlier_holder_are_no_crashes(self) -> None:
+        emulator = CrashEmulator(workers=4, run_s=5.0)
+        emulator.submit(make_job("lost"))
+        emulator.run(0.1)
+        emulator.crash((emulator.worker_of(SubtaskId("lost", 0, 0, 0)),))
+        emulator.run(5.0)
+        emulator.crash((0, 1, 2))
+        emulator.submit(make_job("refused"))
+        emulator.run(0.25)
+        assert emulator.running("refused")
+        emulator.replace_holder()
+        emulator.run(1.0)
+        jobs = emulator.harness.cell.table.jobs
+        assert not jobs["refused"].crashed_runs
+
     def test_crash_after_the_leases_lapsed_is_counted(self) -> None:
         emulator = CrashEmulator(
             deadly=_is_first_of_deadly_job, machines_listed=False
@@ -259,7 +274,7 @@
 class TestRandomCrashes:
     """Guards against mixes of crashes, takeovers and outages of the store."""
 
-    @settings(max_examples=30, deadline=None)
+    @settings(max_examples=30, deadline=None, derandomize=True)
     @given(st.integers(0, 2**32))
     # A sound suspect was isolated beside a deadly one, after a coincidence.
     @example(1222)
@@ -267,6 +282,8 @@
     @example(1348)
     # The first crash was missed, and later ones were shared with another.
     @example(1353)
+    # A gang was alone on its worker at its start, but not at the crash.
+    @example(15983)
     def test_only_deadly_jobs_fail(self, seed: int) -> None:
         rng = random.Random(seed)
         emulator = CrashEmulator(
