Give up a subtask only for crashes that no other one explains

Cause: the verdict after a crash in isolation counted explained crashes as well.

Change: two crashes must be unexplained. A deadly subtask whose first crashes another one explains needs one more, which leaves it within the two starts after its third.

Test of the verdict failed before.

--- a/acaciawing/jobs/crashes.py
+++ b/acaciawing/jobs/crashes.py
@@ -36,6 +36,9 @@
 MAX_CRASHES = 5
 MAX_EXPLAINED_CRASHES = 2
 
+# With fewer crashes that no other subtask explains, a subtask is not given up.
+MIN_UNEXPLAINED_CRASHES = 2
+
 # A strictly isolated run has its worker for itself for this time.
 STRICT_PROBATION_S = 5.0
 
@@ -156,7 +159,10 @@
     """
     if sum(crash.alone for crash in unexplained) >= MAX_CRASHES_ALONE:
         return True
-    if not unexplained or unexplained[-1] is not crashes[-1]:
+    if (
+        len(unexplained) < MIN_UNEXPLAINED_CRASHES
+        or unexplained[-1] is not crashes[-1]
+    ):
         return False
     last = crashes[-1]
     if last.alone and (
--- a/acaciawing/jobs/tests/test_crashes.py
+++ b/acaciawing/jobs/tests/test_crashes.py
@@ -18,7 +18,7 @@
     decode_record,
     encode_record,
 )
-from acaciawing.jobs.crashes import PROVEN_AGE_S
+from acaciawing.jobs.crashes import PROVEN_AGE_S, is_deadly
 from acaciawing.jobs.retention import records_to_rewrite
 from acaciawing.jobs.tests.builders import make_job
 from acaciawing.jobs.tests.crash_emulator import CrashEmulator
@@ -315,3 +315,15 @@
                 emulator.run(0.1)
         emulator.run(45.0)
         _assert_only_deadly_jobs_fail(emulator, jobs)
+
+
+class TestVerdict:
+    """Guards against a verdict on crashes that another subtask has caused."""
+
+    def test_subtask_with_one_unexplained_crash_is_not_given_up(self) -> None:
+        crashes = [
+            RunCrashed("j.0.0.0", run, "w", run, alone=run == 3, survived_ms=0)
+            for run in (1, 2, 3)
+        ]
+        assert is_deadly(crashes, crashes)
+        assert not is_deadly(crashes, crashes[2:])
