Start nothing on workers that don't guard their capacity on outdated knowledge

On the emulated pool, workers that start whatever is ordered were overloaded (LIMIT).

Cause: capacities were used however old they were: while the list of workers could not be read, after a pause of the process, and for orders queued behind a slow worker. `rejects_overload` was decoded and used nowhere; a configuration that leaves the false value out was read as true. A capacity that is not a whole number removed the worker.

Change: the follower of the worker list reports until when the list is complete. On workers of a pool that does not guard, runs are placed and sent only for 2.5 s after that; other pools are as before. Capacities are rounded down.

Cost: on pools that do not guard, no run starts in an outage of the list from 2.5 s on.

--- a/acaciawing/jobs/actions.py
+++ b/acaciawing/jobs/actions.py
@@ -13,7 +13,10 @@
 
 
 class StartRun(msgspec.Struct, frozen=True):
-    """Start a run of a subtask on a worker."""
+    """Start a run of a subtask on a worker.
+
+    The order is not sent after `valid_until`, in seconds.
+    """
 
     worker: Incarnation
     subtask: SubtaskId
@@ -21,6 +24,7 @@
     payload: str
     checkpoint: str
     ticket: str = ""
+    valid_until: float = float("inf")
 
 
 class StopRun(msgspec.Struct, frozen=True):
--- a/acaciawing/jobs/limits.py
+++ b/acaciawing/jobs/limits.py
@@ -6,6 +6,12 @@
 # are higher than all run numbers of earlier holders.
 RUN_NUMBERS_PER_FENCE = 100_000
 
+# Workers that don't refuse what exceeds their capacity get no new runs when their
+# list was last read this long ago. With the 1.5 s after which a worker reports a
+# smaller capacity, this is less than the 4.5 s for which the larger one may be
+# used.
+CAPACITY_VALIDITY_S = 2.5
+
 # A worker that refused a start for lack of room gets no new runs for this time:
 # about one lease renewal, after which its runs are known again.
 NO_ROOM_SUSPENSION_S = 0.15
--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -307,6 +307,7 @@
                 checkpoint,
                 self._tickets.ticket(subtask[:3], view.incarnation.worker, now)
                 or "",
+                view.capacity_valid_until,
             )
         )
         return run
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -15,9 +15,11 @@
     Suspicion,
     assess_suspicion,
 )
+from acaciawing.jobs.limits import CAPACITY_VALIDITY_S
 from acaciawing.jobs.model import (
     Configuration,
     Incarnation,
+    Pool,
     Queue,
     SubtaskId,
 )
@@ -63,6 +65,9 @@
         self.fenced = False
         self._log = on_event
         self._queues: dict[str, Queue] = {}
+        self._pools: dict[str, Pool] = {}
+        # When the list of workers was last known to be current, in seconds.
+        self._workers_current_at = float("-inf")
         self._actions: list[Action] = []
         self._takeover = Takeover({}, frozenset())
         self._waiting = WaitingWork()
@@ -93,6 +98,25 @@
         """Applies a configuration."""
         # Jobs of a removed queue keep the queue's last settings.
         self._queues.update(configuration.queues)
+        self._pools.update(configuration.pools)
+        self._limit_capacity_validity()
+
+    def confirm_workers(self, current_at: float) -> None:
+        """Records a time, in seconds, at which the list of workers was current."""
+        self._workers_current_at = max(self._workers_current_at, current_at)
+        self._limit_capacity_validity()
+
+    def _limit_capacity_validity(self) -> None:
+        for view in self.views.values():
+            view.capacity_valid_until = self._capacity_valid_until(
+                view.registration.service
+            )
+
+    def _capacity_valid_until(self, service: str) -> float:
+        pool = self._pools.get(service)
+        if pool is None or pool.rejects_overload:
+            return float("inf")
+        return self._workers_current_at + CAPACITY_VALIDITY_S
 
     def confirm_holder(self, confirmed_at: float) -> None:
         """Records a time, in seconds, at which no other holder existed."""
--- a/acaciawing/jobs/tests/builders.py
+++ b/acaciawing/jobs/tests/builders.py
@@ -45,9 +45,12 @@
     return Job(name, QUEUE, "payload", steps or (Step(1, Resources(1000)),))
 
 
-def make_configuration(max_attempts: int = 2) -> Configuration:
+def make_configuration(
+    max_attempts: int = 2, *, guarded: bool = True
+) -> Configuration:
     queue = Queue(QUEUE, "h", "/p/", SERVICE, max_attempts=max_attempts)
-    return Configuration(1, {QUEUE: queue}, {SERVICE: Pool(SERVICE)})
+    pool = Pool(SERVICE, rejects_overload=guarded)
+    return Configuration(1, {QUEUE: queue}, {SERVICE: pool})
 
 
 class CellHarness:
--- a/acaciawing/jobs/tests/crash_emulator.py
+++ b/acaciawing/jobs/tests/crash_emulator.py
@@ -1,7 +1,8 @@
-"""Emulates a pool in which some subtasks crash the workers that start them."""
+"""Emulates a pool with deadly subtasks and with capacities that change."""
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
+from itertools import pairwise
 
 import msgspec
 
@@ -12,6 +13,7 @@
     Job,
     JobSubmitted,
     Record,
+    Resources,
     RunningRow,
     SaveRecord,
     StartOrderResult,
@@ -27,6 +29,7 @@
 from acaciawing.jobs.tests.builders import (
     LEASE_S,
     CellHarness,
+    make_configuration,
     make_worker,
 )
 
@@ -36,6 +39,12 @@
 DETECTION_S = 0.3
 DOWNTIME_S = 3.3
 
+# Time between two reports of a worker about itself.
+HEARTBEAT_S = 1.5
+
+# A smaller capacity counts this long after a worker has changed to it.
+SHRINK_GRACE_S = 3.0 + HEARTBEAT_S
+
 
 class EmulatedRun:
     """A run on an emulated worker."""
@@ -58,11 +67,15 @@
         self.end_count = 0
         self.crashed_at: float | None = None
         self.listed = True
+        # Times since which it has had its capacities, newest last.
+        self.capacities = deque([(0.0, registration.capacity)])
 
 
 class CrashEmulator:
     """Runs a cell on emulated workers.
 
+    They start whatever is ordered, and report their capacity with a delay.
+
     Args:
         workers: Number of workers.
         deadly: Whether a run of a subtask crashes its worker.
@@ -70,13 +83,17 @@
         run_s: Run time of all other subtasks.
         lasting: Whether a subtask runs until it is stopped.
         machines_listed: Whether the list of machines is available.
+        guarded: Whether the configuration says that workers refuse what does
+            not fit.
 
     Attributes:
         records: Records that are durable.
         crashes: Crashes that each deadly subtask has caused.
         late_starts: Starts of each deadly subtask after its third crash.
         losses: Runs that each sound subtask lost with a worker.
+        overloads: Starts that exceeded a worker's capacity.
         store_down: Whether no record becomes durable.
+        list_unavailable: Whether the list of workers can't be read.
     """
 
     def __init__(  # noqa: D107
@@ -88,12 +105,15 @@
         lasting: Callable[[SubtaskId], bool] = lambda _: False,
         *,
         machines_listed: bool = True,
+        guarded: bool = True,
     ) -> None:
         self._deadly = deadly
         self._crash_after_s = crash_after_s
         self._run_s = run_s
         self._lasting = lasting
         self._machines_listed = machines_listed
+        self._guarded = guarded
+        self._jobs: dict[str, Job] = {}
         self.workers = [
             EmulatedWorker(make_worker(f"w{n}")) for n in range(workers)
         ]
@@ -101,7 +121,9 @@
         self.crashes: Counter[SubtaskId] = Counter()
         self.late_starts: Counter[SubtaskId] = Counter()
         self.losses: Counter[SubtaskId] = Counter()
+        self.overloads: list[StartRun] = []
         self.store_down = False
+        self.list_unavailable = False
         self._unsaved: list[SaveRecord] = []
         self._fence = 0
         self.harness: CellHarness
@@ -119,6 +141,7 @@
         self._unsaved = []
         self.harness = CellHarness(self._fence)
         self.harness.now = now
+        self.harness.cell.configure(make_configuration(guarded=self._guarded))
         self.harness.cell.confirm_holder(now)
         self._list_workers()
         self.harness.recover(*self.records)
@@ -126,6 +149,7 @@
     def submit(self, *jobs: Job) -> None:
         """Submits jobs."""
         for job in jobs:
+            self._jobs[job.id] = job
             record = JobSubmitted(job, 0)
             self.records.append(record)
             self.harness.cell.fold([record], self.now, 0)
@@ -161,16 +185,36 @@
         for number in numbers:
             self._crash(self.workers[number])
 
+    def resize(self, number: int, cores: int) -> None:
+        """Changes a worker's capacity; its next report tells of it."""
+        worker = self.workers[number]
+        _, old = worker.capacities[-1]
+        capacity = Resources(1000 * cores, old.memory_mb)
+        worker.capacities.append((self.now, capacity))
+
     def run(self, seconds: float) -> None:
         """Advances the time."""
         for _ in range(round(seconds / STEP_S)):
             self.harness.wait(STEP_S)
+            self._list_workers()
             for worker in self.workers:
                 self._advance(worker)
             self._report_machines()
             self._carry_out()
 
     def _list_workers(self) -> None:
+        if self.list_unavailable:
+            return
+        for worker in self.workers:
+            reported = [
+                capacity
+                for since, capacity in worker.capacities
+                if self.now - since >= HEARTBEAT_S
+            ]
+            worker.registration = msgspec.structs.replace(
+                worker.registration, capacity=reported[-1]
+            )
+        self.harness.cell.confirm_workers(self.now)
         self.harness.update_workers(
             *(w.registration for w in self.workers if w.listed)
         )
@@ -226,6 +270,7 @@
     def _restart(self, worker: EmulatedWorker) -> None:
         name, _, life = worker.registration.incarnation.worker.partition("+")
         worker.registration = make_worker(f"{name}+{int(life or 0) + 1}")
+        worker.capacities = deque([(0.0, worker.registration.capacity)])
         worker.crashed_at = None
         worker.end_count = 0
         self._list_workers()
@@ -288,8 +333,25 @@
             )
             if self.crashes[order.subtask] >= 3:
                 self.late_starts[order.subtask] += 1
+            if self._used(worker) > self._allowed(worker):
+                self.overloads.append(order)
         self.harness.cell.receive(StartOrderResult(order, outcome), self.now)
 
+    def _used(self, worker: EmulatedWorker) -> int:
+        """Returns the cpu that a worker's runs have reserved."""
+        return sum(
+            self._jobs[subtask.job].steps[subtask.step].reserved.cpu
+            for subtask in worker.runs
+        )
+
+    def _allowed(self, worker: EmulatedWorker) -> int:
+        """Returns the largest cpu capacity of the time that counts."""
+        allowed = worker.capacities[-1][1].cpu
+        for (_, capacity), (until, _) in pairwise(worker.capacities):
+            if self.now - until < SHRINK_GRACE_S:
+                allowed = max(allowed, capacity.cpu)
+        return allowed
+
     def _duration_s(self, subtask: SubtaskId) -> float:
         if self._deadly(subtask):
             return self._crash_after_s
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -125,6 +125,7 @@
 
     def _add_view(self, worker: Worker) -> WorkerView:
         view = WorkerView(worker)
+        view.capacity_valid_until = self._capacity_valid_until(worker.service)
         view.engaged = self.recovered and (
             worker.incarnation in self.table.engaged
         )
--- a/acaciawing/jobs/workers.py
+++ b/acaciawing/jobs/workers.py
@@ -126,12 +126,15 @@
         best_effort_pace: Pace of best-effort runs, in percent.
         paced_at: When that pace last changed, in seconds.
         isolated_for: Subtask that alone may be started here, or None.
+        capacity_valid_until: It gets no new runs after this time, in seconds,
+            because its capacity may have shrunk since it was read.
         rack: Label of its rack.
         runs_per_step: Number of runs by step and occurrence.
     """
 
     __slots__ = (
         "best_effort_pace",
+        "capacity_valid_until",
         "contacted",
         "engaged",
         "evacuating",
@@ -179,6 +182,7 @@
         self.best_effort_pace = 100
         self.paced_at = 0.0
         self.isolated_for: SubtaskId | None = None
+        self.capacity_valid_until = float("inf")
         self.rack = worker.rack
         self.runs_per_step: dict[tuple[str, int, int], int] = {}
 
@@ -226,4 +230,5 @@
             and not self.evacuating
             and now - self.last_contact_at < CONTACT_TIMEOUT_S
             and now >= self.suspended_until
+            and now < self.capacity_valid_until
         )
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -36,6 +36,7 @@
     RecordsRead,
     RecordsSaved,
     ReleaseCells,
+    WorkerListConfirmed,
     WorkerListRead,
     WorkerMessageReceived,
 )
@@ -85,6 +86,7 @@
         self._cells: dict[int, HeldCell] = {}
         self._configuration: Configuration | None = None
         self._workers: tuple[Worker, ...] | None = None
+        self._workers_current_at = float("-inf")
         self._confirmed_at = float("-inf")
         self._released = False
         self._tenure: FleetTenure | None = None
@@ -240,6 +242,13 @@
             self._update_workers(held, now)
             self._finish_recovery(held, now)
 
+    @_receive.register
+    def _(self, message: WorkerListConfirmed, now: float) -> None:
+        del now
+        self._workers_current_at = message.current_at
+        for held in self._cells.values():
+            held.cell.confirm_workers(message.current_at)
+
     @_receive.register
     def _(self, message: MachineListRead, now: float) -> None:
         for held in self._cells.values():
@@ -330,6 +339,7 @@
         held.cell.confirm_holder(self._confirmed_at)
         if self._configuration is not None:
             held.cell.configure(self._configuration)
+        held.cell.confirm_workers(self._workers_current_at)
         self._update_workers(held, now)
         log_event(
             Event.CELL_ACQUIRED,
--- a/acaciawing/jobserver/keyed_topics.py
+++ b/acaciawing/jobserver/keyed_topics.py
@@ -19,6 +19,7 @@
 from acaciawing.jobserver.messages import (
     ConfigurationRead,
     Message,
+    WorkerListConfirmed,
     WorkerListRead,
 )
 from acaciawing.jobserver.tasks import start_task
@@ -80,6 +81,9 @@
     def record_answer(self) -> None:
         """Records that the store has answered a read."""
 
+    def record_current(self, at: float) -> None:
+        """Records that all changes up to a time, in seconds, were applied."""
+
     def replace_all(self, records: tuple[KeyedRecord, ...]) -> None:
         """Handles the newest record of every key, read from the whole topic."""
         raise NotImplementedError
@@ -99,6 +103,7 @@
                     offset, pause = newest.end, RETRY_PAUSE_S
                     continue
             else:
+                requested_at = steady_s()
                 result = self._store.read(self._topic, 0, offset, READ_WAIT_MS)
                 if isinstance(result, OffsetExpired):
                     offset = None
@@ -108,6 +113,8 @@
                     pause = RETRY_PAUSE_S
                     offset = result.next_offset
                     self._apply_payloads(result.records)
+                    if offset >= result.end:
+                        self.record_current(requested_at)
                     self._closed.wait(self._interval_s())
                     continue
             self._closed.wait(pause)
@@ -215,6 +222,10 @@
         self._workers: dict[str, Worker] = {}
         self._unreadable: set[str] = set()
 
+    def record_current(self, at: float) -> None:
+        """Reports that the list is current."""
+        self._send(WorkerListConfirmed(at))
+
     def replace_all(self, records: tuple[KeyedRecord, ...]) -> None:
         """Replaces the whole list."""
         self._workers = {}
--- a/acaciawing/jobserver/messages.py
+++ b/acaciawing/jobserver/messages.py
@@ -116,6 +116,17 @@
     workers: tuple[Worker, ...]
 
 
+@dataclass(frozen=True)
+class WorkerListConfirmed:
+    """All changes of the list of workers up to a time were read.
+
+    Attributes:
+        current_at: That time, in seconds.
+    """
+
+    current_at: float
+
+
 @dataclass(frozen=True)
 class MachineListRead:
     """The platform's list of machines was read.
@@ -199,6 +210,7 @@
     | PartitionsAssigned
     | ConfigurationRead
     | WorkerListRead
+    | WorkerListConfirmed
     | MachineListRead
     | JobStateQuery
     | CellReportQuery
--- a/acaciawing/jobserver/sessions.py
+++ b/acaciawing/jobserver/sessions.py
@@ -259,9 +259,13 @@
         return client.pace(order.subtask, order.run, order.percent) is None
 
     def _start(self, client: RunClient, order: StartRun) -> bool:
-        deadline = self._clock.grant(steady_s())
-        stopped = (order.subtask, order.run) in self._stopped_runs
-        if deadline is None or stopped or not self._has_authority():
+        now = steady_s()
+        deadline = self._clock.grant(now)
+        withdrawn = (
+            order.subtask,
+            order.run,
+        ) in self._stopped_runs or now > order.valid_until
+        if deadline is None or withdrawn or not self._has_authority():
             self._send_message(StartOrderResult(order, StartOutcome.REFUSED))
             return True
         result = client.start(order, deadline, order.ticket)
--- a/acaciawing/platform/tests/test_wire.py
+++ b/acaciawing/platform/tests/test_wire.py
@@ -4,7 +4,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from acaciawing.jobs import Configuration, Incarnation, Job, Worker
+from acaciawing.jobs import (
+    Configuration,
+    Incarnation,
+    Job,
+    Resources,
+    Worker,
+)
 from acaciawing.platform.node import NodeSettingsError, parse_node_settings
 from acaciawing.platform.runs import (
     CallFailure,
@@ -131,3 +137,21 @@
             assert {"Node", "Zone", "Listen.Front"} <= places
         else:
             raise AssertionError("invalid settings were accepted")
+
+
+class TestCapacity:
+    """Guards against workers lost, or overloaded, by how numbers are written."""
+
+    def test_share_of_a_capacity_is_rounded_down(self) -> None:
+        capacity = {"Cpu": 12345.6, "MemMb": 4096.0}
+        worker = decode_worker(
+            "w", msgspec.json.encode({**_WORKER, "Capacity": capacity})
+        )
+        assert isinstance(worker, Worker)
+        assert worker.capacity == Resources(12345, 4096)
+
+    def test_pool_that_leaves_the_field_out_does_not_guard(self) -> None:
+        body = {"Version": 1, "Routes": [], "Services": [{"Name": "s"}]}
+        configuration = decode_configuration(msgspec.json.encode(body))
+        assert isinstance(configuration, Configuration)
+        assert not configuration.pools["s"].rejects_overload
--- a/acaciawing/platform/wire.py
+++ b/acaciawing/platform/wire.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -24,6 +24,9 @@
 # Maximum for one job, so that a submission can't exhaust memory.
 MAX_SUBTASKS = 100_000
 
+# Maximum of a resource; a larger one is a fault of its sender.
+_MAX_AMOUNT = 1e12
+
 _JOB_ID_LENGTH = 16
 _HEX_DIGITS = frozenset("0123456789abcdef")
 
@@ -91,7 +94,7 @@
     """A pool; the platform calls it a service."""
 
     Name: str
-    RejectsOverload: bool = True
+    RejectsOverload: bool = False  # False values may be left out.
     Spare: bool = False
 
 
@@ -101,10 +104,14 @@
     Services: list[_WireService]
 
 
+# Not always whole: a worker may offer a share of its full capacity.
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
+
+
 class _WireCapacity(msgspec.Struct):
-    Cpu: int = 0  # In thousandths of a core.
-    MemMb: int = 0
-    Gpu: int = 0
+    Cpu: _Amount = 0  # In thousandths of a core.
+    MemMb: _Amount = 0
+    Gpu: _Amount = 0
 
 
 class _WireWorker(msgspec.Struct):
@@ -326,4 +333,4 @@
 
 
 def _decode_capacity(wire: _WireCapacity) -> Resources:
-    return Resources(wire.Cpu, wire.MemMb, wire.Gpu)
+    return Resources(int(wire.Cpu), int(wire.MemMb), int(wire.Gpu))
