Count a crash whose worker is back under its id before it was noticed

Cause: a worker that restarts under its id may have received a start that its old incarnation has not reported, so such runs are moved to the new incarnation, and when it does not list them they are queued again without a count. A deadly subtask is never reported by the worker that it crashes.

Change: the crash is kept with such a run. It counts when the next incarnation does not list the run, and is dropped when it does.

Failing before: test_subtask_whose_workers_are_back_under_their_ids_is_given_up and the random test, whose workers now return after 0.1 to 3.3 s, three in ten under their old id.

--- a/acaciawing/jobs/crash_tracking.py
+++ b/acaciawing/jobs/crash_tracking.py
@@ -47,10 +47,21 @@
             ):
                 self._count_crash(incarnation, now)
 
-    def _count_crash(self, incarnation: Incarnation, now: float) -> None:
+    def _count_crash(
+        self,
+        incarnation: Incarnation,
+        now: float,
+        unconfirmed: Collection[SubtaskId] = (),
+    ) -> None:
         """Counts the end of an incarnation against the runs that it had.
 
         The end of a worker that was draining counts against none.
+
+        Args:
+            incarnation: The incarnation.
+            now: Current time in seconds.
+            unconfirmed: Subtasks that may have been started on its successor
+                instead.
         """
         silent = self._silent_runs.pop(incarnation, None)
         view = self.views.get(incarnation)
@@ -63,9 +74,23 @@
         if lost or incarnation in self._takeover.unconfirmed_until:
             self._crash_seen_at = now
         for run in lost:
-            self._record_crash(incarnation, run)
+            if run.subtask in unconfirmed:
+                key = run.subtask, run.number
+                self._unconfirmed_crashes.setdefault(key, (incarnation, run))
+            else:
+                self._record_crash(incarnation, run)
         self._give_up_deadly({run.subtask for run in lost}, now)
 
+    def _process_absent(
+        self, view: WorkerView, run: Run, requested_at: float, now: float
+    ) -> None:
+        crash = self._unconfirmed_crashes.get((run.subtask, run.number))
+        super()._process_absent(view, run, requested_at, now)
+        if crash is not None and view.runs.get(run.subtask) is not run:
+            # The run was not on the next incarnation either.
+            self._record_crash(*crash)
+            self._give_up_deadly((run.subtask,), now)
+
     def _unseen_runs(self, incarnation: Incarnation) -> list[LostRun]:
         """Returns runs that an earlier holder has started on a worker."""
         starts = [
--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -96,6 +96,7 @@
                 run.progressed_at = now
             run.percent, run.load_metric = row.percent, row.load_metric
             run.reported = True
+            self._unconfirmed_crashes.pop((row.subtask, row.run), None)
             if run.phase in (Phase.ORDERED, Phase.UNCONFIRMED):
                 run.enter(Phase.RUNNING, now, now)
             return
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -11,6 +11,7 @@
     WorkerReport,
 )
 from acaciawing.jobs.crashes import (
+    LostRun,
     SilentRuns,
     Suspicion,
     assess_suspicion,
@@ -89,6 +90,10 @@
         self._ended_incarnations: set[Incarnation] = set()
         # Runs of workers that were silent until their leases lapsed.
         self._silent_runs: dict[Incarnation, SilentRuns] = {}
+        # Crashes under runs that may be on the worker's next incarnation.
+        self._unconfirmed_crashes: dict[
+            tuple[SubtaskId, int], tuple[Incarnation, LostRun]
+        ] = {}
         self._crash_seen_at = float("-inf")
         self._tickets = TicketBook()
         # The worker on which each subtask last failed or stalled.
@@ -171,6 +176,7 @@
         removed = view.remove(subtask)
         if removed is not None:
             self.table.forget_start(subtask, removed.number)
+            self._unconfirmed_crashes.pop((subtask, removed.number), None)
         if self._copies.get(subtask) is view:
             del self._copies[subtask]
         elif self._active.get(subtask) is view:
--- a/acaciawing/jobs/tests/crash_emulator.py
+++ b/acaciawing/jobs/tests/crash_emulator.py
@@ -85,6 +85,8 @@
         machines_listed: Whether the list of machines is available.
         guarded: Whether the configuration says that workers refuse what does
             not fit.
+        downtime_s: Time from a crash until the worker is back.
+        keeps_id: Whether it is back under the id that it had.
 
     Attributes:
         records: Records that are durable.
@@ -106,6 +108,8 @@
         *,
         machines_listed: bool = True,
         guarded: bool = True,
+        downtime_s: float = DOWNTIME_S,
+        keeps_id: bool = False,
     ) -> None:
         self._deadly = deadly
         self._crash_after_s = crash_after_s
@@ -113,6 +117,8 @@
         self._lasting = lasting
         self._machines_listed = machines_listed
         self._guarded = guarded
+        self._downtime_s = downtime_s
+        self._keeps_id = keeps_id
         self._jobs: dict[str, Job] = {}
         self.workers = [
             EmulatedWorker(make_worker(f"w{n}")) for n in range(workers)
@@ -221,7 +227,7 @@
 
     def _advance(self, worker: EmulatedWorker) -> None:
         if worker.crashed_at is not None:
-            if self.now - worker.crashed_at > DOWNTIME_S:
+            if self.now - worker.crashed_at > self._downtime_s:
                 self._restart(worker)
             return
         for subtask, run in list(worker.runs.items()):
@@ -268,8 +274,12 @@
         )
 
     def _restart(self, worker: EmulatedWorker) -> None:
-        name, _, life = worker.registration.incarnation.worker.partition("+")
-        worker.registration = make_worker(f"{name}+{int(life or 0) + 1}")
+        name, born_ms = worker.registration.incarnation
+        if self._keeps_id:
+            worker.registration = make_worker(name, born_ms=born_ms + 1)
+        else:
+            name, _, life = name.partition("+")
+            worker.registration = make_worker(f"{name}+{int(life or 0) + 1}")
         worker.capacities = deque([(0.0, worker.registration.capacity)])
         worker.crashed_at = None
         worker.end_count = 0
--- a/acaciawing/jobs/tests/test_crashes.py
+++ b/acaciawing/jobs/tests/test_crashes.py
@@ -90,6 +90,20 @@
         emulator.run(40.0)
         _assert_only_deadly_jobs_fail(emulator, jobs)
 
+    @pytest.mark.parametrize("downtime_s", [0.1, 1.0])
+    def test_subtask_whose_workers_are_back_under_their_ids_is_given_up(
+        self, downtime_s: float
+    ) -> None:
+        emulator = CrashEmulator(
+            deadly=_is_first_of_deadly_job,
+            downtime_s=downtime_s,
+            keeps_id=True,
+        )
+        jobs = [*_make_jobs("sound", 6), *_make_jobs("deadly", 2)]
+        emulator.submit(*jobs)
+        emulator.run(20.0)
+        _assert_only_deadly_jobs_fail(emulator, jobs)
+
     def test_deadly_gang_is_given_up(self) -> None:
         emulator = CrashEmulator(deadly=_is_first_of_deadly_job)
         jobs = [
@@ -291,6 +305,8 @@
             deadly=_is_first_of_deadly_job,
             crash_after_s=rng.choice((0.01, 0.2, 1.5)),
             run_s=rng.uniform(0.2, 2.0),
+            downtime_s=rng.choice((0.1, 1.0, 3.3)),
+            keeps_id=rng.random() < 0.3,
         )
         jobs = [
             *_make_jobs("sound", rng.randint(1, 8)),
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -163,7 +163,10 @@
             self._takeover.unconfirmed_until[successor] = until
         old, new = self.views.get(incarnation), self.views.get(successor)
         if old is not None and new is not None:
-            for run in [r for r in old.runs.values() if not r.reported]:
+            unreported = [r for r in old.runs.values() if not r.reported]
+            subtasks = {run.subtask for run in unreported}
+            self._count_crash(incarnation, now, unconfirmed=subtasks)
+            for run in unreported:
                 self._transfer_run(run, old, new, now)
         self._end_incarnation(incarnation, WorkerEnd.RESTARTED, now)
 
