Play deadly subtasks and shrinking workers on the stand-ins and in the soak

The stand-in worker crashes when it starts the first subtask of a deadly job, and records starts beyond its capacity; the soak resizes workers that don't guard theirs, and three in a hundred of its jobs are deadly. Checks: at most five crashes under a deadly subtask, a job is given up only after two crashes under one of its subtasks, no worker is overloaded. A larger capacity counts for the stated 3 s and a heartbeat, and 3 s more where a fault may hold back an order.

--- a/acaciawing/jobserver/tests/test_job_lifecycle.py
+++ b/acaciawing/jobserver/tests/test_job_lifecycle.py
@@ -6,8 +6,10 @@
 
 import pytest
 
+from standins.job_worker import DEADLY_PAYLOAD
 from standins.platform_harness import (
     PREFIX,
+    RUN_CPU,
     PlatformHarness,
     wait_for,
 )
@@ -93,6 +95,46 @@
                 "completed",
             )
 
+    def test_subtask_that_crashes_its_workers_is_given_up(
+        self, harness: PlatformHarness
+    ) -> None:
+        for number in (2, 3):
+            harness.start_instance(number)
+        for number in (2, 3):
+            wait_for(lambda n=number: harness.is_ready(n), "instance is ready")  # type: ignore[misc]
+        deadly, sound = _job(1), _job(2)
+        assert harness.submit(2, deadly, *_STEPS, payload=DEADLY_PAYLOAD) == 200
+        assert harness.submit(3, sound, *_STEPS) == 200
+        wait_for(lambda: harness.state(3, deadly) == "failed", "given up")
+        wait_for(lambda: harness.state(2, sound) == "completed", "completed")
+        starts = [n for n in _starts(harness) if n == f"{deadly}.0.0.0"]
+        assert 2 <= len(starts) <= 5
+
+    def test_worker_that_does_not_guard_is_not_overloaded(
+        self, tmp_path: Path
+    ) -> None:
+        harness = PlatformHarness(tmp_path, 1, run_s=0.2, guarded=False)
+        worker = harness.workers[0]
+        harness.resize_worker(0, 2)
+        # The instance starts after the change.
+        worker.shrink_grace_s = 0.0
+        try:
+            harness.start_instance(2)
+            wait_for(lambda: harness.is_ready(2), "instance is ready")
+            step = {"Count": 8, "Cpu": RUN_CPU, "EstimatedMs": 200}
+            assert harness.submit(2, _job(1), step) == 200
+            wait_for(
+                lambda: harness.state(2, _job(1)) == "completed", "completed"
+            )
+            assert not worker.overloads
+            assert worker.peak_runs == 2
+            harness.resize_worker(0, 8)
+            assert harness.submit(2, _job(2), {**step, "Count": 40}) == 200
+            wait_for(lambda: worker.peak_runs == 8, "room is used")
+            assert not worker.overloads
+        finally:
+            harness.close()
+
     def test_unreachable_store_makes_the_instance_refuse_jobs(
         self, harness: PlatformHarness
     ) -> None:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,6 +10,13 @@
 # Tolerance for the delay between the clock readings of two stand-ins.
 _CLOCK_TOLERANCE_S = 0.02
 
+# Crashes after which a subtask may be given up, and after which it must be: it
+# may be started twice more after it has crashed three workers.
+MIN_CRASHES = 2
+MAX_CRASHES = 5
+
+FINAL_STATES = frozenset({"completed", "failed"})
+
 
 @dataclass
 class JobObservations:
@@ -21,11 +28,13 @@
             ``gone`` if the job was unknown.
         last_submission_at: Monotonic time at which its last submission
             ended, in seconds.
+        deadly: Whether its first subtask crashes its workers.
     """
 
     statuses: list[int] = field(default_factory=list)
     states: list[str] = field(default_factory=list)
     last_submission_at: float = 0.0
+    deadly: bool = False
 
     @property
     def accepted(self) -> bool:
@@ -47,8 +56,12 @@
     violations = [
         f"worker doubled {n}" for w in workers for n in w.duplicate_starts
     ]
+    violations += [
+        f"worker overloaded {n}" for w in workers for n in w.overloads
+    ]
     for job, observed in sorted(observations.items()):
-        violations += _job_violations(job, observed)
+        subtasks = [r for n, r in runs.items() if n.partition(".")[0] == job]
+        violations += _job_violations(job, observed, subtasks)
         if observed.refused and any(name.startswith(job) for name in runs):
             violations.append(f"{job}: refused as not run, and has run")
     for name, subtask_runs in sorted(runs.items()):
@@ -68,18 +81,42 @@
     return runs
 
 
-def _job_violations(job: str, observed: JobObservations) -> list[str]:
+def _job_violations(
+    job: str, observed: JobObservations, subtasks: Sequence[list[EndedRun]]
+) -> list[str]:
     if not observed.accepted:
         return []
     violations = []
     if "gone" in observed.states:
         violations.append(f"{job}: accepted, and later not known")
-    if not observed.states or observed.states[-1] != "completed":
+    violations += _outcome_violations(job, observed, subtasks)
+    for state in FINAL_STATES & set(observed.states[:-1]):
+        after = observed.states[observed.states.index(state) :]
+        if set(after) != {state}:
+            violations.append(f"{job}: {state}, and then {set(after)}")
+    return violations
+
+
+def _outcome_violations(
+    job: str, observed: JobObservations, subtasks: Sequence[list[EndedRun]]
+) -> list[str]:
+    crashes = max(
+        (
+            sum(run.end_reason == "crashed" for run in subtask_runs)
+            for subtask_runs in subtasks
+        ),
+        default=0,
+    )
+    final = observed.states[-1] if observed.states else ""
+    violations = []
+    if observed.deadly and crashes > MAX_CRASHES:
+        violations.append(f"{job}: crashed {crashes} workers")
+    if observed.deadly and final != "failed":
+        violations.append(f"{job}: not given up: {observed.states[-3:]}")
+    elif final not in FINAL_STATES:
         violations.append(f"{job}: not completed: {observed.states[-3:]}")
-    if "completed" in observed.states[:-1]:
-        after = observed.states[observed.states.index("completed") :]
-        if set(after) != {"completed"}:
-            violations.append(f"{job}: completed, and then {set(after)}")
+    elif final == "failed" and crashes < MIN_CRASHES:
+        violations.append(f"{job}: given up without cause")
     return violations
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,7 +7,7 @@
 from threading import Event, Thread
 
 from soak.proxy import Fault, Proxy
-from standins.platform_harness import PlatformHarness
+from standins.platform_harness import FULL_RUNS, PlatformHarness
 
 # Maximum duration of a fault, and maximum pause before the next one.
 MAX_FAULT_DURATION_S = 3.0
@@ -69,6 +69,8 @@
             self._worker_fault,
             self._worker_fault,
             self._worker_crash,
+            self._worker_resize,
+            self._worker_resize,
             self._reset_connections,
         ]
         while not self._stopped.wait(self._random.uniform(0.05, MAX_PAUSE_S)):
@@ -152,6 +154,13 @@
         self._record(f"crash of worker {number}")
         self._harness.restart_worker(number, self._workers[number].reset)
 
+    def _worker_resize(self) -> Undo:
+        number = self._random.randrange(len(self._workers))
+        runs = self._random.randint(1, FULL_RUNS)
+        self._record(f"worker {number} has room for {runs}")
+        self._harness.resize_worker(number, runs)
+        return lambda: self._harness.resize_worker(number, FULL_RUNS)
+
     def _reset_connections(self) -> None:
         self._record("resets")
         for proxy in (*self._stores.values(), *self._workers):
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -7,10 +7,16 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from soak.checks import JobObservations, find_violations, wait_until_idle
-from soak.faults import FaultInjector
+from soak.checks import (
+    FINAL_STATES,
+    JobObservations,
+    find_violations,
+    wait_until_idle,
+)
+from soak.faults import MAX_FAULT_DURATION_S, FaultInjector
 from soak.proxy import Proxy, ProxyHost
-from standins.platform_harness import PREFIX, PlatformHarness
+from standins.job_worker import DEADLY_PAYLOAD, SHRINK_GRACE_S
+from standins.platform_harness import PREFIX, RUN_CPU, PlatformHarness
 
 # Number of submissions of a job after which its caller gives up.
 _MAX_SUBMISSIONS = 6
@@ -25,6 +31,9 @@
 # bound `visible_ms`.
 MAX_VISIBILITY_DELAY_S = 3.0
 
+# Share of jobs with a subtask that crashes its workers.
+_DEADLY_SHARE = 0.03
+
 
 @dataclass(frozen=True)
 class Size:
@@ -75,8 +84,18 @@
         self.observations: dict[str, JobObservations] = {}
         self.stopped = threading.Event()
         self.harness = PlatformHarness(
-            self.folder, size.workers, run_s=0.2, route=self._route
+            self.folder,
+            size.workers,
+            run_s=0.2,
+            route=self._route,
+            guarded=False,
         )
+        self.harness.reset_worker = lambda number: list(self.workers.values())[
+            number
+        ].reset()
+        for worker in self.harness.workers:
+            # A silent connection delays an order by up to a fault's duration.
+            worker.shrink_grace_s = SHRINK_GRACE_S + MAX_FAULT_DURATION_S
 
     def _route(self, instance: int, address: str) -> str:
         if instance:
@@ -145,15 +164,20 @@
         while not self.stopped.is_set():
             job = f"{self.seed % 2**16:04x}{number:04x}{count:08x}"
             count += 1
-            observed = self.observations.setdefault(job, JobObservations())
+            observed = self.observations.setdefault(
+                job, JobObservations(deadly=rng.random() < _DEADLY_SHARE)
+            )
+            payload = DEADLY_PAYLOAD if observed.deadly else "payload"
             steps = [
-                {"Count": rng.randint(1, 4), "Cpu": 1000, "EstimatedMs": 200}
+                {"Count": rng.randint(1, 4), "Cpu": RUN_CPU, "EstimatedMs": 200}
                 for _ in range(rng.randint(1, 2))
             ]
             if len(steps) > 1:
                 steps[1]["DependsOn"] = [0]  # type: ignore[assignment]
             for _ in range(_MAX_SUBMISSIONS):
-                status = self.harness.submit(rng.choice(instances), job, *steps)
+                status = self.harness.submit(
+                    rng.choice(instances), job, *steps, payload=payload
+                )
                 observed.statuses.append(status)
                 observed.last_submission_at = time.monotonic()
                 if status == 200 or self.stopped.is_set():
@@ -190,7 +214,7 @@
                 job
                 for number, job in enumerate(unfinished)
                 if self._query_state(job, instances[number % len(instances)])
-                != "completed"
+                not in FINAL_STATES
             ]
             time.sleep(0.1)
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -54,3 +54,27 @@
         assert find_violations(observations, []) == [
             "j: accepted, and later not known"
         ]
+
+    def test_reports_a_job_given_up_after_one_crash(self) -> None:
+        worker = JobWorker()
+        worker.ended_runs.append(EndedRun("j.0.0.0", 1.0, 2.0, "crashed", 1))
+        observations = {"j": JobObservations([200], ["failed"])}
+        assert find_violations(observations, [worker]) == [
+            "j: given up without cause"
+        ]
+
+    def test_reports_a_sixth_crash_under_a_deadly_subtask(self) -> None:
+        worker = JobWorker()
+        for run in range(6):
+            worker.ended_runs.append(
+                EndedRun("j.0.0.0", run, run + 0.5, "crashed", run + 1)
+            )
+        observations = {"j": JobObservations([200], ["failed"], deadly=True)}
+        assert find_violations(observations, [worker]) == [
+            "j: crashed 6 workers"
+        ]
+
+    def test_reports_an_overloaded_worker(self) -> None:
+        worker = JobWorker()
+        worker.overloads.append("j.0.0.0")
+        assert find_violations({}, [worker]) == ["worker overloaded j.0.0.0"]
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -3,12 +3,26 @@
 import json
 import threading
 import time
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from standins.server import Response, json_response
 
 _POLL_INTERVAL_S = 0.01
 
+# Payload of a job whose first subtask crashes each worker that starts it.
+DEADLY_PAYLOAD = "deadly"
+
+# Time from such a start to the crash.
+_CRASH_DELAY_S = 0.01
+
+# Capacity, in runs, of a worker that was not resized.
+_UNLIMITED = 1_000_000
+
+# The larger one of two capacities counts this long after a change: the time in
+# which the change reaches the system, and a worker's heartbeat.
+SHRINK_GRACE_S = 4.5
+
 
 class _ActiveRun:
     def __init__(self, number: int, ends_at: float) -> None:
@@ -41,6 +55,7 @@
 
     Args:
         run_s: Run time of each subtask, in seconds.
+        on_deadly_start: Crashes this worker.
 
     Attributes:
         born: Wall-clock time of the start of this incarnation, in
@@ -52,11 +67,26 @@
         ended_runs: Runs that have ended, over all incarnations.
         acknowledged: Subtask and run number of each ``done`` run whose end
             the poller has acknowledged.
+        overloads: Subtasks whose start exceeded the capacity.
+        peak_runs: Largest number of runs at the same time.
+        shrink_grace_s: Time for which the capacity before a change counts, in
+            seconds.
     """
 
-    def __init__(self, run_s: float = 0.05) -> None:
+    def __init__(
+        self,
+        run_s: float = 0.05,
+        on_deadly_start: Callable[[], None] = lambda: None,
+    ) -> None:
         """Starts the first incarnation, with nothing running."""
         self._run_s = run_s
+        self._on_deadly_start = on_deadly_start
+        # Capacities in runs, each with the time of its end; newest last.
+        self._capacities: list[tuple[int, float]] = []
+        self._capacity = _UNLIMITED
+        self.overloads: list[str] = []
+        self.peak_runs = 0
+        self.shrink_grace_s = SHRINK_GRACE_S
         self._lock = threading.Lock()
         self._running: dict[str, _ActiveRun] = {}
         self._reported_ends: list[list[Any]] = []
@@ -104,6 +134,12 @@
             self._end_due_runs()
             return len(self._running)
 
+    def resize(self, runs: int) -> None:
+        """Changes the capacity, in runs; a start that exceeds it is recorded."""
+        with self._lock:
+            self._capacities.append((self._capacity, time.monotonic()))
+            self._capacity = runs
+
     def crash(self) -> None:
         """Starts a new incarnation under the same id, with nothing running."""
         with self._lock:
@@ -168,8 +204,22 @@
             return self._respond(409, Reason="old")
         if request["DeadlineMs"] < self._now_ms():
             return self._respond(409, Reason="late")
-        self._running[name] = _ActiveRun(number, time.monotonic() + self._run_s)
+        now = time.monotonic()
+        self._running[name] = _ActiveRun(number, now + self._run_s)
         self.starts.append((name, number))
+        self.peak_runs = max(self.peak_runs, len(self._running))
+        allowed = [
+            capacity
+            for capacity, until in self._capacities
+            if now - until < self.shrink_grace_s
+        ]
+        if len(self._running) > max([self._capacity, *allowed]):
+            self.overloads.append(name)
+        first = name.endswith(".0.0")
+        if request["TaskSpec"] == DEADLY_PAYLOAD and first:
+            # Such a run never ends by itself.
+            self._running[name].ends_at = float("inf")
+            threading.Timer(_CRASH_DELAY_S, self._on_deadly_start).start()
         return self._respond(200)
 
     def _stop(self, request: dict[str, Any]) -> None:
--- a/standins/platform_harness.py
+++ b/standins/platform_harness.py
@@ -9,6 +9,7 @@
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -31,6 +32,12 @@
 # reset are closed before it starts again.
 _WORKER_DOWNTIME_S = 0.1
 
+# Full capacity of a worker, and capacity that each run uses, in thousandths of a
+# core.
+_WORKER_CPU = 8000
+RUN_CPU = 1000
+FULL_RUNS = _WORKER_CPU // RUN_CPU
+
 _STORE_PORT, _WORKER_PORT, _MACHINES_PORT = 7800, 7900, 7700
 _FRONT_PORT, _READY_PORT, _PEER_PORT = 8624, 8622, 7060
 
@@ -53,9 +60,15 @@
         folder: Folder for settings files and logs.
         workers: Number of workers.
         run_s: Run time of each subtask, in seconds.
+        guarded: Whether the configuration says that workers refuse what does
+            not fit.
         route: Returns the address at which an instance reaches a stand-in,
             given the number of the instance (0 for all instances) and the
             address of the stand-in.
+
+    Attributes:
+        reset_worker: Resets all connections to a worker when a subtask has
+            crashed it; given its index.
     """
 
     def __init__(
@@ -64,6 +77,8 @@
         workers: int = 2,
         run_s: float = 0.05,
         route: Callable[[int, str], str] = lambda _, address: address,
+        *,
+        guarded: bool = True,
     ):
         """Starts the stand-ins."""
         self._folder = folder
@@ -75,7 +90,13 @@
         self._servers: list[wsgi.Server] = []
         self._processes: dict[int, subprocess.Popen[bytes]] = {}
         self.store = JobStore(PARTITIONS)
-        self.workers = [JobWorker(run_s) for _ in range(workers)]
+        self._guarded = guarded
+        self.reset_worker: Callable[[int], None] = lambda _: None
+        self.workers = [
+            JobWorker(run_s, partial(self._crash_worker, number))
+            for number in range(workers)
+        ]
+        self._cpu = [_WORKER_CPU] * workers
         self._serve(1, _STORE_PORT, self.store.handle)
         self._serve(1, _MACHINES_PORT, self._serve_machine_list)
         for number, worker in enumerate(self.workers):
@@ -129,6 +150,20 @@
         self.workers[number].down = False
         self._publish_worker(number)
 
+    def resize_worker(self, number: int, runs: int) -> None:
+        """Changes the capacity of a worker, which reports it at once.
+
+        Args:
+            number: Index of the worker.
+            runs: New capacity, in runs of `RUN_CPU` each.
+        """
+        self.workers[number].resize(runs)
+        self._cpu[number] = runs * RUN_CPU
+        self._publish_worker(number)
+
+    def _crash_worker(self, number: int) -> None:
+        self.restart_worker(number, partial(self.reset_worker, number))
+
     @property
     def running_instances(self) -> list[int]:
         """Numbers of the instances that were started and not yet ended."""
@@ -169,9 +204,15 @@
         """Returns the state of a job as an instance reports it."""
         return str(self.call(number, "GET", PREFIX + job)[1].get("State", ""))
 
-    def submit(self, number: int, job: str, *steps: dict[str, Any]) -> int:
+    def submit(
+        self,
+        number: int,
+        job: str,
+        *steps: dict[str, Any],
+        payload: str = "payload",
+    ) -> int:
         """Submits a job and returns the HTTP status."""
-        body = {"TaskSpec": "payload", "Steps": list(steps)}
+        body = {"TaskSpec": payload, "Steps": list(steps)}
         return self.call(number, "POST", PREFIX + job, body)[0]
 
     def _serve(self, host: int, port: int, handler: Handler) -> None:
@@ -191,7 +232,7 @@
                 "Machine": f"m-{n}",
                 "Pool": SERVICE,
                 "State": "up",
-                "Capacity": {"Cpu": 8000, "MemMb": 8192},
+                "Capacity": {"Cpu": _WORKER_CPU, "MemMb": 8192},
                 "Id": f"w-{n}",
             }
             for n in range(len(self.workers))
@@ -209,7 +250,7 @@
             "TargetLatencyMs": 600,
             "TimeoutMs": 3000,
         }
-        services = [{"Name": SERVICE, "RejectsOverload": True}]
+        services = [{"Name": SERVICE, "RejectsOverload": self._guarded}]
         self.store.put(
             "keyed.op",
             "config",
@@ -228,7 +269,7 @@
                 "Address": self._route(0, address),
                 "Zone": "a",
                 "State": "ready",
-                "Capacity": {"Cpu": 8000, "MemMb": 8192},
+                "Capacity": {"Cpu": self._cpu[number], "MemMb": 8192},
                 "Labels": ["a", "r1-1"],
                 "born": self.workers[number].born,
             },
