Count crashes of workers that have left the list before a takeover

Cause: the placeholder for a worker that may have an earlier holder's runs, but is no longer listed, says that it is draining, so its end was taken for planned (AW3203 with planned true) and counted against none.

Change: the placeholder is not draining; it gets no runs because it is not present.

Failing before: test_crash_of_a_worker_that_left_the_list_is_counted.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -269,4 +269,4 @@
 
 def _unregistered_worker(incarnation: Incarnation, address: str) -> Worker:
     """Returns a worker without a registration; it gets no new runs."""
-    return Worker(incarnation, "", address, "", True, Resources(), frozenset())
+    return Worker(incarnation, "", address, "", False, Resources(), frozenset())
--- a/acaciawing/jobs/tests/crash_emulator.py
+++ b/acaciawing/jobs/tests/crash_emulator.py
@@ -191,6 +191,11 @@
         for number in numbers:
             self._crash(self.workers[number])
 
+    def restart(self, numbers: Iterable[int]) -> None:
+        """Restarts crashed workers at once."""
+        for number in numbers:
+            self._restart(self.workers[number])
+
     def resize(self, number: int, cores: int) -> None:
         """Changes a worker's capacity; its next report tells of it."""
         worker = self.workers[number]
--- a/acaciawing/jobs/tests/test_crashes.py
+++ b/acaciawing/jobs/tests/test_crashes.py
@@ -216,6 +216,19 @@
         crashed = emulator.harness.cell.table.jobs["deadly0"].crashed_runs
         assert len(crashed[DEADLY]) == emulator.crashes[DEADLY] == 2
 
+    def test_crash_of_a_worker_that_left_the_list_is_counted(self) -> None:
+        subtask = SubtaskId("job", 0, 0, 0)
+        emulator = CrashEmulator(workers=1, run_s=60.0, keeps_id=True)
+        emulator.submit(make_job("job"))
+        for _ in range(2):
+            emulator.run(5.0)
+            emulator.crash((emulator.worker_of(subtask),))
+        emulator.restart((0,))
+        emulator.replace_holder()
+        emulator.run(0.5)
+        crashed = emulator.harness.cell.table.jobs["job"].crashed_runs
+        assert len(crashed[subtask]) == 2
+
     def test_refused_starts_of_an_earlier_holder_are_no_crashes(self) -> None:
         emulator = CrashEmulator(workers=4, run_s=5.0)
         emulator.submit(make_job("lost"))
