Soak: end paused processes after the grace time, and let leases lapse as the platform does

Soak reported a start after an acknowledged end. Trace: SIGTERM was sent to a paused instance, the harness waited 60 s and the fault thread died, so one worker stayed silent; its runs were started elsewhere after their leases had lapsed, and it then listed their ends as done.

--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -93,6 +93,7 @@
         self._last_ended_runs: dict[str, int] = {}
         self._fence = 0
         self._last_end_number = 0
+        self._before_lapse = 0
         self._lease_until_ms = 0.0
         self.born = time.time_ns() // 1_000_000
         self.down = False
@@ -118,8 +119,8 @@
             if request.get("Fence", 0) < self._fence:
                 return self._respond(409, Reason="fence")
             self._fence = request.get("Fence", 0)
-            self._extend_lease(request)
             self._end_due_runs()
+            self._extend_lease(request)
             if path == "/v1/run-start":
                 return self._start(request)
             if path == "/v1/run-stop":
@@ -149,7 +150,7 @@
             self._running.clear()
             self._last_ended_runs.clear()
             self._reported_ends.clear()
-            self._fence = self._last_end_number = 0
+            self._fence = self._last_end_number = self._before_lapse = 0
             self._lease_until_ms = 0.0
             self.born = max(self.born + 1, time.time_ns() // 1_000_000)
 
@@ -186,13 +187,17 @@
         self._last_ended_runs[name] = run.number
 
     def _end_due_runs(self) -> None:
-        if self._now_ms() > self._lease_until_ms:
-            for name in list(self._running):
-                self._end(name, "lapsed")
         now = time.monotonic()
+        lapsed = 1000 * now > self._lease_until_ms
+        until = self._lease_until_ms / 1000 if lapsed else now
         for name, run in list(self._running.items()):
-            if now >= run.ends_at:
+            if run.ends_at <= until:
                 self._end(name, "done")
+            elif lapsed:
+                self._end(name, "lapsed")
+        if lapsed:
+            # Such ends don't count as acknowledged, whenever they are read.
+            self._before_lapse = self._last_end_number
 
     def _start(self, request: dict[str, Any]) -> Response:
         name, number = request["Task"], request["Run"]
@@ -242,7 +247,8 @@
                 self.acknowledged.update(
                     (row[1], row[2])
                     for row in self._reported_ends
-                    if row[0] <= request["LastSeen"] and row[3] == "done"
+                    if self._before_lapse < row[0] <= request["LastSeen"]
+                    and row[3] == "done"
                 )
                 self._reported_ends = [
                     row
--- a/standins/platform_harness.py
+++ b/standins/platform_harness.py
@@ -32,6 +32,10 @@
 # reset are closed before it starts again.
 _WORKER_DOWNTIME_S = 0.1
 
+# A process that was told to stop is killed after this time; the platform's bound
+# `GraceS`.
+_STOP_GRACE_S = 6.0
+
 # Full capacity of a worker, and capacity that each run uses, in thousandths of a
 # core.
 _WORKER_CPU = 8000
@@ -170,10 +174,17 @@
         return sorted(self._processes)
 
     def signal_instance(self, number: int, signal_number: int) -> int:
-        """Sends a signal and waits for the exit status of the process."""
+        """Sends a signal and waits for the exit status of the process.
+
+        A process that has not ended in time, such as a paused one, is killed.
+        """
         process = self._processes.pop(number)
         process.send_signal(signal_number)
-        return process.wait(WAIT_TIMEOUT_S)
+        try:
+            return process.wait(_STOP_GRACE_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return process.wait()
 
     def call(
         self, number: int, method: str, path: str, body: object = None
