Count no crash against a start that the worker has not answered

Cause: workers of a rack that fall silent together get starts until each is noticed, and each of them was counted as a crash under the subtask.

Change: only runs that the worker has confirmed or reported are lost with it.

Failing before: test_start_on_a_worker_that_was_already_silent_is_no_crash.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -121,7 +121,7 @@
         if not view.contacted:
             view.contacted = True
             self._engage_worker(view)
-            self._confirm_starts(
+            self._forget_absent_starts(
                 message.worker, {row.subtask for row in message.running}
             )
             self._log(
@@ -191,6 +191,7 @@
         if view is None or run is None or run.number != order.run:
             return
         if message.outcome is StartOutcome.STARTED:
+            run.confirmed = True
             if run.phase is Phase.ORDERED:
                 run.enter(Phase.RUNNING, now, now)
         elif message.outcome in UNCONFIRMED_OUTCOMES:
--- a/acaciawing/jobs/crash_tracking.py
+++ b/acaciawing/jobs/crash_tracking.py
@@ -180,7 +180,7 @@
         )
         self._fail_job(progress, now)
 
-    def _confirm_starts(
+    def _forget_absent_starts(
         self, incarnation: Incarnation, running: Collection[SubtaskId]
     ) -> None:
         """Forgets starts of an earlier holder that a worker does not report."""
--- a/acaciawing/jobs/crashes.py
+++ b/acaciawing/jobs/crashes.py
@@ -187,7 +187,10 @@
 
 
 def lost_runs(view: WorkerView, now: float) -> tuple[LostRun, ...]:
-    """Returns the runs on a worker that may have crashed it."""
+    """Returns the runs on a worker that may have crashed it.
+
+    A start that was not answered was probably sent after the crash.
+    """
     return tuple(
         LostRun(
             run.subtask,
@@ -196,7 +199,7 @@
             _survived_s(view, run),
         )
         for run in view.runs.values()
-        if not _is_innocent(view, run, now)
+        if run.confirmed and not _is_innocent(view, run, now)
     )
 
 
--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -95,7 +95,7 @@
             if row.percent != run.percent:
                 run.progressed_at = now
             run.percent, run.load_metric = row.percent, row.load_metric
-            run.reported = True
+            run.confirmed = run.reported = True
             self._unconfirmed_crashes.pop((row.subtask, row.run), None)
             if run.phase in (Phase.ORDERED, Phase.UNCONFIRMED):
                 run.enter(Phase.RUNNING, now, now)
@@ -108,7 +108,7 @@
             adopted = Run(row.subtask, row.run, step, now)
             adopted.enter(Phase.RUNNING, now, now)
             adopted.percent, adopted.load_metric = row.percent, row.load_metric
-            adopted.reported = True
+            adopted.confirmed = adopted.reported = True
             if self._suspicion(row.subtask) >= Suspicion.ISOLATED:
                 adopted.isolated = not view.runs
                 view.isolated_for = row.subtask
--- a/acaciawing/jobs/tests/crash_emulator.py
+++ b/acaciawing/jobs/tests/crash_emulator.py
@@ -39,6 +39,9 @@
 DETECTION_S = 0.3
 DOWNTIME_S = 3.3
 
+# Time after which a poll of a silent worker fails.
+POLL_TIMEOUT_S = 1.0
+
 # Time between two reports of a worker about itself.
 HEARTBEAT_S = 1.5
 
@@ -67,6 +70,7 @@
         self.end_count = 0
         self.crashed_at: float | None = None
         self.listed = True
+        self.silent = False
         # Times since which it has had its capacities, newest last.
         self.capacities = deque([(0.0, registration.capacity)])
 
@@ -186,9 +190,15 @@
             )
         self._list_workers()
 
-    def crash(self, numbers: Iterable[int]) -> None:
-        """Crashes workers, whatever they run."""
+    def crash(self, numbers: Iterable[int], *, silent: bool = False) -> None:
+        """Crashes workers, whatever they run.
+
+        Args:
+            numbers: Numbers of the workers.
+            silent: Whether orders are unanswered until they are back.
+        """
         for number in numbers:
+            self.workers[number].silent = silent
             self._crash(self.workers[number])
 
     def restart(self, numbers: Iterable[int]) -> None:
@@ -232,6 +242,9 @@
 
     def _advance(self, worker: EmulatedWorker) -> None:
         if worker.crashed_at is not None:
+            silent_s = self.now - worker.crashed_at
+            if worker.silent and silent_s > POLL_TIMEOUT_S:
+                self._report_unreachable(worker)
             if self.now - worker.crashed_at > self._downtime_s:
                 self._restart(worker)
             return
@@ -271,12 +284,14 @@
                 self.losses[subtask] += 1
         worker.runs.clear()
         worker.ends.clear()
-        self.harness.cell.receive(
-            WorkerUnreachable(
-                worker.registration.incarnation, self.now + LEASE_S
-            ),
-            self.now,
+        if not worker.silent:
+            self._report_unreachable(worker)
+
+    def _report_unreachable(self, worker: EmulatedWorker) -> None:
+        message = WorkerUnreachable(
+            worker.registration.incarnation, self.now + LEASE_S
         )
+        self.harness.cell.receive(message, self.now)
 
     def _restart(self, worker: EmulatedWorker) -> None:
         name, born_ms = worker.registration.incarnation
@@ -287,6 +302,7 @@
             worker.registration = make_worker(f"{name}+{int(life or 0) + 1}")
         worker.capacities = deque([(0.0, worker.registration.capacity)])
         worker.crashed_at = None
+        worker.silent = False
         worker.end_count = 0
         self._list_workers()
 
@@ -320,8 +336,9 @@
                 worker = by_incarnation.get(action.worker)
                 if worker is not None and action.subtask in worker.runs:
                     self._end(worker, action.subtask, EndKind.STOPPED)
+                done = worker is not None and not worker.silent
                 self.harness.cell.receive(
-                    StopOrderResult(action, worker is not None), self.now
+                    StopOrderResult(action, done), self.now
                 )
             elif isinstance(action, Acknowledge):
                 worker = by_incarnation.get(action.worker)
@@ -337,7 +354,10 @@
 
     def _start(self, worker: EmulatedWorker | None, order: StartRun) -> None:
         if worker is None or worker.crashed_at is not None:
-            outcome = StartOutcome.REFUSED
+            silent = worker is not None and worker.silent
+            outcome = (
+                StartOutcome.UNANSWERED if silent else StartOutcome.REFUSED
+            )
         else:
             outcome = StartOutcome.STARTED
             self.harness.starts.append(order)
--- a/acaciawing/jobs/tests/test_crashes.py
+++ b/acaciawing/jobs/tests/test_crashes.py
@@ -167,6 +167,21 @@
         emulator.run(20.0)
         _assert_only_deadly_jobs_fail(emulator, jobs)
 
+    def test_start_on_a_worker_that_was_already_silent_is_no_crash(
+        self,
+    ) -> None:
+        emulator = CrashEmulator(workers=8, run_s=2.0, downtime_s=7.0)
+        jobs = _make_jobs("sound", 12)
+        emulator.submit(*jobs[:6])
+        emulator.run(0.3)
+        emulator.crash(range(7), silent=True)
+        emulator.submit(*jobs[6:])
+        emulator.run(1.5)
+        lost = {subtask.job for subtask in emulator.harness.cell.table.suspects}
+        assert lost == {job.id for job in jobs[:6]}
+        emulator.run(40.0)
+        _assert_only_deadly_jobs_fail(emulator, jobs)
+
     def test_long_running_subtask_survives_any_number_of_crashes(self) -> None:
         emulator = CrashEmulator(lasting=lambda _: True)
         emulator.submit(*_make_jobs("lasting", 1, subtasks=1, lasting=True))
--- a/acaciawing/jobs/workers.py
+++ b/acaciawing/jobs/workers.py
@@ -50,6 +50,7 @@
         percent: As in the worker's last `RunningRow` of the run.
         progressed_at: When the percent last changed, in seconds.
         load_metric: As in the worker's last `RunningRow` of the run.
+        confirmed: Whether the worker has answered its start, or reported it.
         reported: Whether this incarnation of the worker has reported it.
         pace: Share of its full speed that was ordered last, in percent.
         isolated: Whether it was started on a worker kept for its subtask.
@@ -57,6 +58,7 @@
 
     __slots__ = (
         "answered_at",
+        "confirmed",
         "isolated",
         "load_metric",
         "number",
@@ -85,6 +87,7 @@
         self.percent = 0
         self.progressed_at = now
         self.load_metric = 0.0
+        self.confirmed = False
         self.reported = False
         self.pace = 100
         self.isolated = False
