Record how a start has ended when it was neither done, failed nor crashed

Cause, found by reading: a start is recorded while workers crash, and also after a takeover in which a machine was moved. That the run was stopped for an evacuation is known to the holder only, so the next one counts the machine's move as a crash under the subtask, at each takeover once more.

Change: such ends are recorded for starts that are; a run whose worker's leases have lapsed keeps its start, since the worker may have crashed.

Failing before: test_machine_that_is_moved_around_a_takeover_has_not_crashed. Cost: one record for each stopped or refused run whose start was recorded.

--- a/acaciawing/jobs/crash_tracking.py
+++ b/acaciawing/jobs/crash_tracking.py
@@ -186,7 +186,7 @@
         """Forgets starts of an earlier holder that a worker does not report."""
         for run in self._unseen_runs(incarnation):
             if run.subtask not in running:
-                self.table.forget_start(run.subtask, run.number)
+                self._settle_start(run.subtask, run.number)
 
     def _clear_proven_suspects(self, now: float) -> None:
         for subtask in list(self.table.suspects):
--- a/acaciawing/jobs/progress.py
+++ b/acaciawing/jobs/progress.py
@@ -17,6 +17,7 @@
     Record,
     RunCrashed,
     RunFailed,
+    RunSettled,
     RunStarted,
     SubtaskDone,
     SubtaskGivenUp,
@@ -286,7 +287,11 @@
 
     def _apply_suspicion(
         self,
-        record: RunCrashed | RunStarted | SubtaskGivenUp | SuspicionCleared,
+        record: RunCrashed
+        | RunStarted
+        | RunSettled
+        | SubtaskGivenUp
+        | SuspicionCleared,
     ) -> JobProgress | None:
         subtask = parse_subtask_id(record.subtask)
         if subtask is None or self.find_step(subtask) is None:
@@ -304,6 +309,8 @@
                 self.started.pop(subtask, None)  # Keeps the order of starts.
                 self.started[subtask] = record
                 progress.started = True
+            case RunSettled():
+                self.forget_start(subtask, record.run)
             case SuspicionCleared():
                 self._clear_suspicion(subtask)
             case SubtaskGivenUp():
--- a/acaciawing/jobs/records.py
+++ b/acaciawing/jobs/records.py
@@ -115,6 +115,18 @@
     alone: bool
 
 
+class RunSettled(msgspec.Struct, frozen=True, tag="settled"):
+    """A recorded start has ended without a crash, and neither done nor failed.
+
+    Attributes:
+        subtask: Dotted id of the subtask.
+        run: Run number.
+    """
+
+    subtask: str
+    run: int
+
+
 class SubtaskGivenUp(msgspec.Struct, frozen=True, tag="givenup"):
     """A subtask crashes its workers; its crashes are no other subtask's."""
 
@@ -163,6 +175,7 @@
     | RunCrashed
     | SubtaskGivenUp
     | RunStarted
+    | RunSettled
     | SuspicionCleared
     | WorkerEngaged
     | WorkerReleased
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -28,6 +28,7 @@
 from acaciawing.jobs.records import (
     Record,
     RunCrashed,
+    RunSettled,
 )
 from acaciawing.jobs.tickets import TicketBook
 from acaciawing.jobs.waiting import StepKey, WaitingWork
@@ -170,12 +171,25 @@
             self._actions.append(Acknowledge(view.incarnation, newest))
 
     def _remove_run(
-        self, view: WorkerView, subtask: SubtaskId, now: float
+        self,
+        view: WorkerView,
+        subtask: SubtaskId,
+        now: float,
+        *,
+        settled: bool = True,
     ) -> None:
-        """Frees a run's capacity; queues its subtask if it is still needed."""
+        """Frees a run's capacity; queues its subtask if it is still needed.
+
+        Args:
+            view: The run's worker.
+            subtask: The run's subtask.
+            now: Current time in seconds.
+            settled: Whether it is known how the run has ended.
+        """
         removed = view.remove(subtask)
         if removed is not None:
-            self.table.forget_start(subtask, removed.number)
+            if settled:
+                self._settle_start(subtask, removed.number)
             self._unconfirmed_crashes.pop((subtask, removed.number), None)
         if self._copies.get(subtask) is view:
             del self._copies[subtask]
@@ -187,6 +201,14 @@
         if self._still_needed(subtask):
             self._enqueue(subtask, now)
 
+    def _settle_start(self, subtask: SubtaskId, run: int) -> None:
+        """Records that a start, if it is recorded, has ended without a crash."""
+        start = self.table.started.get(subtask)
+        if start is not None and start.run == run:
+            record = RunSettled(str(subtask), run)
+            self.table.apply(record)
+            self._save_record(record)
+
     def _still_needed(self, subtask: SubtaskId) -> bool:
         progress = self.table.jobs.get(subtask.job)
         return (
--- a/acaciawing/jobs/tests/crash_emulator.py
+++ b/acaciawing/jobs/tests/crash_emulator.py
@@ -181,6 +181,11 @@
             if subtask in worker.runs
         )
 
+    def stop(self, subtask: SubtaskId) -> None:
+        """Lets a subtask's worker report its run as stopped."""
+        worker = self.workers[self.worker_of(subtask)]
+        self._end(worker, subtask, EndKind.STOPPED)
+
     def drain(self, numbers: Iterable[int]) -> None:
         """Lets workers report that they accept no new runs."""
         for number in numbers:
--- a/acaciawing/jobs/tests/test_crashes.py
+++ b/acaciawing/jobs/tests/test_crashes.py
@@ -19,6 +19,7 @@
     encode_record,
 )
 from acaciawing.jobs.crashes import PROVEN_AGE_S, is_deadly
+from acaciawing.jobs.fleet import Evacuation
 from acaciawing.jobs.retention import records_to_rewrite
 from acaciawing.jobs.tests.builders import make_job
 from acaciawing.jobs.tests.crash_emulator import CrashEmulator
@@ -244,6 +245,30 @@
         crashed = emulator.harness.cell.table.jobs["job"].crashed_runs
         assert len(crashed[subtask]) == 2
 
+    def test_machine_that_is_moved_around_a_takeover_has_not_crashed(
+        self,
+    ) -> None:
+        emulator = CrashEmulator(workers=1, run_s=60.0)
+        emulator.submit(make_job("lost"))
+        emulator.run(0.1)
+        emulator.crash((0,))
+        emulator.run(5.0)
+        emulator.submit(make_job("moved"))
+        emulator.run(0.1)
+        assert emulator.running("moved")
+        worker = emulator.workers[0].registration.incarnation.worker
+        emulator.harness.cell.evacuate(
+            Evacuation(frozenset({worker})), emulator.now
+        )
+        emulator.stop(SubtaskId("moved", 0, 0, 0))
+        emulator.run(0.1)
+        assert not emulator.running("moved")
+        emulator.crash((0,))
+        emulator.replace_holder()
+        emulator.run(1.0)
+        jobs = emulator.harness.cell.table.jobs
+        assert not jobs["moved"].crashed_runs
+
     def test_refused_starts_of_an_earlier_holder_are_no_crashes(self) -> None:
         emulator = CrashEmulator(workers=4, run_s=5.0)
         emulator.submit(make_job("lost"))
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -244,7 +244,8 @@
                     # The order may still be queued and would be sent with a
                     # new lease; the stop withdraws it.
                     self._stop_run(view, run, now)
-                self._remove_run(view, run.subtask, now)
+                # The worker may have crashed, which is not known yet.
+                self._remove_run(view, run.subtask, now, settled=False)
         unconfirmed = view.incarnation in self._takeover.unconfirmed_until
         if not view.present and lapsed and not view.runs and not unconfirmed:
             self._remove_worker(view.incarnation, WorkerEnd.LAPSED, now)
