--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -121,37 +121,42 @@
             if subtask in self._waiting and self._waits_for_store(subtask):
                 held_back.update(self._started_together(subtask))
         for subtask in self._isolated_waiting():
-            waiting_step = self._waiting.find(subtask[:3])
-            queue = self._queue_of(subtask)
-            if waiting_step is None or queue is None:
-                continue
-            step = waiting_step.step
-            blocked = self._may_still_run(subtask.job) and not step.speculative
-            durable = self._crashes_are_durable(subtask)
-            if step.gang:
-                views = self._empty_workers(queue.service, now)
-                if durable and not blocked:
-                    self._place_gang(subtask, waiting_step, views, now)
-            else:
-                view = self._worker_of_its_own(
-                    subtask, step, queue.service, now
-                )
-                ready = (
-                    view is not None
-                    and self._is_ready(view, subtask, now)
-                    and fits(view, step, subtask)
-                )
-                views = [view] if view is not None and ready else []
-                if queue.advice:
-                    views = self._workers_with_ticket(subtask, views, now)
-                if views and durable and not blocked:
-                    self._start(views[0], subtask, waiting_step, now)
+            self._place_alone(subtask, now)
             if subtask in self._waiting and not (
-                durable and self._isolation_timed_out(subtask, now)
+                self._crashes_are_durable(subtask)
+                and self._isolation_timed_out(subtask, now)
             ):
                 held_back.update(self._started_together(subtask))
         return held_back
 
+    def _place_alone(self, subtask: SubtaskId, now: float) -> None:
+        """Starts a subtask on a worker of its own; reserves one meanwhile."""
+        waiting_step = self._waiting.find(subtask[:3])
+        queue = self._queue_of(subtask)
+        if waiting_step is None or queue is None:
+            return
+        step = waiting_step.step
+        may_start = self._crashes_are_durable(subtask) and (
+            step.speculative or not self._may_still_run(subtask.job)
+        )
+        if step.gang:
+            views = self._empty_workers(queue.service, now)
+            if may_start:
+                self._place_gang(subtask, waiting_step, views, now)
+            return
+        view = self._worker_of_its_own(subtask, step, queue.service, now)
+        if (
+            view is None
+            or not self._is_ready(view, subtask, now)
+            or not fits(view, step, subtask)
+        ):
+            return
+        views = [view]
+        if queue.advice:
+            views = self._workers_with_ticket(subtask, views, now)
+        if views and may_start:
+            self._start(view, subtask, waiting_step, now)
+
     def _started_together(self, subtask: SubtaskId) -> list[SubtaskId]:
         """Returns the members of a subtask's gang, or the subtask."""
         step = self.table.find_step(subtask)
