Take only an earlier holder's starts for runs that nobody saw

What callers saw: in the soak (: answers of workers and of the store lost, the store away), a deadly subtask crashed seven workers; it was started again 1 ms after a crash whose record was not durable, and the next holder knew nothing of it.

Cause: the holder's own starts were among the runs that an earlier holder has started, so a start that was not answered counted after all, as a run that had survived 0.5 s, which does not wait for the store.

Change: starts under the holder's own fence are left out there.

Failing before: test_start_on_a_worker_that_was_already_silent_is_no_crash, now with a crash before it, so that starts are recorded.

--- a/acaciawing/jobs/crash_tracking.py
+++ b/acaciawing/jobs/crash_tracking.py
@@ -14,6 +14,7 @@
     is_deadly,
     lost_runs,
 )
+from acaciawing.jobs.limits import RUN_NUMBERS_PER_FENCE
 from acaciawing.jobs.model import Incarnation, SubtaskId
 from acaciawing.jobs.records import (
     RunCrashed,
@@ -97,6 +98,7 @@
             (subtask, start)
             for subtask, start in self.table.started.items()
             if incarnation == (start.worker, start.born_ms)
+            and start.run < self.fence * RUN_NUMBERS_PER_FENCE
         ]
         lost = []
         for position, (subtask, start) in enumerate(starts):
--- a/acaciawing/jobs/tests/test_crashes.py
+++ b/acaciawing/jobs/tests/test_crashes.py
@@ -172,6 +172,10 @@
         self,
     ) -> None:
         emulator = CrashEmulator(workers=8, run_s=2.0, downtime_s=7.0)
+        emulator.submit(make_job("lost"))
+        emulator.run(0.1)
+        emulator.crash((emulator.worker_of(SubtaskId("lost", 0, 0, 0)),))
+        emulator.run(10.0)
         jobs = _make_jobs("sound", 12)
         emulator.submit(*jobs[:6])
         emulator.run(0.3)
