Engage a restarted worker before its old incarnation is released

What callers saw: in the soak, a subtask was started on one worker and, after a change of the holder, on another; the first run was carried out as well (TWICE). Not new: it needs a worker that is back under its id, which the soak now has more often.

Cause: a start that the old incarnation has not reported may be on the new one. The holder keeps it in view, but the records said only that the old incarnation was released, so the next holder did not wait for the new one's answer.

Change: the new incarnation is engaged in the same batch, before the old one is released; an engagement that is not durable yet is not taken for one that is.

Failing before: test_next_holder_asks_the_next_incarnation_for_the_run.

--- a/acaciawing/jobs/tests/test_cell.py
+++ b/acaciawing/jobs/tests/test_cell.py
@@ -477,6 +477,21 @@
         harness.settle()
         assert len(harness.starts) == 2
 
+    def test_next_holder_asks_the_next_incarnation_for_the_run(self) -> None:
+        earlier = CellHarness()
+        self._restart_worker(earlier, reported=False)
+        later = CellHarness(fence=2)
+        restarted, other = make_worker("w", born_ms=5_000), make_worker("x")
+        later.update_workers(restarted, other)
+        later.recover(JobSubmitted(make_job("j"), 0), *earlier.log)
+        later.report(other, ())
+        later.settle()
+        assert not later.starts
+        row = RunningRow(_first_subtask(), earlier.starts[0].run, "", 5, 0)
+        later.report(restarted, running=(row,))
+        later.settle()
+        assert not later.starts
+
     def test_reported_run_ends_with_its_incarnation(self) -> None:
         harness = CellHarness()
         self._restart_worker(harness, reported=True)
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -134,6 +134,8 @@
         return view
 
     def _engage_worker(self, view: WorkerView) -> None:
+        if view.incarnation in self._pending_engagements.values():
+            return
         if view.incarnation in self.table.engaged:
             view.engaged = True
             return
@@ -166,6 +168,9 @@
             unreported = [r for r in old.runs.values() if not r.reported]
             subtasks = {run.subtask for run in unreported}
             self._count_crash(incarnation, now, unconfirmed=subtasks)
+            if unreported:
+                # A next holder has to ask the successor for these runs.
+                self._engage_worker(new)
             for run in unreported:
                 self._transfer_run(run, old, new, now)
         self._end_incarnation(incarnation, WorkerEnd.RESTARTED, now)
