--- a/soak/checks.py
+++ b/soak/checks.py
@@ -100,17 +100,19 @@
 def _outcome_violations(
     job: str, observed: JobObservations, subtasks: Sequence[list[EndedRun]]
 ) -> list[str]:
-    crashes = max(
-        (
-            sum(run.end_reason == "crashed" for run in subtask_runs)
-            for subtask_runs in subtasks
-        ),
-        default=0,
+    crashed = [
+        [run for run in runs if run.end_reason == "crashed"]
+        for runs in subtasks
+    ]
+    crashes = max(map(len, crashed), default=0)
+    # A worker whose answers are lost is not in touch: its starts don't count.
+    counted = max(
+        (sum(not run.disturbed for run in runs) for runs in crashed), default=0
     )
     final = observed.states[-1] if observed.states else ""
     violations = []
-    if observed.deadly and crashes > MAX_CRASHES:
-        violations.append(f"{job}: crashed {crashes} workers")
+    if observed.deadly and counted > MAX_CRASHES:
+        violations.append(f"{job}: crashed {counted} workers")
     if observed.deadly and final != "failed":
         violations.append(f"{job}: not given up: {observed.states[-3:]}")
     elif final not in FINAL_STATES:
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 from soak.checks import (
@@ -14,7 +15,7 @@
     wait_until_idle,
 )
 from soak.faults import MAX_FAULT_DURATION_S, FaultInjector
-from soak.proxy import Proxy, ProxyHost
+from soak.proxy import Fault, Proxy, ProxyHost
 from standins.job_worker import DEADLY_PAYLOAD, SHRINK_GRACE_S
 from standins.platform_harness import PREFIX, RUN_CPU, PlatformHarness
 
@@ -73,6 +74,10 @@
     logs: Path
 
 
+def _has_fault(proxy: Proxy) -> bool:
+    return proxy.fault is not Fault.NONE
+
+
 class _SeedRun:
     def __init__(self, seed: int, size: Size) -> None:
         self.seed = seed
@@ -93,7 +98,10 @@
         self.harness.reset_worker = lambda number: list(self.workers.values())[
             number
         ].reset()
-        for worker in self.harness.workers:
+        for worker, proxy in zip(
+            self.harness.workers, self.workers.values(), strict=True
+        ):
+            worker.is_disturbed = partial(_has_fault, proxy)
             # A silent connection delays an order by up to a fault's duration.
             worker.shrink_grace_s = SHRINK_GRACE_S + MAX_FAULT_DURATION_S
 
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -29,6 +29,7 @@
         self.number = number
         self.ends_at = ends_at
         self.started_at = time.monotonic()
+        self.disturbed = False
 
 
 class EndedRun(NamedTuple):
@@ -41,6 +42,7 @@
         end_reason: ``done``, ``stopped``, ``lapsed`` when the lease expired,
             or ``crashed`` with its worker.
         run: Run number of the subtask.
+        disturbed: Whether the link to the worker was faulty at the start.
     """
 
     subtask: str
@@ -48,6 +50,7 @@
     ended_at: float
     end_reason: str
     run: int
+    disturbed: bool = False
 
 
 class JobWorker:
@@ -69,6 +72,7 @@
             the poller has acknowledged.
         overloads: Subtasks whose start exceeded the capacity.
         peak_runs: Largest number of runs at the same time.
+        is_disturbed: Whether the link to the worker is faulty.
         shrink_grace_s: Time for which the capacity before a change counts, in
             seconds.
     """
@@ -87,6 +91,7 @@
         self.overloads: list[str] = []
         self.peak_runs = 0
         self.shrink_grace_s = SHRINK_GRACE_S
+        self.is_disturbed: Callable[[], bool] = lambda: False
         self._lock = threading.Lock()
         self._running: dict[str, _ActiveRun] = {}
         self._reported_ends: list[list[Any]] = []
@@ -158,7 +163,14 @@
         self, name: str, run: _ActiveRun, ended_at: float, end_reason: str
     ) -> None:
         self.ended_runs.append(
-            EndedRun(name, run.started_at, ended_at, end_reason, run.number)
+            EndedRun(
+                name,
+                run.started_at,
+                ended_at,
+                end_reason,
+                run.number,
+                run.disturbed,
+            )
         )
 
     def _now_ms(self) -> int:
@@ -211,6 +223,7 @@
             return self._respond(409, Reason="late")
         now = time.monotonic()
         self._running[name] = _ActiveRun(number, now + self._run_s)
+        self._running[name].disturbed = self.is_disturbed()
         self.starts.append((name, number))
         self.peak_runs = max(self.peak_runs, len(self._running))
         allowed = [
