Write given-up subtasks again before their records expire

Found by reading: the store keeps 20 s of history, and of a job's crashes all was written again but that its subtask had been given up. After a change of the holder its crashes counted against those beside it once more.

Failing before: test_explanations_outlive_the_first_records_of_their_job.

--- a/acaciawing/jobs/progress.py
+++ b/acaciawing/jobs/progress.py
@@ -62,6 +62,7 @@
         failed_runs: Numbers of the failed runs of each subtask.
         crashed_runs: Crashed runs, by number, of each subtask under which
             workers have crashed.
+        given_up: Subtasks that were given up because of their crashes.
         finished_at_ms: When it was observed as finished, Unix time in
             milliseconds; 0 before.
         oldest_record_ms: When the oldest record that it needs was written, Unix
@@ -76,6 +77,7 @@
         "failed",
         "failed_runs",
         "finished_at_ms",
+        "given_up",
         "job",
         "occurrences",
         "oldest_record_ms",
@@ -95,6 +97,7 @@
         self.occurrences: dict[int, Occurrence] = {}
         self.failed_runs: dict[SubtaskId, set[int]] = {}
         self.crashed_runs: dict[SubtaskId, dict[int, RunCrashed]] = {}
+        self.given_up: set[SubtaskId] = set()
         self.finished_at_ms = 0
         self.oldest_record_ms = at_ms
 
@@ -314,6 +317,7 @@
             case SuspicionCleared():
                 self._clear_suspicion(subtask)
             case SubtaskGivenUp():
+                progress.given_up.add(subtask)
                 for crash in progress.crashed_runs.get(subtask, {}).values():
                     incarnation = Incarnation(crash.worker, crash.born_ms)
                     self.explained.setdefault(incarnation, subtask.job)
@@ -405,10 +409,11 @@
 
 def crash_records(
     table: JobTable, progress: JobProgress
-) -> Iterator[RunCrashed | RunStarted]:
+) -> Iterator[RunCrashed | RunStarted | SubtaskGivenUp]:
     """Yields the records of crashes that a `JobSummary` leaves out."""
     for runs in progress.crashed_runs.values():
         yield from runs.values()
+    yield from (SubtaskGivenUp(str(s)) for s in sorted(progress.given_up))
     yield from (
         start
         for subtask, start in table.started.items()
--- a/acaciawing/jobs/tests/test_crashes.py
+++ b/acaciawing/jobs/tests/test_crashes.py
@@ -322,6 +322,16 @@
         crashed = source.jobs["deadly0"].crashed_runs
         assert table.jobs["deadly0"].crashed_runs == crashed
 
+    def test_explanations_outlive_the_first_records_of_their_job(self) -> None:
+        table = JobTable()
+        emulator = CrashEmulator(deadly=_is_first_of_deadly_job)
+        emulator.submit(*_make_jobs("deadly", 1))
+        emulator.run(20.0)
+        source = emulator.harness.cell.table
+        for record in records_to_rewrite(source, 20_000, 1_000_000):
+            table.apply(record)
+        assert table.explained == source.explained != {}
+
     def test_records_survive_encoding(self) -> None:
         emulator = CrashEmulator(deadly=_is_first_of_deadly_job)
         emulator.submit(*_make_jobs("deadly", 1))
