Record a crash that waits for the next incarnation's answer

Cause: a crash of a worker that is back under its id counts once the next incarnation does not list the run. Until then only the holder knew of it; the next one found a start on an incarnation that was already released.

Change: such a start is recorded again, on the next incarnation and with the one that crashed; the next holder counts the crash when the worker does not list the run.

Failing before: test_crash_that_was_not_confirmed_before_a_takeover_is_counted.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -121,8 +121,8 @@
         if not view.contacted:
             view.contacted = True
             self._engage_worker(view)
-            self._forget_absent_starts(
-                message.worker, {row.subtask for row in message.running}
+            self._resolve_absent_starts(
+                message.worker, {row.subtask for row in message.running}, now
             )
             self._log(
                 "WORKER_CONTACTED",
--- a/acaciawing/jobs/crash_tracking.py
+++ b/acaciawing/jobs/crash_tracking.py
@@ -92,6 +92,25 @@
             self._record_crash(*crash)
             self._give_up_deadly((run.subtask,), now)
 
+    def _save_unconfirmed_crashes(
+        self, runs: Iterable[Run], successor: Incarnation
+    ) -> None:
+        """Records runs that are on a crashed worker's successor or nowhere."""
+        for run in runs:
+            crash = self._unconfirmed_crashes.get((run.subtask, run.number))
+            if crash is None:
+                continue
+            crashed, lost = crash
+            record = RunStarted(
+                str(run.subtask),
+                run.number,
+                *successor,
+                lost.alone,
+                crashed_born_ms=crashed.born_ms,
+            )
+            self.table.apply(record)
+            self._save_record(record)
+
     def _unseen_runs(self, incarnation: Incarnation) -> list[LostRun]:
         """Returns runs that an earlier holder has started on a worker."""
         starts = [
@@ -182,12 +201,22 @@
         )
         self._fail_job(progress, now)
 
-    def _forget_absent_starts(
-        self, incarnation: Incarnation, running: Collection[SubtaskId]
+    def _resolve_absent_starts(
+        self,
+        incarnation: Incarnation,
+        running: Collection[SubtaskId],
+        now: float,
     ) -> None:
-        """Forgets starts of an earlier holder that a worker does not report."""
+        """Handles starts of an earlier holder that a worker does not report."""
         for run in self._unseen_runs(incarnation):
-            if run.subtask not in running:
+            if run.subtask in running:
+                continue
+            crashed_born_ms = self.table.started[run.subtask].crashed_born_ms
+            if crashed_born_ms:
+                crashed = Incarnation(incarnation.worker, crashed_born_ms)
+                self._record_crash(crashed, run._replace(survived_s=0.0))
+                self._give_up_deadly((run.subtask,), now)
+            else:
                 self._settle_start(run.subtask, run.number)
 
     def _clear_proven_suspects(self, now: float) -> None:
--- a/acaciawing/jobs/records.py
+++ b/acaciawing/jobs/records.py
@@ -106,6 +106,9 @@
         worker: Id of the worker.
         born_ms: Start of its incarnation, Unix time in milliseconds.
         alone: Whether nothing else runs on the worker.
+        crashed_born_ms: Start of an earlier incarnation that crashed when it
+            may have had the run; 0 if there is none. The run counts as crashed
+            if this incarnation does not report it.
     """
 
     subtask: str
@@ -113,6 +116,7 @@
     worker: str
     born_ms: int
     alone: bool
+    crashed_born_ms: int = 0
 
 
 class RunSettled(msgspec.Struct, frozen=True, tag="settled"):
--- a/acaciawing/jobs/tests/test_crashes.py
+++ b/acaciawing/jobs/tests/test_crashes.py
@@ -273,6 +273,26 @@
         jobs = emulator.harness.cell.table.jobs
         assert not jobs["moved"].crashed_runs
 
+    def test_crash_that_was_not_confirmed_before_a_takeover_is_counted(
+        self,
+    ) -> None:
+        emulator = CrashEmulator(
+            workers=1,
+            deadly=_is_first_of_deadly_job,
+            downtime_s=0.1,
+            keeps_id=True,
+        )
+        emulator.submit(*_make_jobs("deadly", 1, subtasks=1))
+        while not emulator.crashes[DEADLY]:
+            emulator.run(0.05)
+        cell = emulator.harness.cell
+        while not cell.table.started or emulator.workers[0].crashed_at:
+            emulator.run(0.05)
+        emulator.replace_holder()
+        emulator.run(0.05)
+        crashed = emulator.harness.cell.table.jobs["deadly0"].crashed_runs
+        assert len(crashed[DEADLY]) == emulator.crashes[DEADLY] == 1
+
     def test_refused_starts_of_an_earlier_holder_are_no_crashes(self) -> None:
         emulator = CrashEmulator(workers=4, run_s=5.0)
         emulator.submit(make_job("lost"))
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -173,6 +173,7 @@
                 self._engage_worker(new)
             for run in unreported:
                 self._transfer_run(run, old, new, now)
+            self._save_unconfirmed_crashes(unreported, successor)
         self._end_incarnation(incarnation, WorkerEnd.RESTARTED, now)
 
     def _transfer_run(
