--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -52,7 +52,10 @@
             writer.transport.abort()
 
     async def _listen(self) -> str:
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        # Ports of an address that soak runs share may be used again by another
+        # run, whose instances would then join this one.
+        host, _, _ = self._target.rpartition(":")
+        server = await asyncio.start_server(self._serve, host, 0)
         host, port = server.sockets[0].getsockname()
         return f"{host}:{port}"
 
