Soak: keep a worker's smaller capacity, so that the check for overloads can fail

Found on re-reading: a resize was undone after 3 s at most, while the larger capacity counts for 7.5 s, so the check could not fail. Resizes now stay until the next one of that worker.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -154,12 +154,12 @@
         self._record(f"crash of worker {number}")
         self._harness.restart_worker(number, self._workers[number].reset)
 
-    def _worker_resize(self) -> Undo:
+    def _worker_resize(self) -> None:
         number = self._random.randrange(len(self._workers))
         runs = self._random.randint(1, FULL_RUNS)
         self._record(f"worker {number} has room for {runs}")
+        # Not undone: a larger capacity counts for longer than a fault lasts.
         self._harness.resize_worker(number, runs)
-        return lambda: self._harness.resize_worker(number, FULL_RUNS)
 
     def _reset_connections(self) -> None:
         self._record("resets")
