Log each order to stop a run with its reason, and what a machine order rests on

AW3308 now has the reason and the percent reported last; AW3501 the worker, the runs known on it, and whether it had answered the cell's holder (new in the load report; older holders leave it out).

No change of logic.

--- a/acaciawing/jobs/evacuation.py
+++ b/acaciawing/jobs/evacuation.py
@@ -19,7 +19,7 @@
 )
 from acaciawing.jobs.worker_choice import choose_worker
 from acaciawing.jobs.worker_tracking import WorkerTracking
-from acaciawing.jobs.workers import Phase, Run, WorkerView
+from acaciawing.jobs.workers import Phase, Run, StopReason, WorkerView
 
 
 class WorkerEvacuation(WorkerTracking):
@@ -53,14 +53,14 @@
                 if self._within_disruption_budget(
                     run, now
                 ) and self._has_room_elsewhere(view, run, now):
-                    self._stop_run(view, run, now)
+                    self._stop_run(view, run, StopReason.EVACUATION, now)
             elif run.step.saves_progress and not run.step.gang:
                 if waited_s > CHECKPOINTED_EVACUATION_TIMEOUT_S and (
                     self._has_room_elsewhere(view, run, now)
                 ):
-                    self._stop_run(view, run, now)
+                    self._stop_run(view, run, StopReason.EVACUATION, now)
             elif hurried and waited_s > EVACUATION_TIMEOUT_S:
-                self._stop_run(view, run, now)
+                self._stop_run(view, run, StopReason.EVACUATION, now)
 
     def _adjust_pace(self, view: WorkerView, now: float) -> None:
         """Sets the pace of a worker's best-effort runs from its latencies."""
--- a/acaciawing/jobs/fleet.py
+++ b/acaciawing/jobs/fleet.py
@@ -16,12 +16,15 @@
         lasting: Number of long-running ones among them.
         cpu: Cpu reserved for them, in thousandths of a core.
         silent: Whether it has answered before and does not answer now.
+        contacted: Whether it has answered this holder. Until then, runs that
+            an earlier holder has started there are missing from the counts.
     """
 
     runs: int
     lasting: int
     cpu: int
     silent: bool = False
+    contacted: bool = False
 
 
 class PoolLoad(msgspec.Struct, frozen=True):
--- a/acaciawing/jobs/load_report.py
+++ b/acaciawing/jobs/load_report.py
@@ -108,4 +108,6 @@
 
 def _worker_load(view: WorkerView) -> WorkerLoad:
     silent = view.contacted and not view.reachable
-    return WorkerLoad(len(view.runs), view.lasting, view.used.cpu, silent)
+    return WorkerLoad(
+        len(view.runs), view.lasting, view.used.cpu, silent, view.contacted
+    )
--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -22,7 +22,13 @@
     choose_worker_for_suspect,
     fits,
 )
-from acaciawing.jobs.workers import CONTACT_TIMEOUT_S, Phase, Run, WorkerView
+from acaciawing.jobs.workers import (
+    CONTACT_TIMEOUT_S,
+    Phase,
+    Run,
+    StopReason,
+    WorkerView,
+)
 
 
 class RunPlacement(SuspectPlacement):
@@ -262,7 +268,9 @@
                 continue
             for member_view, run in members:
                 if run.phase is Phase.RUNNING:
-                    self._stop_run(member_view, run, now)
+                    self._stop_run(
+                        member_view, run, StopReason.GANG_INCOMPLETE, now
+                    )
 
     def _start(
         self,
--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -5,7 +5,6 @@
     EndKind,
     RunningRow,
     StartOutcome,
-    StopRun,
 )
 from acaciawing.jobs.crashes import Suspicion
 from acaciawing.jobs.health import (
@@ -25,7 +24,7 @@
     SubtaskDone,
 )
 from acaciawing.jobs.state import CellState
-from acaciawing.jobs.workers import Phase, Run, WorkerView
+from acaciawing.jobs.workers import Phase, Run, StopReason, WorkerView
 
 
 class RunTracking(CellState):
@@ -40,7 +39,7 @@
             return
         for run in stalled:
             self._avoided_workers[run.subtask] = view.incarnation.worker
-            self._stop_run(view, run, now)
+            self._stop_run(view, run, StopReason.NO_PROGRESS, now)
 
     def _suspend_suspect(
         self, view: WorkerView, reason: str, now: float
@@ -123,7 +122,9 @@
                 worker=view.incarnation.worker,
             )
             return
-        self._actions.append(StopRun(view.incarnation, row.subtask, row.run))
+        self._order_stop(
+            view, row.subtask, row.run, StopReason.NOT_NEEDED, row.percent
+        )
 
     def _process_absent(
         self, view: WorkerView, run: Run, requested_at: float, now: float
@@ -136,10 +137,7 @@
         if run.answered_at is None or run.answered_at >= requested_at:
             return
         if run.phase is Phase.UNCONFIRMED:
-            run.enter(Phase.CLOSING, now, None)
-            self._actions.append(
-                StopRun(view.incarnation, run.subtask, run.number)
-            )
+            self._stop_run(view, run, StopReason.UNCONFIRMED, now)
             return
         self._log(
             "RUN_ABSENT",
@@ -210,7 +208,7 @@
                 if other is not None and not gang:
                     run = other.runs[member]
                     if run.number != row.run:
-                        self._stop_run(other, run, now)
+                        self._stop_run(other, run, StopReason.NOT_NEEDED, now)
         if progress.finished:
             self._end_job(progress, now)
         else:
@@ -263,5 +261,5 @@
             # A run of a done subtask has ended or was already ordered to stop.
             done = progress.is_done(subtask)
             if run.phase is not Phase.STOPPING and not done:
-                self._stop_run(view, run, now)
+                self._stop_run(view, run, StopReason.JOB_ENDED, now)
         self._log("JOB_ENDED", job=job, state=progress.state)
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -32,7 +32,7 @@
 )
 from acaciawing.jobs.tickets import TicketBook
 from acaciawing.jobs.waiting import StepKey, WaitingWork
-from acaciawing.jobs.workers import Phase, Run, WorkerView
+from acaciawing.jobs.workers import Phase, Run, StopReason, WorkerView
 
 
 class Takeover(NamedTuple):
@@ -218,10 +218,30 @@
             and not progress.is_done(subtask)
         )
 
-    def _stop_run(self, view: WorkerView, run: Run, now: float) -> None:
-        phase = Phase.CLOSING if run.phase is Phase.CLOSING else Phase.STOPPING
-        run.enter(phase, now, None)
-        self._actions.append(StopRun(view.incarnation, run.subtask, run.number))
+    def _stop_run(
+        self, view: WorkerView, run: Run, reason: StopReason, now: float
+    ) -> None:
+        closing = run.phase is Phase.CLOSING or reason is StopReason.UNCONFIRMED
+        run.enter(Phase.CLOSING if closing else Phase.STOPPING, now, None)
+        self._order_stop(view, run.subtask, run.number, reason, run.percent)
+
+    def _order_stop(
+        self,
+        view: WorkerView,
+        subtask: SubtaskId,
+        run: int,
+        reason: StopReason,
+        percent: int,
+    ) -> None:
+        self._actions.append(StopRun(view.incarnation, subtask, run))
+        self._log(
+            "RUN_STOPPED",
+            subtask=str(subtask),
+            run=run,
+            worker=view.incarnation.worker,
+            reason=reason.value,
+            percent=percent,
+        )
 
     def _suspicion(self, subtask: SubtaskId) -> Suspicion:
         if subtask not in self.table.suspects:
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -17,7 +17,13 @@
     WorkerEngaged,
     WorkerReleased,
 )
-from acaciawing.jobs.workers import CONTACT_TIMEOUT_S, Phase, Run, WorkerView
+from acaciawing.jobs.workers import (
+    CONTACT_TIMEOUT_S,
+    Phase,
+    Run,
+    StopReason,
+    WorkerView,
+)
 
 
 class WorkerEnd(Enum):
@@ -249,7 +255,7 @@
                 if run.phase is Phase.ORDERED:
                     # The order may still be queued and would be sent with a
                     # new lease; the stop withdraws it.
-                    self._stop_run(view, run, now)
+                    self._stop_run(view, run, StopReason.LEASE_LAPSED, now)
                 # The worker may have crashed, which is not known yet.
                 self._remove_run(view, run.subtask, now, settled=False)
         unconfirmed = view.incarnation in self._takeover.unconfirmed_until
@@ -259,4 +265,4 @@
         for run in view.runs.values():
             overdue = now - run.since > STOP_RETRY_S
             if run.phase in (Phase.CLOSING, Phase.STOPPING) and overdue:
-                self._stop_run(view, run, now)
+                self._stop_run(view, run, StopReason.REPEATED, now)
--- a/acaciawing/jobs/workers.py
+++ b/acaciawing/jobs/workers.py
@@ -35,6 +35,31 @@
     STOPPING = "stopping"
 
 
+class StopReason(Enum):
+    """Why a run is ordered to stop; the values are written to the log.
+
+    Attributes:
+        EVACUATION: Its worker is evacuated.
+        GANG_INCOMPLETE: Another member of its gang did not start in time.
+        JOB_ENDED: Its job has ended.
+        LEASE_LAPSED: Its worker is silent, and the start may still be queued.
+        NO_PROGRESS: Its worker answers, but no run there makes progress.
+        NOT_NEEDED: Its subtask is done, or has another run.
+        REPEATED: An earlier stop has not ended it.
+        UNCONFIRMED: Its start was not answered, and the worker does not
+            report it.
+    """
+
+    EVACUATION = "evacuation"
+    GANG_INCOMPLETE = "gang incomplete"
+    JOB_ENDED = "job ended"
+    LEASE_LAPSED = "lease lapsed"
+    NO_PROGRESS = "no progress"
+    NOT_NEEDED = "not needed"
+    REPEATED = "repeated"
+    UNCONFIRMED = "unconfirmed"
+
+
 class Run:
     """A run that uses a worker's capacity, or may use it.
 
--- a/acaciawing/jobserver/fleet_task.py
+++ b/acaciawing/jobserver/fleet_task.py
@@ -143,7 +143,7 @@
             and self._tenure() == tenure
             and self._record_orders(orders, tenure)
         ):
-            self._carry_out(orders, tenure, not_after)
+            self._carry_out(orders, snapshot, tenure, not_after)
 
     def _may_order(self, machine: str, tenure: FleetTenure) -> bool:
         """Returns whether this holder may order a machine yet.
@@ -247,40 +247,27 @@
         return _with_reports(snapshot, list(reports))
 
     def _carry_out(
-        self, orders: list[FleetOrder], tenure: FleetTenure, not_after: float
+        self,
+        orders: list[FleetOrder],
+        snapshot: FleetSnapshot,
+        tenure: FleetTenure,
+        not_after: float,
     ) -> None:
         outcomes = self._order_executor.carry_out(
             orders, tenure.fence, not_after
         )
+        workers = {m.id: m.worker for m in snapshot.machines}
         for order, outcome in zip(orders, outcomes, strict=True):
-            self._handle_outcome(order, outcome, tenure)
+            worker = workers[order.machine]
+            _log_order(
+                order, outcome, tenure, worker, snapshot.workers.get(worker)
+            )
+            self._handle_outcome(order, outcome)
         self._statuses.save_maintenance_started()
 
     def _handle_outcome(
-        self,
-        order: FleetOrder,
-        outcome: MachineOrderOutcome,
-        tenure: FleetTenure,
+        self, order: FleetOrder, outcome: MachineOrderOutcome
     ) -> None:
-        kind = type(order).__name__.lower()
-        METRICS.count(
-            "acaciawing.jobs.machine_orders", kind=kind, outcome=outcome.value
-        )
-        target = (
-            f"wave {order.wave}"
-            if isinstance(order, Maintain)
-            else order.service
-        )
-        log_event(
-            Event.MACHINE_ORDERED,
-            {
-                "machine": order.machine,
-                "order": kind,
-                "target": target,
-                "fence": tenure.fence,
-                "outcome": outcome.value,
-            },
-        )
         if isinstance(order, Maintain) and outcome in (
             MachineOrderOutcome.DONE,
             MachineOrderOutcome.NOT_IN_WAVE,
@@ -294,6 +281,36 @@
             self._plan.discard_order(order.machine)
 
 
+def _log_order(
+    order: FleetOrder,
+    outcome: MachineOrderOutcome,
+    tenure: FleetTenure,
+    worker: str,
+    load: WorkerLoad | None,
+) -> None:
+    """Logs an order with what it rests on: the report on its worker."""
+    kind = type(order).__name__.lower()
+    METRICS.count(
+        "acaciawing.jobs.machine_orders", kind=kind, outcome=outcome.value
+    )
+    target = (
+        f"wave {order.wave}" if isinstance(order, Maintain) else order.service
+    )
+    log_event(
+        Event.MACHINE_ORDERED,
+        {
+            "machine": order.machine,
+            "order": kind,
+            "target": target,
+            "fence": tenure.fence,
+            "outcome": outcome.value,
+            "worker": worker,
+            "runs": load.runs if load is not None else None,
+            "contacted": load.contacted if load is not None else None,
+        },
+    )
+
+
 def _log_decision(event: str, **values: Any) -> None:
     log_event(Event[event], values)
 
