Take down no machine whose worker has not answered the holder of its cell

Cause: a cell's report counts the runs that its holder knows of. Right after a takeover that is none for each worker that has not answered yet, and the evacuation that the fleet's holder asks for is confirmed at once; so the machine counted as evacuated and was moved or maintained with all that ran there, without a stop that asks the disruption budget. In the same way such machines were the idlest ones to lend or turn off.

Change: a report says whether the worker has answered its holder; until then its machine is neither evacuated nor idle.

Evidence: TestMachineOrders and test_machine_with_unknown_runs_is_not_lent fail without the change (a Maintain in the second round; i0 to i2 lent). Ruled out: stale reports of a superseded holder (its orders to a worker are refused by fence).

--- a/acaciawing/jobs/fleet_planner.py
+++ b/acaciawing/jobs/fleet_planner.py
@@ -256,6 +256,7 @@
                 and self._orders.may_move(machine.id)
                 and machine.id not in in_waves
                 and load is not None
+                and load.contacted
                 and not load.lasting
                 and not load.silent
             ):
--- a/acaciawing/jobs/machine_states.py
+++ b/acaciawing/jobs/machine_states.py
@@ -16,6 +16,7 @@
     load = snapshot.workers.get(machine.worker)
     return (
         load is not None
+        and load.contacted
         and load.runs == 0
         and machine.worker in snapshot.evacuating
     )
--- a/acaciawing/jobs/tests/pool_emulator.py
+++ b/acaciawing/jobs/tests/pool_emulator.py
@@ -168,7 +168,7 @@
         )
         workers = {
             f"w-{m.name}": WorkerLoad(
-                len(m.runs), 0, len(m.runs) * _SUBTASK.cpu
+                len(m.runs), 0, len(m.runs) * _SUBTASK.cpu, contacted=True
             )
             for m in self._machines
             if m.service != _SPARE
--- a/acaciawing/jobs/tests/test_disruption_budget.py
+++ b/acaciawing/jobs/tests/test_disruption_budget.py
@@ -118,6 +118,7 @@
     def test_empty_worker_is_taken_down_once_it_has_answered(self) -> None:
         harness, planner = self._make_new_holder(), FleetPlanner()
         assert not self._run_round(harness, planner)
+        assert not self._run_round(harness, planner)
         harness.report(self._worker)
         assert self._run_round(harness, planner) == (Maintain("m", 1),)
 
--- a/acaciawing/jobs/tests/test_fleet_planner.py
+++ b/acaciawing/jobs/tests/test_fleet_planner.py
@@ -38,6 +38,7 @@
         self.waiting: dict[str, int] = {}
         self.lasting: dict[str, int] = {}
         self.waves: tuple[MaintenanceWave, ...] = ()
+        self.unreached: frozenset[str] = frozenset()
 
     def _machine(self, name: str, service: str) -> MachineState:
         worker = "" if service == _SPARE else f"w-{name}"
@@ -61,6 +62,7 @@
                 int(self.loads.get(m.id, 0) > 0) + self.lasting.get(m.id, 0),
                 self.lasting.get(m.id, 0),
                 self.loads.get(m.id, 0),
+                contacted=m.id not in self.unreached,
             )
             for m in self.machines.values()
             if m.worker
@@ -142,6 +144,13 @@
         assert orders
         assert all(o.machine.startswith("o") for o in orders)
 
+    def test_machine_with_unknown_runs_is_not_lent(self) -> None:
+        fleet = Fleet(off=0)
+        fleet.unreached = frozenset({"i0", "i1", "i2"})
+        fleet.waiting["busy"] = 8 * _SIZE.cpu
+        orders = fleet.rounds(1.0)
+        assert {o.machine for o in orders} == {"i3"}
+
     def test_rising_load_is_extrapolated(self) -> None:
         fleet = Fleet(busy=MIN_MACHINES, idle=MIN_MACHINES)
         for step in range(6):
