Add up the loads of a worker's incarnations in a cell's report

Cause: the report is keyed by the worker's id, and the incarnation that was added last replaced the others. After a takeover this is the earlier incarnation, known from its WorkerEngaged record only and without runs, while the restarted worker has some: its machine could be taken down with them.

Evidence: test_earlier_incarnation_does_not_hide_the_runs_of_the_next fails before the change (a Maintain beside a run).

--- a/acaciawing/jobs/load_report.py
+++ b/acaciawing/jobs/load_report.py
@@ -1,5 +1,7 @@
 """Reports of a cell's load, from which the fleet's machines are divided."""
 
+from collections.abc import Iterable
+
 from acaciawing.jobs.evacuation import WorkerEvacuation
 from acaciawing.jobs.fleet import CellReport, PoolLoad, WorkerLoad
 from acaciawing.jobs.model import Queue, Resources
@@ -61,10 +63,7 @@
         return CellReport(
             self.recovered,
             pools,
-            {
-                v.incarnation.worker: _worker_load(v)
-                for v in self.views.values()
-            },
+            _worker_loads(self.views.values()),
             tuple(
                 v.incarnation.worker
                 for v in self.views.values()
@@ -106,8 +105,30 @@
         return expired
 
 
+def _worker_loads(views: Iterable[WorkerView]) -> dict[str, WorkerLoad]:
+    """Returns the load by worker id; incarnations of one id are added up."""
+    loads: dict[str, WorkerLoad] = {}
+    for view in views:
+        worker = view.incarnation.worker
+        load = _worker_load(view)
+        if worker in loads:
+            load = _add_loads(loads[worker], load)
+        loads[worker] = load
+    return loads
+
+
 def _worker_load(view: WorkerView) -> WorkerLoad:
     silent = view.contacted and not view.reachable
     return WorkerLoad(
         len(view.runs), view.lasting, view.used.cpu, silent, view.contacted
     )
+
+
+def _add_loads(first: WorkerLoad, second: WorkerLoad) -> WorkerLoad:
+    return WorkerLoad(
+        first.runs + second.runs,
+        first.lasting + second.lasting,
+        first.cpu + second.cpu,
+        first.silent or second.silent,
+        first.contacted and second.contacted,
+    )
--- a/acaciawing/jobs/tests/test_disruption_budget.py
+++ b/acaciawing/jobs/tests/test_disruption_budget.py
@@ -1,6 +1,7 @@
 """Tests of what may interrupt long-running subtasks."""
 
 from acaciawing.jobs import (
+    Incarnation,
     JobSubmitted,
     Resources,
     RunningRow,
@@ -30,6 +31,7 @@
     make_job,
     make_worker,
 )
+from acaciawing.jobs.workers import WorkerView
 
 _STEP = Step(2, Resources(1000), lasting=True, may_miss=1, max_per_worker=1)
 _SUBMITTED = JobSubmitted(make_job("j", _STEP), 0)
@@ -115,6 +117,19 @@
         harness.report(self._worker, running=running)
         assert not self._run_round(harness, planner)
 
+    def test_earlier_incarnation_does_not_hide_the_runs_of_the_next(
+        self,
+    ) -> None:
+        harness, planner = self._make_new_holder(), FleetPlanner()
+        harness.report(self._worker)
+        harness.settle()
+        assert harness.starts
+        harness.cell.views[Incarnation("w", 0)] = WorkerView(
+            make_worker("w", born_ms=0)
+        )
+        for _ in range(3):
+            assert not self._run_round(harness, planner)
+
     def test_empty_worker_is_taken_down_once_it_has_answered(self) -> None:
         harness, planner = self._make_new_holder(), FleetPlanner()
         assert not self._run_round(harness, planner)
