Count a run as at work only on a recent report; one module for the disruption budget

Cause: the budget counted a run as at work for as long as its worker's last report said so and no poll had failed. A holder that lags handles reports, and failed polls, seconds after their time; so a subtask that has been away for longer than the notice still counted, and another one could be stopped.

Change: a run serves only if the last report, sent less than 2 s ago (as for new starts), has it at full speed. The budget moves to jobs/disruptions.py, for the orders that don't ask it yet; the run to stop no longer counts itself as away.

Evidence: TestOldReports fails without the change (a stop on a report 3 s old).

--- a/acaciawing/jobs/crashes.py
+++ b/acaciawing/jobs/crashes.py
@@ -223,7 +223,7 @@
 
 
 def _survived_s(view: WorkerView, run: Run) -> float:
-    if not run.reported:
+    if run.reported_at is None:
         return 0.0
     return max(0.0, view.last_contact_at - run.ordered_at)
 
--- a/acaciawing/jobs/evacuation.py
+++ b/acaciawing/jobs/evacuation.py
@@ -7,9 +7,6 @@
 from acaciawing.jobs.limits import (
     CHECKPOINTED_EVACUATION_TIMEOUT_S,
     EVACUATION_TIMEOUT_S,
-    FULL_SPEED_PERCENT,
-    RUN_NUMBERS_PER_FENCE,
-    SETTLING_TIME_S,
 )
 from acaciawing.jobs.pacing import (
     MIN_PACE_INTERVAL_S,
@@ -95,34 +92,6 @@
                 strain=usage,
             )
 
-    def _within_disruption_budget(self, run: Run, now: float) -> bool:
-        """Whether the disruption budget of a run's step allows stopping it."""
-        unavailable = 0
-        for member in self._step_subtasks(run.subtask):
-            view = self._active.get(member)
-            if (
-                view is None
-                or not view.reachable
-                or not self._is_serving(view.runs[member], now)
-            ):
-                unavailable += 1
-        return not self._takeover.unconfirmed_until and unavailable < max(
-            1, run.step.may_miss
-        )
-
-    def _is_serving(self, run: Run, now: float) -> bool:
-        """Whether a long-running run reports full speed and will go on.
-
-        An earlier holder may have ordered the stop of a run that it started;
-        until the worker has carried that out, it reports the run as before.
-        """
-        own = run.number >= self.fence * RUN_NUMBERS_PER_FENCE
-        return (
-            run.phase is Phase.RUNNING
-            and run.percent >= FULL_SPEED_PERCENT
-            and (own or now - run.since > SETTLING_TIME_S)
-        )
-
     def _has_room_elsewhere(
         self, view: WorkerView, run: Run, now: float
     ) -> bool:
--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -7,6 +7,7 @@
     StartOutcome,
 )
 from acaciawing.jobs.crashes import Suspicion
+from acaciawing.jobs.disruptions import DisruptionBudgets
 from acaciawing.jobs.health import (
     SUSPECT_SUSPENSION_S,
     all_runs_failed,
@@ -23,11 +24,10 @@
     RunFailed,
     SubtaskDone,
 )
-from acaciawing.jobs.state import CellState
 from acaciawing.jobs.workers import Phase, Run, StopReason, WorkerView
 
 
-class RunTracking(CellState):
+class RunTracking(DisruptionBudgets):
     """Tracking of the runs that workers report, and of their ends."""
 
     def _check_health(self, view: WorkerView, now: float) -> None:
@@ -94,7 +94,7 @@
             if row.percent != run.percent:
                 run.progressed_at = now
             run.percent, run.load_metric = row.percent, row.load_metric
-            run.confirmed = run.reported = True
+            run.confirmed, run.reported_at = True, view.last_contact_at
             self._unconfirmed_crashes.pop((row.subtask, row.run), None)
             if run.phase in (Phase.ORDERED, Phase.UNCONFIRMED):
                 run.enter(Phase.RUNNING, now, now)
@@ -107,7 +107,8 @@
             adopted = Run(row.subtask, row.run, step, now)
             adopted.enter(Phase.RUNNING, now, now)
             adopted.percent, adopted.load_metric = row.percent, row.load_metric
-            adopted.confirmed = adopted.reported = True
+            adopted.confirmed = adopted.may_be_stopping = True
+            adopted.reported_at = view.last_contact_at
             if self._suspicion(row.subtask) >= Suspicion.ISOLATED:
                 adopted.isolated = not view.runs
                 view.isolated_for = row.subtask
--- a/acaciawing/jobs/tests/test_disruption_budget.py
+++ b/acaciawing/jobs/tests/test_disruption_budget.py
@@ -226,7 +226,9 @@
         harness = _make_serving()
         moved, other = (_worker_of(harness, s) for s in _SUBTASKS)
         harness.wait(3.0)
-        _report(harness, moved)
+        for view in list(harness.cell.views.values()):
+            if view.registration != other:
+                _report(harness, view.registration)
         evacuation = Evacuation(frozenset({moved.incarnation.worker}))
         harness.cell.evacuate(evacuation, harness.now)
         harness.settle()
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -171,7 +171,7 @@
             self._takeover.unconfirmed_until[successor] = until
         old, new = self.views.get(incarnation), self.views.get(successor)
         if old is not None and new is not None:
-            unreported = [r for r in old.runs.values() if not r.reported]
+            unreported = [r for r in old.runs.values() if r.reported_at is None]
             subtasks = {run.subtask for run in unreported}
             self._count_crash(incarnation, now, unconfirmed=subtasks)
             if unreported:
--- a/acaciawing/jobs/workers.py
+++ b/acaciawing/jobs/workers.py
@@ -76,7 +76,10 @@
         progressed_at: When the percent last changed, in seconds.
         load_metric: As in the worker's last `RunningRow` of the run.
         confirmed: Whether the worker has answered its start, or reported it.
-        reported: Whether this incarnation of the worker has reported it.
+        reported_at: When the renewal was sent whose answer reported it last,
+            in seconds; None if this incarnation has not reported it.
+        may_be_stopping: Whether an order to stop it, of this holder or an
+            earlier one, may still take effect.
         pace: Share of its full speed that was ordered last, in percent.
         isolated: Whether it was started on a worker kept for its subtask.
     """
@@ -86,13 +89,14 @@
         "confirmed",
         "isolated",
         "load_metric",
+        "may_be_stopping",
         "number",
         "ordered_at",
         "pace",
         "percent",
         "phase",
         "progressed_at",
-        "reported",
+        "reported_at",
         "since",
         "step",
         "subtask",
@@ -113,7 +117,8 @@
         self.progressed_at = now
         self.load_metric = 0.0
         self.confirmed = False
-        self.reported = False
+        self.reported_at: float | None = None
+        self.may_be_stopping = False
         self.pace = 100
         self.isolated = False
 
