Ask the disruption budget again before a stop without effect is repeated

Cause: an order to stop is repeated every 1.2 s until the run has ended, without a look at the budget that allowed the first one, or at whether the run has meanwhile turned out well. So a start that was carried out seconds late was stopped at full speed, and a stop of an evacuation that a worker had not got was repeated after other workers, with more of the step, were lost.

--- a/acaciawing/jobs/disruptions.py
+++ b/acaciawing/jobs/disruptions.py
@@ -37,10 +37,7 @@
 
 def is_at_work(view: WorkerView, run: Run) -> bool:
     """Whether the last report of a run's worker has it at full speed."""
-    return (
-        run.reported_at == view.last_contact_at
-        and run.percent >= FULL_SPEED_PERCENT
-    )
+    return view.reports(run) and run.percent >= FULL_SPEED_PERCENT
 
 
 def _is_serving(view: WorkerView, run: Run, now: float) -> bool:
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -223,6 +223,7 @@
     ) -> None:
         closing = run.phase is Phase.CLOSING or reason is StopReason.UNCONFIRMED
         run.enter(Phase.CLOSING if closing else Phase.STOPPING, now, None)
+        run.may_be_stopping = True
         self._order_stop(view, run.subtask, run.number, reason, run.percent)
 
     def _order_stop(
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -265,4 +265,32 @@
         for run in view.runs.values():
             overdue = now - run.since > STOP_RETRY_S
             if run.phase in (Phase.CLOSING, Phase.STOPPING) and overdue:
-                self._stop_run(view, run, StopReason.REPEATED, now)
+                self._repeat_stop(view, run, now)
+
+    def _repeat_stop(self, view: WorkerView, run: Run, now: float) -> None:
+        """Repeats an order to stop a run that had no effect, or withdraws it.
+
+        A long-running run that is at work is interrupted only within the
+        disruption budget of its step. An unconfirmed start is not needed to
+        stop any more once the worker reports it.
+        """
+        if (
+            run.step.lasting
+            and self._active.get(run.subtask) is view
+            and self._still_needed(run.subtask)
+            and view.reports(run)
+            and (
+                run.phase is Phase.CLOSING
+                or not self._within_disruption_budget(run, now)
+            )
+        ):
+            run.enter(Phase.RUNNING, now, now)
+            self._log(
+                "STOP_WITHDRAWN",
+                subtask=str(run.subtask),
+                run=run.number,
+                worker=view.incarnation.worker,
+                percent=run.percent,
+            )
+            return
+        self._stop_run(view, run, StopReason.REPEATED, now)
--- a/acaciawing/jobs/workers.py
+++ b/acaciawing/jobs/workers.py
@@ -249,6 +249,10 @@
                 del self.runs_per_step[key]
         return run
 
+    def reports(self, run: Run) -> bool:
+        """Whether the worker's last report has a run."""
+        return run.reported_at == self.last_contact_at
+
     def usable(self, now: float) -> bool:
         """Whether new runs of any subtask may be ordered."""
         return self.isolated_for is None and self.accepts_runs(now)
