Of two runs of a long-running subtask, keep the one that is at work

Cause: a run that the holder does not know of, for instance of a worker that was silent beyond its leases, was stopped whenever its subtask had another run, though that one was only ordered and not at work yet; so the subtask was interrupted by an order that asked no budget.

Change: if only the reported run is at work, it is adopted and the other one is stopped; a run that is not at work is no interruption.

Evidence: TestSecondRuns fails without the change (the run at full speed is stopped).

--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -7,14 +7,18 @@
     StartOutcome,
 )
 from acaciawing.jobs.crashes import Suspicion
-from acaciawing.jobs.disruptions import DisruptionBudgets
+from acaciawing.jobs.disruptions import DisruptionBudgets, is_at_work
 from acaciawing.jobs.health import (
     SUSPECT_SUSPENSION_S,
     all_runs_failed,
     may_suspect,
     stalled_runs,
 )
-from acaciawing.jobs.limits import NO_ROOM_SUSPENSION_S, REFUSAL_SUSPENSION_S
+from acaciawing.jobs.limits import (
+    FULL_SPEED_PERCENT,
+    NO_ROOM_SUSPENSION_S,
+    REFUSAL_SUSPENSION_S,
+)
 from acaciawing.jobs.model import (
     SubtaskId,
 )
@@ -101,30 +105,58 @@
             return
         if run is not None and run.number > row.run:
             return
-        if self._still_needed(row.subtask) and row.subtask not in self._active:
-            step = self.table.find_step(row.subtask)
-            assert step is not None
-            adopted = Run(row.subtask, row.run, step, now)
-            adopted.enter(Phase.RUNNING, now, now)
-            adopted.percent, adopted.load_metric = row.percent, row.load_metric
-            adopted.confirmed = adopted.may_be_stopping = True
-            adopted.reported_at = view.last_contact_at
-            if self._suspicion(row.subtask) >= Suspicion.ISOLATED:
-                adopted.isolated = not view.runs
-                view.isolated_for = row.subtask
-            view.add(adopted)
-            self._active[row.subtask] = view
-            self._waiting.discard(row.subtask)
-            self.table.jobs[row.subtask.job].started = True
-            self._log(
-                "RUN_ADOPTED",
-                subtask=str(row.subtask),
-                run=row.run,
-                worker=view.incarnation.worker,
+        if not self._still_needed(row.subtask):
+            self._order_stop(
+                view, row.subtask, row.run, StopReason.NOT_NEEDED, row.percent
             )
             return
-        self._order_stop(
-            view, row.subtask, row.run, StopReason.NOT_NEEDED, row.percent
+        other = self._active.get(row.subtask)
+        if other is None:
+            self._adopt_run(view, row, now)
+        elif other is not view and self._keeps_reported_run(row, other):
+            self._stop_run(
+                other, other.runs[row.subtask], StopReason.NOT_NEEDED, now
+            )
+            self._adopt_run(view, row, now)
+        else:
+            self._order_stop(
+                view, row.subtask, row.run, StopReason.NOT_NEEDED, row.percent
+            )
+
+    def _keeps_reported_run(self, row: RunningRow, other: WorkerView) -> bool:
+        """Whether to keep a run that was not known instead of the known one.
+
+        Of two runs of a long-running subtask, the one that is at work is kept.
+        """
+        active = other.runs[row.subtask]
+        return (
+            active.step.lasting
+            and row.percent >= FULL_SPEED_PERCENT
+            and not is_at_work(other, active)
+        )
+
+    def _adopt_run(self, view: WorkerView, row: RunningRow, now: float) -> None:
+        """Takes over a run that a worker reports and no record tells of."""
+        step = self.table.find_step(row.subtask)
+        assert step is not None
+        adopted = Run(row.subtask, row.run, step, now)
+        adopted.enter(Phase.RUNNING, now, now)
+        adopted.percent, adopted.load_metric = row.percent, row.load_metric
+        adopted.confirmed = adopted.may_be_stopping = True
+        adopted.reported_at = view.last_contact_at
+        if self._suspicion(row.subtask) >= Suspicion.ISOLATED:
+            adopted.isolated = not view.runs
+            view.isolated_for = row.subtask
+        view.remove(row.subtask)
+        view.add(adopted)
+        self._active[row.subtask] = view
+        self._waiting.discard(row.subtask)
+        self.table.jobs[row.subtask.job].started = True
+        self._log(
+            "RUN_ADOPTED",
+            subtask=str(row.subtask),
+            run=row.run,
+            worker=view.incarnation.worker,
         )
 
     def _process_absent(
