Reject odd but well-formed input where it is decoded

It can happen here: a field nested 100,000 deep raises RecursionError, which no handler named, so the follower of the list failed each 0.5 s and sent no list at all; a port of 5,000 digits, or a key that no header can hold, raised in the session with the worker, which ends the process; port 70000 was dialled as 4464; a start time of 10**30 can't be stored as a record, which ends the writer's process.

Class: what a decoder accepts, or raises, was wider than what the code behind it can take. Tried at every decoder of bytes from outside, not only the one of the list: - DECODE_ERRORS (package decoding) names all that a decoder raises; a test keeps handlers to it. - Worker entries: id that a header can hold, IP address with a port from 1 to 65535 (the check of the settings), numbers that records can hold. - Jobs, configurations, waves, machine lists, run lists of workers, tickets, pages of the store: numbers in range, strings where strings are needed (a nested value raised when shown as text). - A job's subtasks are limited over all its occurrences; RepeatCount 10**30 was stored, and each holder in turn would have counted its occurrences for ever. - Time-Budget of 400 digits is cut to an hour; waiting for it raised.

Checked and already right: operators' lists and settings files (NESTED_TOO_DEEPLY).

--- a/acaciawing/commandline/administration.py
+++ b/acaciawing/commandline/administration.py
@@ -5,7 +5,6 @@
 from typing import TypeAlias, TypeVar
 from urllib.parse import quote
 
-import msgspec
 import urllib3
 
 from acaciawing.commandline.documents import (
@@ -14,6 +13,7 @@
     decode_explain,
     decode_status,
 )
+from acaciawing.decoding import DECODE_ERRORS
 
 _TIMEOUT = urllib3.Timeout(connect=1.0, read=5.0)
 
@@ -78,5 +78,5 @@
             return decode(answer.data)
         except urllib3.exceptions.HTTPError as error:
             return EntryUnavailable(str(error))
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return EntryUnavailable(f"answer not understood: {error}")
--- a/acaciawing/commandline/story.py
+++ b/acaciawing/commandline/story.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from acaciawing.decoding import DECODE_ERRORS
+
 # Values that `render` prints in fixed columns or that add no information.
 _OMITTED_VALUES = frozenset(
     {"timestamp", "entry", "entry_zone", "event", "number", "level"}
@@ -116,7 +118,7 @@
         return None
     try:
         values = msgspec.json.decode(text[start:].encode())
-    except (msgspec.DecodeError, UnicodeError):
+    except (UnicodeError, *DECODE_ERRORS):
         return None
     if not isinstance(values, dict) or "number" not in values:
         return None
--- a/acaciawing/entry/configuration_publisher.py
+++ b/acaciawing/entry/configuration_publisher.py
@@ -19,6 +19,7 @@
 )
 from acaciawing.commandline.publish_loop import run_publish
 from acaciawing.configuration import Findings, Source, check_lists
+from acaciawing.decoding import DECODE_ERRORS
 from acaciawing.platform import Log
 from acaciawing.telemetry import Event, log_event
 
@@ -81,7 +82,7 @@
         """
         try:
             request = _DECODER.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             return _problem(400, "bad-request", str(error))
         for name in ("publication_id", "author"):
             if not _is_label(getattr(request, name)):
--- a/acaciawing/entry/demand.py
+++ b/acaciawing/entry/demand.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from acaciawing.control import DemandObserved
+from acaciawing.decoding import DECODE_ERRORS
 
 DEMAND_PATH = "/v1/peer/demand"
 
@@ -126,5 +127,5 @@
             return None
         try:
             return self._decoder.decode(answer)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             return None
--- a/acaciawing/entry/forwarding.py
+++ b/acaciawing/entry/forwarding.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from acaciawing.configuration import ConfigurationIndex
+from acaciawing.decoding import DECODE_ERRORS
 from acaciawing.entry.requests import CallerRequest
 from acaciawing.exchange import (
     Answer,
@@ -163,7 +164,7 @@
         return OutcomeUnknown("forward-unanswered", type(outcome).__name__)
     try:
         answer = msgspec.json.decode(outcome.body, type=ForwardedAnswer)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return OutcomeUnknown("forward-unanswered", str(error))
     if answer.kind == "Answer":
         return Answer(answer.status, answer.headers, answer.body)
@@ -233,7 +234,7 @@
     """
     try:
         message = msgspec.json.decode(payload, type=ForwardedRequest)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
     request = _caller_request(message, index)
     if isinstance(request, NotRun):
--- a/acaciawing/entry/gossip.py
+++ b/acaciawing/entry/gossip.py
@@ -11,6 +11,7 @@
 
 from acaciawing import membership
 from acaciawing.admission import EntryView
+from acaciawing.decoding import DECODE_ERRORS
 from acaciawing.entry.engine_view import EngineView
 from acaciawing.entry.messages import LeavingReported, MembersUpdated
 from acaciawing.membership import (
@@ -113,7 +114,7 @@
         """Answers a peer's message; returns None if it is malformed."""
         try:
             gossip = msgspec.json.decode(payload, type=Gossip)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             return None
         reply: SimpleQueue[Gossip] = SimpleQueue()
         self._inbox.put(_Request(gossip, reply))
@@ -213,7 +214,7 @@
             return
         try:
             decoded = msgspec.json.decode(answer, type=Gossip)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             return
         self._inbox.put(_Response(decoded))
 
--- a/acaciawing/entry/task_requests.py
+++ b/acaciawing/entry/task_requests.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from acaciawing.decoding import DECODE_ERRORS
 from acaciawing.entry.paging import PageRequest, page
 from acaciawing.placement import (
     Resources,
@@ -99,7 +100,7 @@
         """
         try:
             request = msgspec.json.decode(body, type=Submission)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             return _problem(400, "bad-request", str(error))
         records: dict[str, object] = {}
         for task in request.tasks:
@@ -123,7 +124,7 @@
         """
         try:
             request = msgspec.json.decode(body, type=CancelRequest)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             return _problem(400, "bad-request", str(error))
         names = dict.fromkeys(request.tasks)
         unfinished = tuple(
--- a/acaciawing/jobs/model.py
+++ b/acaciawing/jobs/model.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from acaciawing.decoding import parse_digits
+
 
 class SubtaskId(NamedTuple):
     """Identifier of a subtask.
@@ -45,9 +47,12 @@
     True
     """
     parts = text.split(".")
-    if len(parts) != 4 or not all(p.isdecimal() for p in parts[1:]):
+    if len(parts) != 4:
+        return None
+    occurrence, step, index = (parse_digits(part) for part in parts[1:])
+    if occurrence is None or step is None or index is None:
         return None
-    return SubtaskId(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+    return SubtaskId(parts[0], occurrence, step, index)
 
 
 class Resources(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/acaciawing/jobs/records.py
+++ b/acaciawing/jobs/records.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from acaciawing.decoding import DECODE_ERRORS
 from acaciawing.jobs.model import Job
 
 
@@ -202,5 +203,5 @@
     """
     try:
         return _DECODER.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
--- a/acaciawing/jobserver/client_api.py
+++ b/acaciawing/jobserver/client_api.py
@@ -45,6 +45,9 @@
 # down, and the client may reach another instance.
 _REFUSAL_RETRY_S = 0.4
 
+# Longest time for which a request is handled, whatever its client allows.
+_MAX_TIME_BUDGET_S = 3600.0
+
 
 @dataclass(frozen=True)
 class Reply:
@@ -280,4 +283,5 @@
     budget_ms = float(text) if text.replace(".", "", 1).isdecimal() else 0.0
     if budget_ms <= 0:
         budget_ms = float(queue.timeout_ms)
-    return max(0.1, budget_ms / 1000 - ANSWER_MARGIN_S)
+    budget_s = min(budget_ms / 1000, _MAX_TIME_BUDGET_S)
+    return max(0.1, budget_s - ANSWER_MARGIN_S)
--- a/acaciawing/jobserver/listeners.py
+++ b/acaciawing/jobserver/listeners.py
@@ -7,6 +7,7 @@
 import msgspec
 from cheroot import wsgi
 
+from acaciawing.decoding import DECODE_ERRORS
 from acaciawing.jobserver.peers import (
     JOBS_PATH,
     REPORT_PATH,
@@ -77,7 +78,7 @@
                 )
             else:
                 status = "404 Not Found"
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             status = "400 Bad Request"
         start_response(
             status,
--- a/acaciawing/jobserver/peers.py
+++ b/acaciawing/jobserver/peers.py
@@ -7,6 +7,7 @@
 import msgspec
 import urllib3
 
+from acaciawing.decoding import DECODE_ERRORS
 from acaciawing.jobs.fleet import CellReport, Evacuation
 from acaciawing.jobserver.engine import Engine
 from acaciawing.jobserver.membership import CellHolders
@@ -116,7 +117,7 @@
             if answer.status != 200:
                 return None
             return msgspec.json.decode(answer.data, type=response_type)
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError, OSError):
+        except (urllib3.exceptions.HTTPError, OSError, *DECODE_ERRORS):
             # The caller requests a refresh of the holders.
             return None
 
--- a/acaciawing/platform/advice.py
+++ b/acaciawing/platform/advice.py
@@ -77,8 +77,10 @@
         if not isinstance(rows, list) or valid_ms is None:
             return AdviceUnavailable("malformed response")
         tickets = {
-            str(row[0]): str(row[1])
+            row[0]: row[1]
             for row in rows
-            if isinstance(row, list) and len(row) == 2
+            if isinstance(row, list)
+            and len(row) == 2
+            and all(isinstance(part, str) for part in row)
         }
         return Advice(tickets, valid_ms / 1000)
--- a/acaciawing/platform/fleet_records.py
+++ b/acaciawing/platform/fleet_records.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from acaciawing.decoding import DECODE_ERRORS, parse_digits
 from acaciawing.jobs.order_history import LastMachineOrder
 from acaciawing.platform.http import decode_object, encode_json
 from acaciawing.platform.store import (
@@ -65,7 +66,9 @@
             wave = _parse_wave_number(record.key)
             if wave is not None and record.value is not None:
                 state = decode_object(record.value).get("State")
-                self._stored_states[wave] = str(state)
+                self._stored_states[wave] = (
+                    state if isinstance(state, str) else ""
+                )
         for record in progress.records:
             wave = _parse_wave_number(record.key)
             if wave is not None and record.value is not None:
@@ -126,13 +129,13 @@
 
 def _parse_wave_number(key: str) -> int | None:
     prefix, _, number = key.rpartition("/")
-    return int(number) if prefix == "wave" and number.isdecimal() else None
+    return parse_digits(number) if prefix == "wave" else None
 
 
 def _decode_machine_ids(value: bytes) -> list[str]:
     try:
         return msgspec.json.decode(value, type=list[str])
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return []
 
 
@@ -160,7 +163,7 @@
                         record.value or b"", type=LastMachineOrder
                     )
                 )
-            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            except DECODE_ERRORS as error:
                 finding = Finding(f"{_ORDERS_TOPIC}/{record.key}", str(error))
                 log_event(
                     Event.FINDING,
--- a/acaciawing/platform/http.py
+++ b/acaciawing/platform/http.py
@@ -10,6 +10,8 @@
 import httptools
 import msgspec
 
+from acaciawing.decoding import DECODE_ERRORS, MAX_WHOLE_NUMBER
+
 # Keep-alive probes detect a peer that no longer responds.
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
@@ -253,7 +255,7 @@
     """
     try:
         value = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return {}
     return value if isinstance(value, dict) else {}
 
@@ -261,13 +263,15 @@
 def to_whole_number(value: object) -> int | None:
     """Converts a whole number to int; returns None for anything else.
 
+    A number beyond `MAX_WHOLE_NUMBER` is not converted either.
+
     >>> to_whole_number(3.0), to_whole_number("3"), to_whole_number(True)
     (3, None, None)
     """
     if isinstance(value, bool):
         return None
-    if isinstance(value, int):
-        return value
     if isinstance(value, float) and value.is_integer():
-        return int(value)
+        value = int(value)
+    if isinstance(value, int) and abs(value) <= MAX_WHOLE_NUMBER:
+        return value
     return None
--- a/acaciawing/platform/listing.py
+++ b/acaciawing/platform/listing.py
@@ -7,6 +7,8 @@
 import msgspec
 import urllib3
 
+from acaciawing.decoding import DECODE_ERRORS
+
 _TIMEOUT = urllib3.Timeout(connect=0.5, read=1.5)
 
 
@@ -122,7 +124,7 @@
             return self._last_listing
         except urllib3.exceptions.HTTPError as error:
             return ListUnavailable(str(error))
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return ListUnavailable(f"malformed response: {error}")
 
 
--- a/acaciawing/platform/log.py
+++ b/acaciawing/platform/log.py
@@ -7,6 +7,7 @@
 import msgspec
 import urllib3
 
+from acaciawing.decoding import DECODE_ERRORS
 from acaciawing.records import LogPosition
 
 CONTROL_STREAM = "control"
@@ -135,7 +136,7 @@
         try:
             body = response.json()
             position = LogPosition(body["offset"], body["appended_at"])
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
             return AppendUnknown(f"malformed response: {error}")
         return Appended(position)
 
@@ -152,7 +153,7 @@
             return _decode_batch(_BATCH_DECODER.decode(response.data))
         except urllib3.exceptions.HTTPError as error:
             return LogUnavailable(str(error))
-        except (ValueError, KeyError, msgspec.DecodeError) as error:
+        except (ValueError, KeyError, *DECODE_ERRORS) as error:
             return LogUnavailable(f"malformed response: {error}")
 
 
--- a/acaciawing/platform/machines.py
+++ b/acaciawing/platform/machines.py
@@ -89,15 +89,14 @@
             if outcome.status != 200:
                 return MachineListUnavailable(f"status {outcome.status}")
             values = decode_object(outcome.body)
-            rows = values.get("Machines")
-            if not isinstance(rows, list):
+            rows, token = values.get("Machines"), values.get("NextToken")
+            if not isinstance(rows, list) or not isinstance(token, str | None):
                 return MachineListUnavailable("malformed response")
             for row in decode_machines(rows):
                 if isinstance(row, Machine):
                     machines.append(row)
                 else:
                     findings.append(row)
-            token = values.get("NextToken")
             if not token:
                 return MachineList(tuple(machines), tuple(findings))
 
@@ -142,8 +141,10 @@
             return MachineOrderOutcome.DONE
         if outcome.status == 409:
             reason = decode_object(outcome.body).get("Reason")
+            if not isinstance(reason, str):
+                return MachineOrderOutcome.UNANSWERED
             return _CONFLICT_OUTCOMES.get(
-                str(reason), MachineOrderOutcome.UNANSWERED
+                reason, MachineOrderOutcome.UNANSWERED
             )
         if outcome.status == 400:
             return MachineOrderOutcome.INVALID
--- a/acaciawing/platform/runs.py
+++ b/acaciawing/platform/runs.py
@@ -191,7 +191,12 @@
         if outcome.status == 200:
             return StartResult(StartOutcome.STARTED, clock_ms)
         if outcome.status == 409:
-            conflict = _CONFLICT_OUTCOMES.get(str(values.get("Reason")))
+            reason = values.get("Reason")
+            conflict = (
+                _CONFLICT_OUTCOMES.get(reason)
+                if isinstance(reason, str)
+                else None
+            )
             return StartResult(conflict or StartOutcome.UNANSWERED, clock_ms)
         if outcome.status == 400:
             return StartResult(StartOutcome.INVALID, clock_ms)
@@ -292,17 +297,22 @@
     """
     if not isinstance(row, list) or len(row) < 4:
         return None
-    subtask = parse_subtask_id(str(row[0]))
-    run, percent = to_whole_number(row[1]), row[3]
-    if subtask is None or run is None:
+    subtask = _parse_subtask(row[0])
+    run, percent = to_whole_number(row[1]), to_whole_number(row[3])
+    checkpoint = _parse_checkpoint(row[2])
+    if subtask is None or run is None or checkpoint is None:
         return None
-    load_metric = row[4] if len(row) > 4 else 0
+    load_metric = row[4] if len(row) > 4 else 0.0
+    if isinstance(load_metric, int):
+        if to_whole_number(int(load_metric)) is None:
+            return None
+        load_metric = float(load_metric)
     return RunningRow(
         subtask,
         run,
-        str(row[2] or ""),
-        to_whole_number(percent) or 0,
-        float(load_metric) if isinstance(load_metric, int | float) else 0.0,
+        checkpoint,
+        percent or 0,
+        load_metric if isinstance(load_metric, float) else 0.0,
     )
 
 
@@ -310,11 +320,27 @@
     """Parses a list of number, subtask, run, kind and checkpoint."""
     if not isinstance(row, list) or len(row) < 5:
         return None
-    subtask = parse_subtask_id(str(row[1]))
+    subtask = _parse_subtask(row[1])
     number, run = to_whole_number(row[0]), to_whole_number(row[2])
-    if subtask is None or number is None or run is None:
-        return None
-    kind = _END_KINDS.get(str(row[3]))
-    if kind is None:
+    kind = _END_KINDS.get(row[3]) if isinstance(row[3], str) else None
+    checkpoint = _parse_checkpoint(row[4])
+    if (
+        subtask is None
+        or number is None
+        or run is None
+        or kind is None
+        or checkpoint is None
+    ):
         return None
-    return EndedRow(number, subtask, run, kind, str(row[4] or ""))
+    return EndedRow(number, subtask, run, kind, checkpoint)
+
+
+def _parse_subtask(value: object) -> SubtaskId | None:
+    return parse_subtask_id(value) if isinstance(value, str) else None
+
+
+def _parse_checkpoint(value: object) -> str | None:
+    """Returns a checkpoint; empty for none, None for a malformed one."""
+    if value is None:
+        return ""
+    return value if isinstance(value, str) else None
--- a/acaciawing/platform/store.py
+++ b/acaciawing/platform/store.py
@@ -264,7 +264,7 @@
             end = page_end if end is None else end
             try:
                 for item in items:
-                    after = str(item["Key"])
+                    after = _parse_text(item["Key"])
                     value = base64.b64decode(item["Value"])
                     records.append(KeyedRecord(after, value))
             except _MALFORMED_ERRORS as error:
@@ -343,7 +343,7 @@
             )
         try:
             return {
-                int(row[1]): str(row[2])
+                int(row[1]): _parse_text(row[2])
                 for row in rows
                 if row[0] == topic and row[2]
             }
@@ -368,6 +368,12 @@
         return outcome if outcome.status == 200 else _unavailable(outcome)
 
 
+def _parse_text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"expected a string, got a {type(value).__name__}")
+    return value
+
+
 def _unavailable(response: Response) -> StoreUnavailable:
     return StoreUnavailable(
         f"status {response.status}", throttled=response.status == 429
--- a/acaciawing/platform/wire.py
+++ b/acaciawing/platform/wire.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from acaciawing.configuration.settings import is_address
+from acaciawing.decoding import DECODE_ERRORS, MAX_WHOLE_NUMBER
 from acaciawing.jobs import (
     Configuration,
     Incarnation,
@@ -21,12 +23,25 @@
     Worker,
 )
 
-# Maximum for one job, so that a submission can't exhaust memory.
+# Maximum for all occurrences of one job, so that a submission can't exhaust
+# memory.
 MAX_SUBTASKS = 100_000
 
+# Maximum length of a worker's id, which is sent in a header.
+_MAX_ID_LENGTH = 200
+
 # Maximum of a resource; a larger one is a fault of its sender.
 _MAX_AMOUNT = 1e12
 
+# Not always whole: a worker may offer a share of its full capacity.
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
+
+_WholeAmount = Annotated[int, msgspec.Meta(ge=0, le=int(_MAX_AMOUNT))]
+_Whole = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+_SignedMs = Annotated[
+    int, msgspec.Meta(ge=-MAX_WHOLE_NUMBER, le=MAX_WHOLE_NUMBER)
+]
+
 _JOB_ID_LENGTH = 16
 _HEX_DIGITS = frozenset("0123456789abcdef")
 
@@ -47,32 +62,34 @@
 class _WireStep(msgspec.Struct):
     """A step as clients submit it; absent fields are 0, false or empty."""
 
-    Count: int
-    Cpu: int = 0  # In thousandths of a core.
-    MemMb: int = 0
-    Gpu: int = 0
-    EstimatedMs: int = 0
+    Count: _Whole
+    Cpu: _WholeAmount = 0  # In thousandths of a core.
+    MemMb: _WholeAmount = 0
+    Gpu: _WholeAmount = 0
+    EstimatedMs: _WholeAmount = 0
     DependsOn: list[int] = []
     SavesProgress: bool = False
     Gang: bool = False
     SameRack: bool = False
     Requirements: str = ""  # Label that the worker must have.
     Affinity: str = ""  # Rack that holds the data.
-    AntiAffinity: int = 0  # Maximum of its subtasks on a worker; 0 is no limit.
+    AntiAffinity: _Whole = (
+        0  # Maximum of its subtasks on a worker; 0 is no limit.
+    )
     Speculative: bool = False
     LongRunning: bool = False  # Runs until the job is cancelled.
     Image: str = ""
-    TargetMs: int = 0  # Latency objective of a long-running subtask.
+    TargetMs: _WholeAmount = 0  # Latency objective of a long-running subtask.
     Fills: bool = False  # Best-effort: uses only CPU left by others.
-    MayMiss: int = 0  # Disruption budget: maximum of subtasks away at once.
+    MayMiss: _Whole = 0  # Disruption budget: maximum of subtasks away at once.
 
 
 class _WireJob(msgspec.Struct):
     TaskSpec: str  # Payload of each subtask.
     Steps: list[_WireStep]
-    RepeatCount: int = 0
-    FirstMs: int = 0
-    IntervalMs: int = 0
+    RepeatCount: _Whole = 0
+    FirstMs: _SignedMs = 0
+    IntervalMs: _SignedMs = 0
 
 
 class _WireRoute(msgspec.Struct):
@@ -85,8 +102,8 @@
     Priority: int = 0
     MaxAttempts: int = 1
     Stretch: float = 1.0  # Allowed factor on the critical path of a job.
-    TargetLatencyMs: float = 0  # In addition to the stretched critical path.
-    TimeoutMs: float = 3000
+    TargetLatencyMs: _Amount = 0  # In addition to the stretched critical path.
+    TimeoutMs: _Amount = 3000
     Advice: dict[str, Any] | None = None  # Present if starts need a ticket.
 
 
@@ -104,10 +121,6 @@
     Services: list[_WireService]
 
 
-# Not always whole: a worker may offer a share of its full capacity.
-_Amount = Annotated[float, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
-
-
 class _WireCapacity(msgspec.Struct):
     Cpu: _Amount = 0  # In thousandths of a core.
     MemMb: _Amount = 0
@@ -121,8 +134,8 @@
     State: str
     Capacity: _WireCapacity
     Labels: list[str]  # The second label is the rack.
-    born: int  # Start time of the incarnation, in milliseconds.
-    ColdLeftMs: float = 0  # Remaining warm-up time.
+    born: _Whole  # Start time of the incarnation, in milliseconds.
+    ColdLeftMs: _Amount = 0  # Remaining warm-up time.
 
 
 class _WireMachine(msgspec.Struct):
@@ -136,10 +149,10 @@
 
 
 class _WireWave(msgspec.Struct):
-    Wave: int
+    Wave: _Whole
     Machines: list[str]
-    DurationS: float
-    MaxCount: int  # Maximum number of machines down at the same time.
+    DurationS: _Amount
+    MaxCount: _Whole  # Maximum number of machines down at the same time.
 
 
 @dataclass(frozen=True)
@@ -201,7 +214,7 @@
     """Decodes a submitted job."""
     try:
         wire = _JOB_DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Finding("body", str(error))
     total = 0
     for number, step in enumerate(wire.Steps):
@@ -212,7 +225,7 @@
                 f"Steps[{number}].DependsOn", "must refer to earlier steps"
             )
         total += step.Count
-    if not wire.Steps or total > MAX_SUBTASKS:
+    if not wire.Steps or total * max(1, wire.RepeatCount) > MAX_SUBTASKS:
         return Finding("Steps", f"must have 1 to {MAX_SUBTASKS} subtasks")
     if wire.RepeatCount and wire.IntervalMs < 0:
         return Finding("IntervalMs", "must not be negative")
@@ -250,7 +263,7 @@
     """Decodes a version of the operator's configuration."""
     try:
         wire = _CONFIGURATION_DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Finding("op/config", str(error))
     queues = {
         route.Name: Queue(
@@ -277,14 +290,16 @@
     """Decodes a worker's registration; its key is the worker id."""
     try:
         wire = _WORKER_DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Finding(f"servers/{worker}", str(error))
+    if not _is_header_value(worker):
+        return Finding(f"servers/{worker}", "not an id that a header can hold")
     if wire.State not in ("ready", "draining"):
         return Finding(f"servers/{worker}.State", f"unknown: {wire.State}")
-    host, _, port = wire.Address.rpartition(":")
-    if not host or not port.isdecimal():
+    if not is_address(wire.Address, lowest_port=1):
         return Finding(
-            f"servers/{worker}.Address", "must have the form ip:port"
+            f"servers/{worker}.Address",
+            "must have the form ip:port, with a port up to 65535",
         )
     return Worker(
         incarnation=Incarnation(worker, wire.born),
@@ -299,11 +314,20 @@
     )
 
 
+def _is_header_value(text: str) -> bool:
+    return (
+        0 < len(text) <= _MAX_ID_LENGTH
+        and text.isascii()
+        and text.isprintable()
+        and " " not in text
+    )
+
+
 def decode_wave(key: str, body: bytes) -> Wave | Finding:
     """Decodes an operator's order for a wave."""
     try:
         wire = _WAVE_DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Finding(f"op/{key}", str(error))
     return Wave(
         wire.Wave,
@@ -318,7 +342,7 @@
     for number, row in enumerate(rows):
         try:
             wire = msgspec.convert(row, _WireMachine)
-        except msgspec.ValidationError as error:
+        except (msgspec.ValidationError, RecursionError) as error:
             yield Finding(f"Machines[{number}]", str(error))
             continue
         yield Machine(
--- a/acaciawing/platform/worker.py
+++ b/acaciawing/platform/worker.py
@@ -8,6 +8,7 @@
 import msgspec
 import urllib3
 
+from acaciawing.decoding import DECODE_ERRORS
 from acaciawing.platform.listing import ListedInstance
 
 # An instance that runs tasks, called a worker, stops them when it receives no
@@ -264,7 +265,7 @@
             return data
         try:
             return OperationDone(self._decoder.decode(data))
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return OperationUnknown(f"malformed response: {error}")
 
     def _tasks_call(
@@ -279,7 +280,7 @@
             return data
         try:
             return self._tasks_decoder.decode(data)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return OperationUnknown(f"malformed response: {error}")
 
     def _send(
--- a/acaciawing/records/envelope.py
+++ b/acaciawing/records/envelope.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from acaciawing.decoding import DECODE_ERRORS
+
 T = TypeVar("T")
 
 _CLASSES: dict[tuple[str, int], type] = {}
@@ -136,7 +138,7 @@
     """
     try:
         wire = _WIRE_DECODER.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Malformed("not-json", str(error))
     cls = _CLASSES.get((wire.type, wire.version))
     if cls is None:
@@ -146,6 +148,6 @@
         decoder = _BODY_DECODERS[cls] = msgspec.json.Decoder(cls)
     try:
         record = decoder.decode(wire.body)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         return Malformed("invalid-body", f"{wire.type}: {error}")
     return Envelope(wire.writer, record)
--- a/acaciawing/snapshots/codec.py
+++ b/acaciawing/snapshots/codec.py
@@ -14,6 +14,8 @@
 from immutables import Map
 from xxhash import xxh3_64_hexdigest
 
+from acaciawing.decoding import DECODE_ERRORS
+
 T = TypeVar("T")
 
 # Incremented when a rule of the fold changes. Two releases that fold one stream
@@ -68,7 +70,7 @@
         return msgspec.json.decode(
             json_bytes, type=state_type, dec_hook=_dict_to_map
         )
-    except (zlib.error, msgspec.DecodeError, ValueError) as error:
+    except (zlib.error, ValueError, *DECODE_ERRORS) as error:
         return Undecodable(str(error))
 
 
--- a/acaciawing/tests/test_layers.py
+++ b/acaciawing/tests/test_layers.py
@@ -79,3 +79,20 @@
             if "tests" in path.parts:
                 continue
             assert not _imports(path) & {"standins", "demo", "bench"}, path
+
+
+class TestDecoding:
+    """Guards against a decoder that a deeply nested value gets past."""
+
+    def test_handlers_catch_all_that_a_decoder_raises(self) -> None:
+        partial = [
+            f"{path.relative_to(_ROOT)}:{node.lineno}"
+            for path in _ROOT.rglob("*.py")
+            if "tests" not in path.parts
+            for node in ast.walk(ast.parse(path.read_text("utf-8")))
+            if isinstance(node, ast.ExceptHandler)
+            and node.type is not None
+            and "DecodeError" in ast.unparse(node.type)
+            and "msgspec" in ast.unparse(node.type)
+        ]
+        assert not partial
