--- a/acaciawing/configuration/settings.py
+++ b/acaciawing/configuration/settings.py
@@ -1,7 +1,5 @@
 """Process settings of an entry instance."""
 
-import ipaddress
-import re
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -31,6 +29,7 @@
     sort_findings,
 )
 from acaciawing.configuration.values import TomlValue
+from acaciawing.decoding import is_address
 
 
 @dataclass(frozen=True)
@@ -208,26 +207,6 @@
     return reject(toml_value.place, Code.MALFORMED_ADDRESS, expected)
 
 
-def is_address(value: str, lowest_port: int = 0) -> bool:
-    """Returns whether a string is ``ip:port``.
-
-    >>> is_address("127.0.0.1:8080"), is_address("[::1]:80")
-    (True, True)
-    >>> is_address("localhost:80"), is_address("127.0.0.1:99999")
-    (False, False)
-    """
-    host, _, port = value.rpartition(":")
-    bracketed = host.startswith("[") and host.endswith("]")
-    try:
-        address = ipaddress.ip_address(host[1:-1] if bracketed else host)
-    except ValueError:
-        return False
-    if bracketed != (address.version == 6):
-        return False
-    digits = re.fullmatch(r"[0-9]{1,5}", port) is not None
-    return digits and lowest_port <= int(port) <= 65535
-
-
 def _url(toml_value: TomlValue) -> ParseResult:
     value = text(toml_value)
     if isinstance(value, Rejection) or is_url(value):
--- a/acaciawing/platform/wire.py
+++ b/acaciawing/platform/wire.py
@@ -9,8 +9,11 @@
 
 import msgspec
 
-from acaciawing.configuration.settings import is_address
-from acaciawing.decoding import DECODE_ERRORS, MAX_WHOLE_NUMBER
+from acaciawing.decoding import (
+    DECODE_ERRORS,
+    MAX_WHOLE_NUMBER,
+    is_address,
+)
 from acaciawing.jobs import (
     Configuration,
     Incarnation,
