Give up a long-running subtask only for crashes soon after its start

Cause: a crash counted against each run that was there, but for long-running ones at work for 10 s. Unlike a subtask that crashes its workers when it starts, such a run is on a worker for so long that it is often there when that crashes by itself; and a run that a new holder had adopted looked as if it had just started.

--- a/acaciawing/jobs/crash_tracking.py
+++ b/acaciawing/jobs/crash_tracking.py
@@ -183,7 +183,12 @@
             reverse=True,
         ):
             crashes = self._crashes(subtask)
-            if is_deadly(crashes, self.table.unexplained_crashes(subtask)):
+            step = self.table.find_step(subtask)
+            if is_deadly(
+                crashes,
+                self.table.unexplained_crashes(subtask),
+                lasting=step is not None and step.lasting,
+            ):
                 self._give_up(subtask, crashes, now)
 
     def _give_up(
--- a/acaciawing/jobs/crashes.py
+++ b/acaciawing/jobs/crashes.py
@@ -13,6 +13,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from acaciawing.jobs.limits import FULL_SPEED_PERCENT
 from acaciawing.jobs.model import SubtaskId
 from acaciawing.jobs.records import RunCrashed
 from acaciawing.jobs.workers import Phase, Run, WorkerView
@@ -149,15 +150,23 @@
 
 
 def is_deadly(
-    crashes: Sequence[RunCrashed], unexplained: Sequence[RunCrashed]
+    crashes: Sequence[RunCrashed],
+    unexplained: Sequence[RunCrashed],
+    *,
+    lasting: bool = False,
 ) -> bool:
     """Whether a subtask is given up.
 
     Args:
         crashes: Its crashed runs, the last crash at the end.
         unexplained: Those of them that no subtask given up was part of.
+        lasting: Whether it is long-running. Such a subtask is on a worker for
+            so long that it is often there when that crashes by itself, so only
+            crashes soon after its start are evidence against it.
     """
-    if sum(crash.alone for crash in unexplained) >= MAX_CRASHES_ALONE:
+    counted = [c for c in crashes if not lasting or _is_soon(c)]
+    evidence = [c for c in unexplained if c in counted]
+    if sum(crash.alone for crash in evidence) >= MAX_CRASHES_ALONE:
         return True
     if (
         len(unexplained) < MIN_UNEXPLAINED_CRASHES
@@ -165,15 +174,24 @@
     ):
         return False
     last = crashes[-1]
-    if last.alone and (
-        len(crashes) >= MAX_CRASHES_WITH_LAST_ALONE
-        or (len(crashes) >= MAX_SHARED_CRASHES and not last.survived_ms)
+    if (
+        last.alone
+        and last in counted
+        and (
+            len(counted) >= MAX_CRASHES_WITH_LAST_ALONE
+            or (len(counted) >= MAX_SHARED_CRASHES and not last.survived_ms)
+        )
     ):
         return True
     explained = len(crashes) - len(unexplained)
     return len(crashes) >= MAX_CRASHES and explained <= MAX_EXPLAINED_CRASHES
 
 
+def _is_soon(crash: RunCrashed) -> bool:
+    """Whether a crash followed soon on the start of the run."""
+    return crash.survived_ms < PROBATION_S * 1000
+
+
 def guilt(crashes: Sequence[RunCrashed]) -> tuple[int, int, int]:
     """Returns a sort key of suspects; the likeliest culprit has the largest.
 
@@ -225,7 +243,11 @@
 def _survived_s(view: WorkerView, run: Run) -> float:
     if run.reported_at is None:
         return 0.0
-    return max(0.0, view.last_contact_at - run.ordered_at)
+    survived_s = max(0.0, view.last_contact_at - run.ordered_at)
+    if run.step.lasting and run.percent >= FULL_SPEED_PERCENT:
+        # The time since the start is not known of an earlier holder's run.
+        return max(PROBATION_S, survived_s)
+    return survived_s
 
 
 def _is_innocent(view: WorkerView, run: Run, now: float) -> bool:
--- a/acaciawing/jobs/tests/crash_emulator.py
+++ b/acaciawing/jobs/tests/crash_emulator.py
@@ -338,13 +338,7 @@
             elif isinstance(action, StartRun):
                 self._start(by_incarnation.get(action.worker), action)
             elif isinstance(action, StopRun):
-                worker = by_incarnation.get(action.worker)
-                if worker is not None and action.subtask in worker.runs:
-                    self._end(worker, action.subtask, EndKind.STOPPED)
-                done = worker is not None and not worker.silent
-                self.harness.cell.receive(
-                    StopOrderResult(action, done), self.now
-                )
+                self._stop(by_incarnation.get(action.worker), action)
             elif isinstance(action, Acknowledge):
                 worker = by_incarnation.get(action.worker)
                 if worker is not None:
@@ -357,6 +351,12 @@
                 self.harness.cell.records_saved(saved.number, self.now)
             self._unsaved = []
 
+    def _stop(self, worker: EmulatedWorker | None, order: StopRun) -> None:
+        if worker is not None and order.subtask in worker.runs:
+            self._end(worker, order.subtask, EndKind.STOPPED)
+        done = worker is not None and not worker.silent
+        self.harness.cell.receive(StopOrderResult(order, done), self.now)
+
     def _start(self, worker: EmulatedWorker | None, order: StartRun) -> None:
         if worker is None or worker.crashed_at is not None:
             silent = worker is not None and worker.silent
--- a/acaciawing/jobs/tests/test_crashes.py
+++ b/acaciawing/jobs/tests/test_crashes.py
@@ -197,6 +197,20 @@
         emulator.run(10.0)
         assert emulator.running("lasting0") == {subtask}
 
+    def test_long_running_subtask_survives_crashes_after_its_start(
+        self,
+    ) -> None:
+        # The end of its job interrupted all other subtasks of the step.
+        emulator = CrashEmulator(lasting=lambda _: True)
+        emulator.submit(*_make_jobs("lasting", 1, subtasks=2, lasting=True))
+        subtask = SubtaskId("lasting0", 0, 0, 0)
+        for _ in range(4):
+            emulator.run(2.0)
+            emulator.crash([emulator.worker_of(subtask)])
+        emulator.run(10.0)
+        assert emulator.harness.cell.state("lasting0") == "running"
+        assert len(emulator.running("lasting0")) == 2
+
     def test_planned_end_of_a_worker_is_no_crash(self) -> None:
         emulator = CrashEmulator(run_s=5.0)
         emulator.submit(*_make_jobs("sound", 2))
--- a/acaciawing/jobs/tests/test_disruption_budget.py
+++ b/acaciawing/jobs/tests/test_disruption_budget.py
@@ -1,5 +1,7 @@
 """Tests of what may interrupt long-running subtasks."""
 
+import pytest
+
 from acaciawing.jobs import (
     Incarnation,
     JobSubmitted,
@@ -31,6 +33,7 @@
     make_job,
     make_worker,
 )
+from acaciawing.jobs.tests.disruption_emulator import DisruptionEmulator
 from acaciawing.jobs.workers import WorkerView
 
 _STEP = Step(2, Resources(1000), lasting=True, may_miss=1, max_per_worker=1)
@@ -257,3 +260,20 @@
         harness.settle()
         stops = [a for a in harness.actions if isinstance(a, StopRun)]
         assert stops == [StopRun(start.worker, start.subtask, start.run)]
+
+
+class TestRandomFaults:
+    """Guards against any order that ends subtasks beyond the budget."""
+
+    @pytest.mark.parametrize("seed", range(12))
+    def test_waves_beside_random_faults_keep_the_budget(
+        self, seed: int
+    ) -> None:
+        emulator = DisruptionEmulator(seed)
+        step = Step(
+            5, Resources(6000), lasting=True, may_miss=1, max_per_worker=1
+        )
+        emulator.submit(make_job("lasting0", step), make_job("lasting1", step))
+        emulator.run(3.0)
+        emulator.run_with_faults(40.0)
+        assert not emulator.violations
