Keep a long-running gang at work of which a member is not known

Cause: a gang that seems incomplete for 1.5 s is stopped, also when the holder only doesn't know of a member (a worker that it has not reached) and the others are reported at full speed, which a gang reaches only when all are present.

Evidence: TestGangs fails without the change (two stops).

--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -7,6 +7,7 @@
     AdviceResponse,
     StartRun,
 )
+from acaciawing.jobs.disruptions import is_at_work
 from acaciawing.jobs.limits import (
     CONFIRMATION_VALIDITY_S,
     GANG_START_TIMEOUT_S,
@@ -267,7 +268,8 @@
             ):
                 continue
             for member_view, run in members:
-                if run.phase is Phase.RUNNING:
+                at_work = run.step.lasting and is_at_work(member_view, run)
+                if run.phase is Phase.RUNNING and not at_work:
                     self._stop_run(
                         member_view, run, StopReason.GANG_INCOMPLETE, now
                     )
--- a/acaciawing/jobs/tests/test_disruption_budget.py
+++ b/acaciawing/jobs/tests/test_disruption_budget.py
@@ -262,6 +262,23 @@
         assert stops == [StopRun(start.worker, start.subtask, start.run)]
 
 
+class TestGangs:
+    """Guards against stopping a gang at work of which a member is not known."""
+
+    def test_members_at_work_are_kept_without_the_unknown_one(self) -> None:
+        step = Step(2, Resources(1000), lasting=True, gang=True, may_miss=1)
+        harness = CellHarness()
+        workers = [make_worker(name) for name in ("u", "v")]
+        harness.update_workers(*workers)
+        harness.recover(JobSubmitted(make_job("j", step), 0))
+        rows = (RunningRow(_SUBTASKS[0], 1, "", 100, 0),)
+        for _ in range(4):
+            harness.report(workers[0], running=rows)
+            harness.wait(1.0)
+            harness.settle()
+        assert not _stops(harness)
+
+
 class TestRandomFaults:
     """Guards against any order that ends subtasks beyond the budget."""
 
