Allow a long-running subtask ten crashes late after its starts before it is given up

Change: five crashes count only if they came soon; one that crashes its workers late is given up after ten.

A test keeps the bound of ten.

--- a/acaciawing/jobs/crashes.py
+++ b/acaciawing/jobs/crashes.py
@@ -37,6 +37,10 @@
 MAX_CRASHES = 5
 MAX_EXPLAINED_CRASHES = 2
 
+# A long-running subtask is given up after this many unexplained crashes, however
+# long after its starts.
+MAX_LATE_CRASHES = 10
+
 # With fewer crashes that no other subtask explains, a subtask is not given up.
 MIN_UNEXPLAINED_CRASHES = 2
 
@@ -184,7 +188,9 @@
     ):
         return True
     explained = len(crashes) - len(unexplained)
-    return len(crashes) >= MAX_CRASHES and explained <= MAX_EXPLAINED_CRASHES
+    if lasting and len(unexplained) >= MAX_LATE_CRASHES:
+        return True
+    return len(counted) >= MAX_CRASHES and explained <= MAX_EXPLAINED_CRASHES
 
 
 def _is_soon(crash: RunCrashed) -> bool:
--- a/acaciawing/jobs/tests/disruption_emulator.py
+++ b/acaciawing/jobs/tests/disruption_emulator.py
@@ -43,8 +43,9 @@
 class DisruptionEmulator(CrashEmulator):
     """Runs a cell and the fleet's planner beside random faults.
 
-    Workers crash, are cut off and answer a new holder late; orders are left
-    unanswered and carried out late; all machines are maintained.
+    Workers crash, are cut off and answer a new holder late, and with odd seeds
+    keep their ids; orders are left unanswered and carried out late; all
+    machines are maintained, by planners that replace each other.
 
     Args:
         seed: Seed of the faults.
@@ -81,6 +82,8 @@
         for _ in range(round(seconds / STEP_S)):
             if self._random.random() < 0.004:
                 self.replace_holder()
+            if self._random.random() < 0.004:
+                self._planner = FleetPlanner()
             if self._random.random() < 0.01:
                 self._cut(self._choose(), self._random.uniform(0.5, 8.0))
             if self._random.random() < 0.01:
--- a/acaciawing/jobs/tests/test_crashes.py
+++ b/acaciawing/jobs/tests/test_crashes.py
@@ -18,7 +18,11 @@
     decode_record,
     encode_record,
 )
-from acaciawing.jobs.crashes import PROVEN_AGE_S, is_deadly
+from acaciawing.jobs.crashes import (
+    MAX_LATE_CRASHES,
+    PROVEN_AGE_S,
+    is_deadly,
+)
 from acaciawing.jobs.fleet import Evacuation
 from acaciawing.jobs.retention import records_to_rewrite
 from acaciawing.jobs.tests.builders import make_job
@@ -143,6 +147,19 @@
             assert emulator.harness.cell.state(job.id) == "running"
             assert len(emulator.running(job.id)) == job.steps[0].count
 
+    def test_long_running_subtask_that_crashes_its_workers_late_is_given_up(
+        self,
+    ) -> None:
+        emulator = CrashEmulator(
+            deadly=_is_first_of_deadly_job,
+            crash_after_s=2.0,
+            lasting=lambda subtask: subtask.job.startswith("lasting"),
+        )
+        emulator.submit(*_make_jobs("deadly", 1, lasting=True))
+        emulator.run(60.0)
+        assert emulator.harness.cell.state("deadly0") == "failed"
+        assert emulator.crashes[DEADLY] <= MAX_LATE_CRASHES
+
     def test_few_runs_are_lost_beside_a_deadly_subtask(self) -> None:
         # 41 subtasks of one day were lost with a worker more than three times.
         emulator = CrashEmulator(deadly=_is_first_of_deadly_job)
