Gangs keep one run number; one worker entry for the tests of decoding

Found on re-reading: of two runs, the one at work is not kept for a member of a gang, whose members share their run. Tests that wrote the same entry of a worker three times import one.

--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -131,12 +131,13 @@
         active = other.runs[row.subtask]
         return (
             active.step.lasting
+            and not active.step.gang
             and row.percent >= FULL_SPEED_PERCENT
             and not is_at_work(other, active)
         )
 
     def _adopt_run(self, view: WorkerView, row: RunningRow, now: float) -> None:
-        """Takes over a run that a worker reports and no record tells of."""
+        """Takes over a run that this holder did not start or had given up."""
         step = self.table.find_step(row.subtask)
         assert step is not None
         adopted = Run(row.subtask, row.run, step, now)
--- a/acaciawing/platform/tests/test_odd_input.py
+++ b/acaciawing/platform/tests/test_odd_input.py
@@ -13,6 +13,7 @@
 )
 from acaciawing.platform.http import decode_object, to_whole_number
 from acaciawing.platform.runs import CallFailure, _parse_worker_runs
+from acaciawing.platform.tests.builders import WORKER_ENTRY
 from acaciawing.platform.wire import (
     Finding,
     decode_configuration,
@@ -24,16 +25,6 @@
 
 _DEEP = b"[" * 100_000 + b"]" * 100_000
 
-_WORKER: dict[str, object] = {
-    "Service": "s",
-    "Address": "192.0.2.1:80",
-    "Zone": "a",
-    "State": "ready",
-    "Capacity": {"Cpu": 1},
-    "Labels": ["a", "r1-1"],
-    "born": 5,
-}
-
 
 def _nest(depth: int) -> list[Any]:
     value: list[Any] = []
@@ -80,7 +71,7 @@
 
     @pytest.mark.parametrize("born", [-1, 2**63, 10**30, 10**300])
     def test_start_time_out_of_range_is_a_finding(self, born: int) -> None:
-        body = msgspec.json.encode({**_WORKER, "born": born})
+        body = msgspec.json.encode({**WORKER_ENTRY, "born": born})
         finding = decode_worker("w", body)
         assert isinstance(finding, Finding)
         assert "born" in finding.fault
@@ -164,14 +155,16 @@
         ["0", "65536", "70000", "-1", "", "9" * 30, "9" * 5000, "٨٠", "8 0"],
     )
     def test_port_out_of_range_is_a_finding(self, port: str) -> None:
-        body = msgspec.json.encode({**_WORKER, "Address": f"192.0.2.1:{port}"})
+        body = msgspec.json.encode(
+            {**WORKER_ENTRY, "Address": f"192.0.2.1:{port}"}
+        )
         finding = decode_worker("w", body)
         assert isinstance(finding, Finding)
         assert finding.place == "servers/w.Address"
 
     @pytest.mark.parametrize("host", ["", "host", "192.0.2.256", "a\r\nb"])
     def test_host_that_is_no_ip_address_is_a_finding(self, host: str) -> None:
-        body = msgspec.json.encode({**_WORKER, "Address": f"{host}:80"})
+        body = msgspec.json.encode({**WORKER_ENTRY, "Address": f"{host}:80"})
         assert isinstance(decode_worker("w", body), Finding)
 
 
@@ -184,5 +177,5 @@
     def test_worker_id_that_no_header_can_hold_is_a_finding(
         self, worker: str
     ) -> None:
-        body = msgspec.json.encode(_WORKER)
+        body = msgspec.json.encode(WORKER_ENTRY)
         assert isinstance(decode_worker(worker, body), Finding)
--- a/acaciawing/platform/tests/test_wire.py
+++ b/acaciawing/platform/tests/test_wire.py
@@ -23,6 +23,7 @@
     _parse_batch,
     parse_keyed_record,
 )
+from acaciawing.platform.tests.builders import WORKER_ENTRY
 from acaciawing.platform.wire import (
     Finding,
     Machine,
@@ -48,15 +49,6 @@
     "TaskSpec": "t",
     "Steps": [{"Count": 2, "Cpu": 500, "DependsOn": []}],
 }
-_WORKER: dict[str, object] = {
-    "Service": "s",
-    "Address": "192.0.2.1:80",
-    "Zone": "a",
-    "State": "ready",
-    "Capacity": {"Cpu": 1},
-    "Labels": ["a", "r1-1"],
-    "born": 5,
-}
 
 
 def _with_one_field_replaced(
@@ -77,7 +69,7 @@
         assert isinstance(decode_job(body, "0" * 16, "q"), Job | Finding)
 
     @_FUZZ
-    @given(st.binary(max_size=60) | _with_one_field_replaced(_WORKER))
+    @given(st.binary(max_size=60) | _with_one_field_replaced(WORKER_ENTRY))
     def test_decode_worker_never_raises(self, body: bytes) -> None:
         assert isinstance(decode_worker("w", body), Worker | Finding)
 
@@ -124,7 +116,7 @@
         job = decode_job(msgspec.json.encode(_JOB), "0" * 16, "q")
         assert isinstance(job, Job)
         assert job.steps[0].count == 2
-        worker = decode_worker("w", msgspec.json.encode(_WORKER))
+        worker = decode_worker("w", msgspec.json.encode(WORKER_ENTRY))
         assert isinstance(worker, Worker)
         assert worker.incarnation == Incarnation("w", 5)
         assert worker.rack == "r1-1"
@@ -145,7 +137,7 @@
     def test_share_of_a_capacity_is_rounded_down(self) -> None:
         capacity = {"Cpu": 12345.6, "MemMb": 4096.0}
         worker = decode_worker(
-            "w", msgspec.json.encode({**_WORKER, "Capacity": capacity})
+            "w", msgspec.json.encode({**WORKER_ENTRY, "Capacity": capacity})
         )
         assert isinstance(worker, Worker)
         assert worker.capacity == Resources(12345, 4096)
