Play odd entries of workers against a whole job server

The tests of decoding show each odd entry alone; this one writes five of them beside the workers' entries while a job server runs, submits jobs and expects its process to end with status 0.

--- a/acaciawing/jobserver/tests/test_job_lifecycle.py
+++ b/acaciawing/jobserver/tests/test_job_lifecycle.py
@@ -4,16 +4,22 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+import msgspec
 import pytest
 
+from acaciawing.platform.store import encode_keyed_record
+from acaciawing.platform.tests.builders import WORKER_ENTRY
 from standins.job_worker import DEADLY_PAYLOAD
 from standins.platform_harness import (
     PREFIX,
     RUN_CPU,
+    SERVICE,
     PlatformHarness,
     wait_for,
 )
 
+_DEEP = b"[" * 100_000 + b"]" * 100_000
+
 _STEPS = (
     {"Count": 3, "Cpu": 1000, "MemMb": 64, "EstimatedMs": 50},
     {"Count": 1, "Cpu": 1000, "MemMb": 64, "DependsOn": [0]},
@@ -95,6 +101,33 @@
                 "completed",
             )
 
+    def test_odd_entries_of_workers_end_no_instance(
+        self, harness: PlatformHarness
+    ) -> None:
+        harness.start_instance(2)
+        wait_for(lambda: harness.is_ready(2), "instance is ready")
+        entry = msgspec.json.encode({**WORKER_ENTRY, "Service": SERVICE})
+        odd_entries = {
+            "nested": entry[:-1] + b',"other":' + _DEEP + b"}",
+            "born": entry.replace(b'"born":5', b'"born":1' + b"0" * 30),
+            "port": entry.replace(b":80", b":70000"),
+            "digits": entry.replace(b":80", b":" + b"9" * 5000),
+            "ключ": entry,
+        }
+        harness.store.append(
+            "keyed.servers",
+            0,
+            [encode_keyed_record(k, v) for k, v in odd_entries.items()],
+        )
+        for number in range(1, 4):
+            assert harness.submit(2, _job(number), *_STEPS) == 200
+        for number in range(1, 4):
+            wait_for(
+                lambda n=number: harness.state(2, _job(n)) == "completed",  # type: ignore[misc]
+                "completed",
+            )
+        assert harness.signal_instance(2, signal.SIGTERM) == 0
+
     def test_subtask_that_crashes_its_workers_is_given_up(
         self, harness: PlatformHarness
     ) -> None:
