--- a/standins/platform_harness.py
+++ b/standins/platform_harness.py
@@ -293,7 +293,7 @@
 
     def _settings(self, number: int) -> str:
         ip = f"{self._network}.{number}"
-        store = self._route(number, f"{self.store_address}")
+        store = self._route(number, self.store_address)
         return "\n".join(
             [
                 f'Node = "entry-{number}"',
