--- a/acaciawing/platform/tests/test_odd_input.py
+++ b/acaciawing/platform/tests/test_odd_input.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from acaciawing.jobs import parse_subtask_id
+from acaciawing.jobs import Worker, parse_subtask_id
 from acaciawing.platform.fleet_records import (
     _decode_machine_ids,
     _parse_wave_number,
@@ -76,6 +76,15 @@
         assert isinstance(finding, Finding)
         assert "born" in finding.fault
 
+    @pytest.mark.parametrize("cold_ms", [-0.5, 1e300])
+    def test_warm_up_time_out_of_range_hides_no_worker(
+        self, cold_ms: float
+    ) -> None:
+        body = msgspec.json.encode({**WORKER_ENTRY, "ColdLeftMs": cold_ms})
+        worker = decode_worker("w", body)
+        assert isinstance(worker, Worker)
+        assert 0 <= worker.cold_ms <= 1e12
+
     @pytest.mark.parametrize(
         "field",
         ["Count", "Cpu", "MemMb", "Gpu", "EstimatedMs", "MayMiss", "TargetMs"],
--- a/acaciawing/platform/wire.py
+++ b/acaciawing/platform/wire.py
@@ -76,9 +76,7 @@
     SameRack: bool = False
     Requirements: str = ""  # Label that the worker must have.
     Affinity: str = ""  # Rack that holds the data.
-    AntiAffinity: _Whole = (
-        0  # Maximum of its subtasks on a worker; 0 is no limit.
-    )
+    AntiAffinity: _Whole = 0  # Maximum of them on a worker; 0 is no limit.
     Speculative: bool = False
     LongRunning: bool = False  # Runs until the job is cancelled.
     Image: str = ""
@@ -138,7 +136,7 @@
     Capacity: _WireCapacity
     Labels: list[str]  # The second label is the rack.
     born: _Whole  # Start time of the incarnation, in milliseconds.
-    ColdLeftMs: _Amount = 0  # Remaining warm-up time.
+    ColdLeftMs: float = 0  # Remaining warm-up time.
 
 
 class _WireMachine(msgspec.Struct):
@@ -313,7 +311,7 @@
         capacity=_decode_capacity(wire.Capacity),
         labels=frozenset(wire.Labels),
         rack=wire.Labels[1] if len(wire.Labels) > 1 else "",
-        cold_ms=int(wire.ColdLeftMs),
+        cold_ms=int(min(max(0.0, wire.ColdLeftMs), _MAX_AMOUNT)),
     )
 
 
