--- a/acaciawing/jobs/fleet.py
+++ b/acaciawing/jobs/fleet.py
@@ -8,7 +8,7 @@
 from acaciawing.jobs.model import Resources
 
 
-class WorkerLoad(msgspec.Struct, frozen=True):
+class WorkerLoad(msgspec.Struct, frozen=True, omit_defaults=True):
     """Load of a worker as its cell's holder observes it.
 
     Attributes:
