--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -268,29 +268,33 @@
                 self._repeat_stop(view, run, now)
 
     def _repeat_stop(self, view: WorkerView, run: Run, now: float) -> None:
-        """Repeats an order to stop a run that had no effect, or withdraws it.
+        """Repeats an order to stop a run that had no effect, or withdraws it."""
+        if not self._should_continue(view, run, now):
+            self._stop_run(view, run, StopReason.REPEATED, now)
+            return
+        run.enter(Phase.RUNNING, now, now)
+        self._log(
+            "STOP_WITHDRAWN",
+            subtask=str(run.subtask),
+            run=run.number,
+            worker=view.incarnation.worker,
+            percent=run.percent,
+        )
+
+    def _should_continue(self, view: WorkerView, run: Run, now: float) -> bool:
+        """Whether a long-running run that an order did not stop should go on.
 
-        A long-running run that is at work is interrupted only within the
-        disruption budget of its step. An unconfirmed start is not needed to
-        stop any more once the worker reports it.
+        A run that was only closed as unconfirmed should, once its worker
+        reports it; any other one if the disruption budget of its step does not
+        allow the interruption any more.
         """
-        if (
+        needed = (
             run.step.lasting
             and self._active.get(run.subtask) is view
             and self._still_needed(run.subtask)
-            and view.reports(run)
-            and (
-                run.phase is Phase.CLOSING
-                or not self._within_disruption_budget(run, now)
-            )
-        ):
-            run.enter(Phase.RUNNING, now, now)
-            self._log(
-                "STOP_WITHDRAWN",
-                subtask=str(run.subtask),
-                run=run.number,
-                worker=view.incarnation.worker,
-                percent=run.percent,
-            )
-            return
-        self._stop_run(view, run, StopReason.REPEATED, now)
+        )
+        if not needed or not view.reports(run):
+            return False
+        return run.phase is Phase.CLOSING or not self._within_disruption_budget(
+            run, now
+        )
