Judge suspects again when a holder takes over

The crashes were durable, but a verdict was only given at a crash, so each next holder started it once more.

Change: the verdict is given again at a takeover, from the records that are known. Evidence: test_verdict_that_was_lost_with_its_holder_is_given_again fails without the change (a fourth crash).

On the users' path this costs a takeover one look at each suspect.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -86,6 +86,8 @@
                 progress.finished_at_ms = self._unix_ms
             else:
                 self._queue_ready_steps(progress, now)
+        # The record of an earlier holder's verdict may have been lost with it.
+        self._give_up_deadly(tuple(self.table.suspects), now)
         early_reports, self._early_reports = self._early_reports, {}
         for report in early_reports.values():
             self.receive(report, now)
--- a/acaciawing/jobs/tests/test_crashes.py
+++ b/acaciawing/jobs/tests/test_crashes.py
@@ -9,11 +9,13 @@
 from acaciawing.jobs import (
     CancelRequested,
     Job,
+    JobFailed,
     JobTable,
     Record,
     Resources,
     RunCrashed,
     Step,
+    SubtaskGivenUp,
     SubtaskId,
     decode_record,
     encode_record,
@@ -252,6 +254,22 @@
         emulator.run(5.0)
         _assert_only_deadly_jobs_fail(emulator, jobs)
 
+    def test_verdict_that_was_lost_with_its_holder_is_given_again(self) -> None:
+        emulator = CrashEmulator(deadly=_is_first_of_deadly_job)
+        emulator.submit(*_make_jobs("deadly", 1))
+        while not any(isinstance(r, SubtaskGivenUp) for r in emulator.records):
+            emulator.run(0.05)
+        crashes = emulator.crashes[DEADLY]
+        emulator.records = [
+            r
+            for r in emulator.records
+            if not isinstance(r, SubtaskGivenUp | JobFailed)
+        ]
+        emulator.replace_holder()
+        emulator.run(10.0)
+        assert emulator.crashes[DEADLY] == crashes
+        assert emulator.harness.cell.state("deadly0") == "failed"
+
     def test_crash_during_a_takeover_counts_against_a_suspect(self) -> None:
         emulator = CrashEmulator(
             workers=1, deadly=_is_first_of_deadly_job, crash_after_s=0.3
