--- a/review/kit/deployment.py
+++ b/review/kit/deployment.py
@@ -188,6 +188,7 @@
         self.store = JobStore(PARTITIONS)
         self.store_address = f"{self.network}.1:{_STORE}"
         self.worker_cpu = worker_cpu
+        # Id of the worker on each machine; empty while it is down.
         self.machine_lives = {f"m-{n}": f"w-{n}" for n in range(workers)}
         self._servers: list[wsgi.Server] = []
         self._instances: dict[int, subprocess.Popen[bytes]] = {}
@@ -303,6 +304,21 @@
         rows = [row for worker in self.workers for row in worker.events()]
         return sorted(rows, key=lambda row: float(row["t"]))
 
+    def restart_workers(self, workers: list[WorkerProcess]) -> None:
+        """Crashes workers that are cut off, and starts them again."""
+        for worker in workers:
+            self.machine_lives[f"m-{worker.id[2:]}"] = ""
+            worker.command("reborn")
+        for worker in workers:
+            self.wait(
+                lambda w=worker: any(
+                    row.get("line") == "reborn" for row in w.events()
+                ),
+                f"the next life of {worker.id}",
+                5.0,
+            )
+            self.machine_lives[f"m-{worker.id[2:]}"] = worker.id
+
     def runs(self) -> list["RunSeen"]:
         """Returns all runs that the workers have carried out."""
         return runs_of(self.events(), time.monotonic())
@@ -343,11 +359,11 @@
             {
                 "Machine": machine,
                 "Pool": SERVICE,
-                "State": "up",
+                "State": "up" if worker else "down",
                 "Zone": ZONES[0],
                 "Labels": ["kind-a", "r1-1"],
                 "Capacity": {"Cpu": self.worker_cpu, "MemMb": 131072},
-                "Id": worker,
+                "Id": worker or None,
             }
             for machine, worker in self.machine_lives.items()
         ]
--- a/review/kit/worker.py
+++ b/review/kit/worker.py
@@ -32,6 +32,9 @@
 
 HEARTBEAT_S = 1.5
 
+# Time from a crash to the next life.
+RESTART_S = 0.25
+
 # Time until a run that lasts is at work.
 STARTUP_S = 0.5
 
@@ -76,13 +79,16 @@
         self.refuses = False
         self._cpu = cpu
         self._changed = threading.Condition()
+        self.heartbeat_due = threading.Event()
         self._begin()
 
     def reborn(self) -> None:
-        """Crashes and starts again."""
+        """Crashes and starts again, after the time that a start takes."""
         with self._changed:
             self.log("crash")
+            time.sleep(RESTART_S)
             self._begin()
+        self.heartbeat_due.set()
 
     def _begin(self) -> None:
         """Begins a life, with nothing running and its clock at 0."""
@@ -281,7 +287,8 @@
         if worker.born not in registered:
             registered.add(worker.born)
             worker.log("registers", status=status)
-        time.sleep(HEARTBEAT_S)
+        worker.heartbeat_due.wait(HEARTBEAT_S)
+        worker.heartbeat_due.clear()
 
 
 def _obey(worker: Worker) -> None:
