--- a/review/kit/deployment.py
+++ b/review/kit/deployment.py
@@ -195,7 +195,7 @@
         self.workers: list[WorkerProcess] = []
         self._serve(1, _STORE, self.store.handle)
         self._serve(1, _CLOUD, self._list_machines)
-        self._publish_configuration()
+        self.publish_configuration(0, [PREFIX])
         self.workers = [WorkerProcess(self, n) for n in range(workers)]
         self.numbers = [2 + n for n in range(instances)]
         for number in self.numbers:
@@ -290,10 +290,17 @@
         self.record.write(f"{text} answered {status} {json.dumps(data)}")
         return status, data
 
-    def submit(self, number: int, job: str, *steps: Any, spec: str) -> int:
+    def submit(
+        self,
+        number: int,
+        job: str,
+        *steps: Any,
+        spec: str,
+        prefix: str = PREFIX,
+    ) -> int:
         """Hands a job in; returns the status of the answer."""
         body = {"TaskSpec": spec, "Steps": list(steps)}
-        return self.call(number, "POST", PREFIX + job, body)[0]
+        return self.call(number, "POST", prefix + job, body)[0]
 
     def state(self, number: int, job: str) -> str:
         """Returns the state of a job that an instance shows, or ''."""
@@ -369,22 +376,26 @@
         ]
         return json_response(200, {"Machines": rows, "NextToken": None})
 
-    def _publish_configuration(self) -> None:
-        route = {
-            "Name": "next-visit",
-            "Host": HOST,
-            "PathPrefix": PREFIX,
-            "Service": SERVICE,
-            "MaxAttempts": 2,
-            "Stretch": 1.6,
-            "TargetLatencyMs": 600,
-            "TimeoutMs": 3000,
-        }
+    def publish_configuration(self, version: int, prefixes: list[str]) -> None:
+        """Publishes a configuration with a queue for each prefix of paths."""
+        routes = [
+            {
+                "Name": f"queue-{prefix.strip('/')}",
+                "Host": HOST,
+                "PathPrefix": prefix,
+                "Service": SERVICE,
+                "MaxAttempts": 2,
+                "Stretch": 1.6,
+                "TargetLatencyMs": 600,
+                "TimeoutMs": 3000,
+            }
+            for prefix in prefixes
+        ]
         services = [{"Name": SERVICE, "RejectsOverload": True}]
         self.store.put(
             "keyed.op",
             "config",
-            {"Version": 1, "Routes": [route], "Services": services},
+            {"Version": version, "Routes": routes, "Services": services},
         )
 
     def _settings(self, number: int) -> str:
