--- a/review/5/case.py
+++ b/review/5/case.py
@@ -11,13 +11,13 @@
 CORES = 32
 LASTING_STEP = {
     "Count": 1,
-    "Cpu": 16_000,
+    "Cpu": 20_000,
     "MemMb": 64,
     "EstimatedMs": 500,
     "LongRunning": True,
     "MayMiss": 1,
 }
-LASTING_SPEC = "lasting cpu=16000"
+LASTING_SPEC = "lasting cpu=20000"
 STEP = {"Count": 8, "Cpu": 1000, "MemMb": 64, "EstimatedMs": 1000}
 SPEC = "ms=1000 cpu=1000"
 
