--- a/review/kit/deployment.py
+++ b/review/kit/deployment.py
@@ -14,7 +14,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -127,7 +127,7 @@
             "address": f"{deployment.network}.{100 + number}:{_WORKER}",
             "store": deployment.store_address,
             "service": SERVICE,
-            "zone": ZONES[number % len(ZONES)],
+            "zone": deployment.worker_zones[number],
             "rack": f"r1-{number}",
             "cpu": str(deployment.worker_cpu),
         }
@@ -220,6 +220,8 @@
         workers: Number of workers.
         worker_cpu: Capacity of each, in thousandths of a core.
         advice: Service that gives the tickets for starts, if they need any.
+        zones: Zones of the instances.
+        worker_zones: Zone of each worker; the instances' in turn by default.
     """
 
     def __init__(
@@ -229,6 +231,8 @@
         workers: int = 4,
         worker_cpu: int = 32_000,
         advice: AdviceService | None = None,
+        zones: Sequence[str] = ZONES,
+        worker_zones: Sequence[str] = (),
     ) -> None:
         """Starts everything, and waits until all instances are ready."""
         self.record = record
@@ -245,6 +249,10 @@
         self.workers: list[WorkerProcess] = []
         self._serve(1, _STORE, self.store.handle)
         self._serve(1, _CLOUD, self._list_machines)
+        self._zones = zones
+        self.worker_zones = worker_zones or [
+            zones[n % len(zones)] for n in range(workers)
+        ]
         self._advice = advice
         if advice is not None:
             self._serve(1, _ADVICE, advice.handle)
@@ -420,7 +428,7 @@
                 "Machine": machine,
                 "Pool": SERVICE,
                 "State": "up" if worker else "down",
-                "Zone": ZONES[0],
+                "Zone": self.worker_zones[int(machine[2:])],
                 "Labels": ["kind-a", "r1-1"],
                 "Capacity": {"Cpu": self.worker_cpu, "MemMb": 131072},
                 "Id": worker or None,
@@ -460,7 +468,7 @@
 
     def _settings(self, number: int) -> str:
         ip = f"{self.network}.{number}"
-        zone = ZONES[number % len(ZONES)]
+        zone = self._zones[number % len(self._zones)]
         return f"""
 Node = "edge-{zone}-{number}"
 Role = "jobserver"
