--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec bash "$(dirname "$0")/../kit/run_case.sh" 5
