--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,74 +1,71 @@
-"""A worker crashes and starts again behind a cut, and is then lost for good."""
+"""Workers crash and start again behind a cut, and are cut off once more."""
 
 import sys
 import time
 from pathlib import Path
 
 from review.kit.deployment import (
-    SERVICE,
     Deployment,
     Record,
+    find_doubles,
     play,
     trouble,
 )
 
 JOB = "5c0e7a21d94b36f8"
-STEP = {"Count": 1, "Cpu": 1000, "MemMb": 64, "EstimatedMs": 2000}
-SPEC = "ms=2000 cpu=1000"
+CPU = 1000
+WORKERS = 8
+RUNS_EACH = 10
+RUN_MS = 8000
+STEP = {
+    "Count": 70,
+    "Cpu": CPU,
+    "MemMb": 64,
+    "EstimatedMs": RUN_MS,
+}
+SPEC = f"ms={RUN_MS} cpu={CPU}"
 
-# Cuts of workers last up to 5.5 s on the sites.
-CUT_S = 5.5
+# Workers of the zone that is cut off.
+CUT = (0, 1, 2, 3)
 
-# A worker's entry is removed after three heartbeats of silence.
-ENTRY_LAPSE_S = 4.5
+FIRST_CUT_S = 2.5
+BETWEEN_S = 1.0
 
-FINISH_S = 14.0
-IDLE_S = 3.0
-
-
-def lose_worker(deployment: Deployment, record: Record) -> None:
-    """Cuts off the worker that runs the job, and loses it behind the cut."""
-    started = deployment.wait(deployment.runs, "a start", 5.0)[0]
-    worker = next(w for w in deployment.workers if w.id == started.worker)
-    record.write(f"disruption: {worker.id} is cut off, and crashes")
-    worker.command("cut on")
-    deployment.restart_workers([worker])
-    record.write(f"disruption: {worker.id} is up again, behind the cut")
-    time.sleep(CUT_S / 2)
-    record.write(f"disruption: {worker.id} is lost for good")
-    worker.kill()
-    deployment.machine_lives.pop(f"m-{worker.id[2:]}")
-    time.sleep(ENTRY_LAPSE_S)
-    deployment.store.put("keyed.servers", worker.id, None)
-    record.write(f"platform: the entry of {worker.id} is removed")
+# A zone of the sites is cut off for up to 6.5 s.
+SECOND_CUT_S = 6.5
 
 
 def case(record: Record) -> list[str]:
-    """Plays the case; returns the breaks of LOST."""
-    deployment = Deployment(record, workers=4)
+    """Plays the case; returns the breaks of TWICE."""
+    deployment = Deployment(record, workers=WORKERS, worker_cpu=RUNS_EACH * CPU)
     try:
         deployment.wait(lambda: deployment.holder() > 0, "a holder", 20.0)
-        time.sleep(3.0)
+        time.sleep(12.0)
+        cut = [deployment.workers[n] for n in CUT] if trouble() else []
+        for worker in cut:
+            worker.command("zone on")
         deployment.submit(2, JOB, STEP, spec=SPEC)
-        if trouble():
-            lose_worker(deployment, record)
-        time.sleep(FINISH_S)
-        breaks = []
-        idle_since = time.monotonic()
-        while time.monotonic() - idle_since < IDLE_S:
-            runs = deployment.runs()
-            state = deployment.state(3, JOB)
-            if state == "completed" or any(r.how == "running" for r in runs):
-                break
-            time.sleep(0.5)
-        else:
-            breaks.append(
-                f"{FINISH_S} s after the traffic and for {IDLE_S} s more, the "
-                f"job is shown as {state!r}, nothing of it runs, and the other "
-                f"workers of {SERVICE} are idle"
-            )
+        if cut:
+            deployment.restart_workers(cut)
+        time.sleep(FIRST_CUT_S)
+        for worker in cut:
+            worker.command("zone off")
+        time.sleep(BETWEEN_S)
+        for worker in cut:
+            worker.command("zone on")
+        time.sleep(SECOND_CUT_S)
+        for worker in cut:
+            worker.command("zone off")
+        deployment.wait(
+            lambda: (
+                time.sleep(0.5)
+                or deployment.state(2, JOB) in ("completed", "failed")
+            ),
+            "the end of the job",
+            60.0,
+        )
         deployment.save_events()
-        return breaks
+        return find_doubles(deployment.runs())
     finally:
         deployment.close()
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,80 +1,78 @@
-"""A queue is removed while it has work, and the holder of its cell stops."""
+"""A worker comes back while advice on a step is late."""
 
-import signal
 import sys
 import time
 from pathlib import Path
 
 from review.kit.deployment import (
-    PREFIX,
+    AdviceService,
     Deployment,
     Record,
     play,
     trouble,
 )
 
-STEP = {"Count": 4, "Cpu": 4000, "MemMb": 64, "EstimatedMs": 2500}
-SPEC = "ms=2500 cpu=4000"
-JOBS = [f"5c0e7a21d94b36{n:02x}" for n in range(8)]
+JOB = "5c0e7a21d94b36f8"
+ALLOWED = "w-3"
+STEP = {"Count": 24, "Cpu": 4000, "MemMb": 64, "EstimatedMs": 1500}
+SPEC = "ticketed ms=1500 cpu=4000"
 
-REMOVED = "/removed/"
-GRACE_S = 6.0
-FINISH_S = 14.0
-IDLE_S = 3.0
+# Jobs whose steps are advised on before, which takes 0.35 s to 0.4 s each.
+OTHERS = [f"5c0e7a21d94b{n:04x}" for n in range(8)]
+OTHER_STEP = {"Count": 1, "Cpu": 1000, "MemMb": 64, "EstimatedMs": 200}
+OTHER_SPEC = "ticketed ms=200 cpu=1000"
 
+# The worker is back this long after its crash.
+DOWN_S = 3.5
+SUBMIT_AFTER_S = 2.5
 
-def unfinished(deployment: Deployment) -> list[str]:
-    """Returns the jobs of which a subtask has not ended as done."""
-    done = {r.subtask for r in deployment.runs() if r.how == "done"}
-    return [
-        job
-        for job in JOBS
-        if any(f"{job}.0.0.{n}" not in done for n in range(STEP["Count"]))
-    ]
+FINISH_S = 14.0
+IDLE_S = 3.0
 
 
 def case(record: Record) -> list[str]:
     """Plays the case; returns the breaks of LOST."""
-    deployment = Deployment(record, workers=2, worker_cpu=16_000)
+    advice = AdviceService(record, {JOB: {ALLOWED}})
+    deployment = Deployment(record, workers=4, advice=advice)
     try:
-        deployment.publish_configuration(1, [PREFIX, REMOVED])
         deployment.wait(lambda: deployment.holder() > 0, "a holder", 20.0)
         time.sleep(3.0)
-        accepted = [
-            job
-            for job in JOBS
-            if deployment.submit(2, job, STEP, spec=SPEC, prefix=REMOVED) == 200
-        ]
-        if accepted != JOBS:
-            raise OSError("not all jobs were accepted")
+        worker = next(w for w in deployment.workers if w.id == ALLOWED)
+        machine = f"m-{ALLOWED[2:]}"
+        if trouble():
+            record.write(f"disruption: {ALLOWED} crashes")
+            worker.kill()
+            deployment.machine_lives[machine] = ""
+        time.sleep(SUBMIT_AFTER_S)
+        for job in OTHERS:
+            deployment.submit(2, job, OTHER_STEP, spec=OTHER_SPEC)
+        deployment.submit(2, JOB, STEP, spec=SPEC)
+        time.sleep(DOWN_S - SUBMIT_AFTER_S)
         if trouble():
-            record.write("operator: version 2 removes the queue of the jobs")
-            deployment.publish_configuration(2, [PREFIX])
-            time.sleep(3.0)
-            holder = deployment.holder()
-            record.write(f"operator: entry-{holder} gets SIGTERM, restarts")
-            process = deployment.instance(holder)
-            process.send_signal(signal.SIGTERM)
-            process.wait(GRACE_S)
-            deployment.start_instance(holder)
-        time.sleep(FINISH_S)
+            worker.start()
+            deployment.machine_lives[machine] = ALLOWED
+            record.write(f"disruption: {ALLOWED} is up again")
+        time.sleep(2.0 * FINISH_S)
         breaks = []
         idle_since = time.monotonic()
         while time.monotonic() - idle_since < IDLE_S:
-            left = unfinished(deployment)
-            running = [r for r in deployment.runs() if r.how == "running"]
-            if running or not left:
+            runs = deployment.runs()
+            state = deployment.state(3, JOB)
+            if state == "completed" or any(r.how == "running" for r in runs):
                 break
-            time.sleep(0.25)
+            time.sleep(0.5)
         else:
-            breaks = [
-                f"{FINISH_S} s after the restart and for {IDLE_S} s more, "
-                f"nothing of the accepted job {job} runs, and both workers "
-                "are idle"
-                for job in left
-            ]
-        for job in JOBS:
-            deployment.call(3, "GET", REMOVED + job)
+            done = {
+                r.subtask
+                for r in runs
+                if r.how == "done" and r.subtask.startswith(JOB)
+            }
+            breaks.append(
+                f"{2 * FINISH_S} s after the traffic and for {IDLE_S} s more, "
+                f"the job is shown as {state!r}, {len(done)} of its "
+                f"{STEP['Count']} subtasks are done, nothing of it runs, and "
+                f"{ALLOWED}, which may run it, is up and idle"
+            )
         deployment.save_events()
         return breaks
     finally:
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,75 +1,74 @@
-"""A worker with a subtask that lasts is lost while the others are full."""
+"""A worker crashes and starts again behind a cut, and is then lost for good."""
 
 import sys
 import time
 from pathlib import Path
 
-from review.kit.deployment import Deployment, Record, play, trouble
+from review.kit.deployment import (
+    SERVICE,
+    Deployment,
+    Record,
+    play,
+    trouble,
+)
 
-LASTING = "5c0e7a21d94b36f8"
-OTHERS = [f"5c0e7a21d94b{n:04x}" for n in range(150)]
-CORES = 32
-LASTING_STEP = {
-    "Count": 1,
-    "Cpu": 20_000,
-    "MemMb": 64,
-    "EstimatedMs": 500,
-    "LongRunning": True,
-    "MayMiss": 1,
-}
-LASTING_SPEC = "lasting cpu=20000"
-STEP = {"Count": 8, "Cpu": 1000, "MemMb": 64, "EstimatedMs": 1000}
-SPEC = "ms=1000 cpu=1000"
+JOB = "5c0e7a21d94b36f8"
+STEP = {"Count": 1, "Cpu": 1000, "MemMb": 64, "EstimatedMs": 2000}
+SPEC = "ms=2000 cpu=1000"
 
-# A subtask that lasts runs again from 6 s after its last run on; the rule
-# looks at stretches of 3 s.
-AGAIN_S = 6.0
-STRETCH_S = 3.0
+# Cuts of workers last up to 5.5 s on the sites.
+CUT_S = 5.5
 
+# A worker's entry is removed after three heartbeats of silence.
+ENTRY_LAPSE_S = 4.5
 
-def longest_pause(deployment: Deployment, until: float) -> tuple[float, str]:
-    """Returns the longest time for which the lasting subtask did not run."""
-    runs = [r for r in deployment.runs() if r.subtask.startswith(LASTING)]
-    begun_at = [r.started_at for r in runs[1:]] + [until]
-    pauses = [
-        (begin - run.ended_at, run.how)
-        for run, begin in zip(runs, begun_at, strict=True)
-    ]
-    return max(pauses)
+FINISH_S = 14.0
+IDLE_S = 3.0
+
+
+def lose_worker(deployment: Deployment, record: Record) -> None:
+    """Cuts off the worker that runs the job, and loses it behind the cut."""
+    started = deployment.wait(deployment.runs, "a start", 5.0)[0]
+    worker = next(w for w in deployment.workers if w.id == started.worker)
+    record.write(f"disruption: {worker.id} is cut off, and crashes")
+    worker.command("cut on")
+    deployment.restart_workers([worker])
+    record.write(f"disruption: {worker.id} is up again, behind the cut")
+    time.sleep(CUT_S / 2)
+    record.write(f"disruption: {worker.id} is lost for good")
+    worker.kill()
+    deployment.machine_lives.pop(f"m-{worker.id[2:]}")
+    time.sleep(ENTRY_LAPSE_S)
+    deployment.store.put("keyed.servers", worker.id, None)
+    record.write(f"platform: the entry of {worker.id} is removed")
 
 
 def case(record: Record) -> list[str]:
     """Plays the case; returns the breaks of LOST."""
-    deployment = Deployment(record, workers=3, worker_cpu=CORES * 1000)
+    deployment = Deployment(record, workers=4)
     try:
         deployment.wait(lambda: deployment.holder() > 0, "a holder", 20.0)
         time.sleep(3.0)
-        deployment.submit(2, LASTING, LASTING_STEP, spec=LASTING_SPEC)
-        first = deployment.wait(deployment.runs, "a start", 5.0)[0]
-        time.sleep(2.0)
-        for number, job in enumerate(OTHERS):
-            entry = deployment.numbers[number % len(deployment.numbers)]
-            if deployment.submit(entry, job, STEP, spec=SPEC) != 200:
-                raise OSError("not all jobs were accepted")
-        time.sleep(2.0)
+        deployment.submit(2, JOB, STEP, spec=SPEC)
         if trouble():
-            worker = next(w for w in deployment.workers if w.id == first.worker)
-            record.write(f"disruption: {worker.id} is lost for good")
-            worker.kill()
-            deployment.machine_lives.pop(f"m-{worker.id[2:]}")
-            time.sleep(4.5)
-            deployment.store.put("keyed.servers", worker.id, None)
-            record.write(f"platform: the entry of {worker.id} is removed")
-        time.sleep(17.0)
-        pause_s, how = longest_pause(deployment, time.monotonic())
-        deployment.call(3, "GET", f"/next/{LASTING}")
+            lose_worker(deployment, record)
+        time.sleep(FINISH_S)
+        breaks = []
+        idle_since = time.monotonic()
+        while time.monotonic() - idle_since < IDLE_S:
+            runs = deployment.runs()
+            state = deployment.state(3, JOB)
+            if state == "completed" or any(r.how == "running" for r in runs):
+                break
+            time.sleep(0.5)
+        else:
+            breaks.append(
+                f"{FINISH_S} s after the traffic and for {IDLE_S} s more, the "
+                f"job is shown as {state!r}, nothing of it runs, and the other "
+                f"workers of {SERVICE} are idle"
+            )
         deployment.save_events()
-        if pause_s <= AGAIN_S + STRETCH_S:
-            return []
-        return [
-            f"the subtask that lasts does not run for {pause_s:.1f} s after "
-            f"its last run ended ({how}), with two workers of {CORES} cores up"
-        ]
+        return breaks
     finally:
         deployment.close()
 
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec bash "$(dirname "$0")/../kit/run_case.sh" 5
+exec bash "$(dirname "$0")/../kit/run_case.sh" "$(dirname "$0")"
--- a/review/kit/deployment.py
+++ b/review/kit/deployment.py
@@ -8,6 +8,7 @@
 import os
 import random
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -25,19 +26,23 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 
+# Longest time that a case may take, in seconds.
+MAX_PLAY_S = 110
+
 PARTITIONS = 32
 SERVICE = "visits"
 HOST = "jobs.example"
 PREFIX = "/next/"
 ZONES = ("ljubljana-a", "maribor-b", "koper-c")
 
-_FRONT, _READY, _CONTROL, _PEER, _STORE, _CLOUD, _WORKER = (
+_FRONT, _READY, _CONTROL, _PEER, _STORE, _CLOUD, _ADVICE, _WORKER = (
     8624,
     8622,
     8623,
     7060,
     8621,
     8620,
+    8619,
     7900,
 )
 
@@ -160,7 +165,50 @@
         if not self._path.exists():
             return []
         rows = self._path.read_text("utf-8").splitlines()
-        return [json.loads(row) for row in rows if row.startswith("{")]
+        return [json.loads(row) for row in rows if row.endswith("}")]
+
+
+class AdviceService:
+    """The service that gives tickets, one call at a time.
+
+    Args:
+        record: Record of the case.
+        allowed: Workers that may run the steps of a job; all may run those of
+            the jobs that are missing here.
+    """
+
+    DECIDE_S = 0.2
+    PER_ITEM_S = 0.05
+    VALID_S = 3.0
+
+    def __init__(self, record: Record, allowed: dict[str, set[str]]) -> None:
+        """Begins with no call waiting."""
+        self._record = record
+        self._allowed = allowed
+        self._turn = threading.Lock()
+
+    def handle(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes,
+        environ: dict[str, Any],
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Handles a call; the policy of a step does not change."""
+        del method, path, query, environ
+        request = json.loads(body)
+        step, workers = request["Step"], request["Workers"]
+        with self._turn:
+            time.sleep(self.DECIDE_S + self.PER_ITEM_S * len(workers))
+        allowed = self._allowed.get(step.partition(".")[0], set(workers))
+        good = [w for w in workers if w in allowed]
+        text = f"advice on {step} of {', '.join(workers)}: {', '.join(good)}"
+        self._record.write(text)
+        now = time.monotonic()
+        rows = [[w, f"{step}|{w}|{now}|{now + self.VALID_S}"] for w in good]
+        valid_ms = round(self.VALID_S * 1000)
+        return json_response(200, {"Good": rows, "ValidMs": valid_ms})
 
 
 class Deployment:
@@ -171,6 +219,7 @@
         instances: Number of entry instances.
         workers: Number of workers.
         worker_cpu: Capacity of each, in thousandths of a core.
+        advice: Service that gives the tickets for starts, if they need any.
     """
 
     def __init__(
@@ -179,6 +228,7 @@
         instances: int = 3,
         workers: int = 4,
         worker_cpu: int = 32_000,
+        advice: AdviceService | None = None,
     ) -> None:
         """Starts everything, and waits until all instances are ready."""
         self.record = record
@@ -195,6 +245,9 @@
         self.workers: list[WorkerProcess] = []
         self._serve(1, _STORE, self.store.handle)
         self._serve(1, _CLOUD, self._list_machines)
+        self._advice = advice
+        if advice is not None:
+            self._serve(1, _ADVICE, advice.handle)
         self.publish_configuration(0, [PREFIX])
         self.workers = [WorkerProcess(self, n) for n in range(workers)]
         self.numbers = [2 + n for n in range(instances)]
@@ -391,6 +444,13 @@
             }
             for prefix in prefixes
         ]
+        if self._advice is not None:
+            for route in routes:
+                route["Advice"] = {
+                    "DecideMs": self._advice.DECIDE_S * 1000,
+                    "PerItemMs": self._advice.PER_ITEM_S * 1000,
+                    "ValidMs": self._advice.VALID_S * 1000,
+                }
         services = [{"Name": SERVICE, "RejectsOverload": True}]
         self.store.put(
             "keyed.op",
@@ -413,6 +473,7 @@
 Discovery = "platform"
 HeartbeatMs = 1500
 Orders = "rpc"
+Advice = "{self.network}.1:{_ADVICE}"
 [Listen]
 Front = "{ip}:{_FRONT}"
 Ready = "{ip}:{_READY}"
@@ -518,6 +579,10 @@
     return found
 
 
+def _stop_late(*_: object) -> None:
+    raise CouldNotRunError(f"not finished in {MAX_PLAY_S} s")
+
+
 def play(folder: Path, case: Callable[[Record], list[str]]) -> int:
     """Plays a case.
 
@@ -529,9 +594,11 @@
         1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
     """
     record = Record(folder)
+    signal.signal(signal.SIGALRM, _stop_late)
+    signal.alarm(MAX_PLAY_S)
     try:
         breaks = case(record)
-    except (CouldNotRunError, OSError) as error:
+    except Exception as error:  # Anything unexpected says nothing of the rule.
         record.write(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return 2
--- a/review/kit/run_case.sh
+++ b/review/kit/run_case.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Plays the case in the folder of the calling script.
+# Plays the case in a folder.
 set -u
+case_py="$(cd "$1" && pwd)/case.py"
 cd "$(dirname "${BASH_SOURCE[0]}")/../.."
-PYTHONPATH="$PWD:$PWD/target/deps" exec python3 "review/$1/case.py"
+PYTHONPATH="$PWD:$PWD/target/deps" exec python3 "$case_py"
--- a/review/kit/worker.py
+++ b/review/kit/worker.py
@@ -5,6 +5,8 @@
 
 A payload has words of the form ``key=value``: ``ms`` is the run time, ``cpu``
 the capacity that a run uses. ``lasting`` makes a run go on until it is stopped.
+``ticketed`` makes the start need a ticket, with the parts step, worker, time of
+its issue and end of its validity.
 
 Commands are lines on standard input: ``cut on`` and ``cut off`` (nothing gets
 through to or from the job servers, and the runs go on), ``zone on`` and ``zone
@@ -166,6 +168,8 @@
             return self._answer(409, Reason="old")
         if body["DeadlineMs"] < self.clock_ms():
             return self._answer(409, Reason="late")
+        if "ticketed" in body["TaskSpec"].split() and not self._admits(body):
+            return self._answer(409, Reason="ticket")
         run = _Run(number, body["TaskSpec"])
         if sum(r.cpu for r in self._running.values()) + run.cpu > self._cpu:
             return self._answer(409, Reason="room")
@@ -180,6 +184,19 @@
         )
         return self._answer(200)
 
+    def _admits(self, body: dict[str, Any]) -> bool:
+        """Whether a start has a ticket for this life that is still valid."""
+        parts = body.get("Ticket", "").split("|")
+        if len(parts) != 4:
+            return False
+        step, worker, issued_at, valid_until = parts
+        return (
+            body["Task"].startswith(f"{step}.")
+            and worker == self.id
+            and float(issued_at) >= self._began_at
+            and float(valid_until) >= time.monotonic()
+        )
+
     def _stop(self, body: dict[str, Any]) -> tuple[int, Any]:
         name, number = body["Task"], body["Run"]
         known = self._running.get(name)
