Log answers to starts that come from another incarnation

AW3206 is logged when the clock in such an answer is behind the clock of the incarnation that the order was for, with the time by which it is behind and the lease that the order gave.

--- a/acaciawing/jobserver/sessions.py
+++ b/acaciawing/jobserver/sessions.py
@@ -37,13 +37,19 @@
     PollResult,
     RunClient,
     StaleFence,
+    StartResult,
     WorkerRuns,
 )
+from acaciawing.telemetry import Event, log_event
 
 # Maximum wait until reported ends are recorded, before the worker is polled
 # again; an append takes 10 ms.
 _MAX_ACKNOWLEDGE_WAIT_S = 0.25
 
+# Two answers of one incarnation may overtake each other by the timeout of a call,
+# so that the clock in the later one is behind by up to this time.
+_MAX_CLOCK_LAG_MS = 1000
+
 WorkerOrder = StartRun | StopRun | PaceRun
 
 
@@ -65,6 +71,19 @@
         """Time at which all granted leases will have lapsed, in seconds."""
         return self._lease_until
 
+    def is_of_another_incarnation(self, clock_ms: int) -> bool:
+        """Whether a reading is from another incarnation's clock.
+
+        Args:
+            clock_ms: Clock in an answer, in milliseconds.
+        """
+        return self.lag_ms(clock_ms) > _MAX_CLOCK_LAG_MS
+
+    def lag_ms(self, clock_ms: int) -> int:
+        """Returns how far a reading is behind the last one, in milliseconds."""
+        with self._lock:
+            return 0 if self._clock_ms is None else self._clock_ms - clock_ms
+
     def sample(self, clock_ms: int, received_at: float) -> None:
         """Records a reading of the worker's clock from an answer.
 
@@ -270,11 +289,36 @@
             return True
         result = client.start(order, deadline, order.ticket)
         if result.clock_ms is not None:
+            self._log_other_incarnation(order, deadline, result)
             self._clock.sample(result.clock_ms, steady_s())
         METRICS.count("acaciawing.jobs.starts", outcome=result.outcome.value)
         self._send_message(StartOrderResult(order, result.outcome))
         return result.outcome is not StartOutcome.UNANSWERED
 
+    def _log_other_incarnation(
+        self, order: StartRun, deadline_ms: int, result: StartResult
+    ) -> None:
+        """Logs an answer to a start if another incarnation has sent it."""
+        clock_ms = result.clock_ms
+        if clock_ms is None or not self._clock.is_of_another_incarnation(
+            clock_ms
+        ):
+            return
+        log_event(
+            Event.OTHER_INCARNATION,
+            {
+                "cell": self._key.partition,
+                "fence": self._key.fence,
+                "worker": self._incarnation.worker,
+                "born_ms": self._incarnation.born_ms,
+                "subtask": str(order.subtask),
+                "run": order.run,
+                "outcome": result.outcome.value,
+                "behind_ms": self._clock.lag_ms(clock_ms),
+                "lease_ms": deadline_ms - clock_ms,
+            },
+        )
+
     def _send_message(
         self,
         message: WorkerReport
