Grant leases only to the incarnation that has answered

A zone was cut off, its workers crashed and started again behind the cut, and after a second cut their subtasks were started elsewhere while they still ran.

Cause: a start names the worker by its id. Starts that were queued when the worker crashed were sent to its next incarnation over a new connection, with a deadline on the clock of the last one. On the new clock that is 18 s ahead, and the worker grants its longest lease, 10 s; the holder counts with 5 s.

Change: a connection ends with the incarnation that accepted it. Starts and lease deadlines are sent only over a connection over which the session's incarnation has answered a poll, and never open a new one. Besides, the cell takes a successor to hold the longest lease until it must have lapsed, also after a takeover, so that it doesn't depend on this alone.

Related path, mended by the same check: a renewal on a connection that the worker had closed opened a new one and took the deadline along.

--- a/acaciawing/jobs/__init__.py
+++ b/acaciawing/jobs/__init__.py
@@ -24,6 +24,7 @@
     WorkerUnreachable,
 )
 from acaciawing.jobs.cell import Cell
+from acaciawing.jobs.lease_bounds import LeaseBounds
 from acaciawing.jobs.model import (
     Configuration,
     Incarnation,
@@ -72,6 +73,7 @@
     "Incarnation",
     "IncarnationEnded",
     "Job",
+    "LeaseBounds",
     "JobFailed",
     "JobProgress",
     "JobSubmitted",
--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -44,6 +44,7 @@
 
     Args:
         fence: Fence of this holder, higher than that of any earlier holder.
+        leases: How long leases may last on the workers.
         on_event: Called with the name and the values of each event to log.
     """
 
@@ -119,7 +120,8 @@
             return
         self._takeover.unconfirmed_until.pop(message.worker, None)
         view.last_contact_at = message.sent_at
-        view.lease_until = message.lease_until
+        # A predecessor's orders may have granted longer leases.
+        view.lease_until = max(view.lease_until, message.lease_until)
         if not view.contacted:
             view.contacted = True
             self._engage_worker(view)
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -16,6 +16,7 @@
     Suspicion,
     assess_suspicion,
 )
+from acaciawing.jobs.lease_bounds import LeaseBounds
 from acaciawing.jobs.limits import CAPACITY_VALIDITY_S
 from acaciawing.jobs.model import (
     Configuration,
@@ -53,14 +54,19 @@
 
     Args:
         fence: Fence of this holder, higher than that of any earlier holder.
+        leases: How long leases may last on the workers.
         on_event: Called with the name and the values of each event to log.
     """
 
     def __init__(
-        self, fence: int, on_event: Callable[..., None] = lambda *_, **__: None
+        self,
+        fence: int,
+        leases: LeaseBounds,
+        on_event: Callable[..., None] = lambda *_, **__: None,
     ) -> None:
         """Creates the state of a cell whose records were not read yet."""
         self.fence = fence
+        self._leases = leases
         self.table = JobTable()
         self.views: dict[Incarnation, WorkerView] = {}
         self.recovered = False
--- a/acaciawing/jobs/tests/builders.py
+++ b/acaciawing/jobs/tests/builders.py
@@ -7,6 +7,7 @@
     Incarnation,
     Job,
     JobSubmitted,
+    LeaseBounds,
     Pool,
     Queue,
     Record,
@@ -26,6 +27,7 @@
 QUEUE = "next-visit"
 UNCONFIRMED_S = 11.0
 LEASE_S = 5.0
+LONGEST_LEASE_S = 10.0
 
 
 def make_worker(name: str, *, born_ms: int = 1, cores: int = 32) -> Worker:
@@ -69,7 +71,7 @@
     def __init__(  # noqa: D107
         self, fence: int = 1, max_attempts: int = 2
     ) -> None:
-        self.cell = Cell(fence)
+        self.cell = Cell(fence, LeaseBounds(LEASE_S, LONGEST_LEASE_S))
         self.cell.configure(make_configuration(max_attempts))
         self.now = 100.0
         self.log: list[Record] = []
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -168,8 +168,12 @@
             or until is not None
             and not self.views[successor].contacted
         ):
-            self._takeover.unconfirmed_until[successor] = until
+            self._takeover.unconfirmed_until[successor] = (
+                until + self._leases.excess_s
+            )
         old, new = self.views.get(incarnation), self.views.get(successor)
+        if new is not None:
+            new.lease_until = max(new.lease_until, now + self._leases.longest_s)
         if old is not None and new is not None:
             unreported = [r for r in old.runs.values() if r.reported_at is None]
             subtasks = {run.subtask for run in unreported}
--- a/acaciawing/jobserver/daemon.py
+++ b/acaciawing/jobserver/daemon.py
@@ -77,6 +77,7 @@
             settings.partitions,
             settings.retention_s,
             settings.state_retention_s,
+            settings.max_lease_ms / 1000,
         )
         self._configuration_follower = ConfigurationFollower(
             store, self._engine.send, self._contact
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -40,6 +40,7 @@
     WorkerListRead,
     WorkerMessageReceived,
 )
+from acaciawing.jobserver.sessions import lease_bounds
 from acaciawing.jobserver.tasks import start_task
 from acaciawing.telemetry import Event, log_event
 
@@ -68,6 +69,7 @@
         retention_s: Retention time of records in the store, in seconds.
         state_retention_s: How long states of finished jobs are reported, in
             seconds.
+        max_lease_s: Longest lease that workers grant, in seconds.
     """
 
     def __init__(
@@ -76,12 +78,14 @@
         partitions: int,
         retention_s: int,
         state_retention_s: int,
+        max_lease_s: float,
     ) -> None:
         """Stores the arguments; `start` starts the thread."""
         self._store = store
         self._partitions = partitions
         self._retention_ms = 1000 * retention_s
         self._state_retention_ms = 1000 * state_retention_s
+        self._leases = lease_bounds(max_lease_s)
         self._inbox: SimpleQueue[Message] = SimpleQueue()
         self._cells: dict[int, HeldCell] = {}
         self._configuration: Configuration | None = None
@@ -333,6 +337,7 @@
             self.send,
             self.has_authority,
             self._request_advice,
+            self._leases,
             now,
         )
         self._cells[key.partition] = held
--- a/acaciawing/jobserver/held_cell.py
+++ b/acaciawing/jobserver/held_cell.py
@@ -11,6 +11,7 @@
     ConnectWorker,
     DisconnectWorker,
     Incarnation,
+    LeaseBounds,
     PaceRun,
     SaveRecord,
     StartRun,
@@ -36,6 +37,7 @@
         has_authority: Returns whether this instance may still give orders and
             grant leases.
         request_advice: Sends a request to the advice service.
+        leases: How long leases may last on the workers.
         now: Current time in seconds.
     """
 
@@ -46,11 +48,12 @@
         send: Callable[[Message], None],
         has_authority: Callable[[], bool],
         request_advice: Callable[[CellKey, AdviceRequest], None],
+        leases: LeaseBounds,
         now: float,
     ) -> None:
         """Starts the tasks that read and append the cell's records."""
         self.key = key
-        self.cell = Cell(key.fence, self._log)
+        self.cell = Cell(key.fence, leases, self._log)
         self.acquired_at = now
         self.records_current_at = float("-inf")
         self.evacuation_received_at = now
--- a/acaciawing/jobserver/sessions.py
+++ b/acaciawing/jobserver/sessions.py
@@ -7,6 +7,7 @@
 from acaciawing.jobs import (
     Incarnation,
     IncarnationEnded,
+    LeaseBounds,
     PaceRun,
     StartOrderResult,
     StartOutcome,
@@ -33,6 +34,7 @@
 from acaciawing.jobserver.metrics import METRICS
 from acaciawing.jobserver.tasks import start_task
 from acaciawing.platform.runs import (
+    ORDER_TIMEOUT_S,
     IncarnationMismatch,
     PollResult,
     RunClient,
@@ -53,6 +55,18 @@
 WorkerOrder = StartRun | StopRun | PaceRun
 
 
+def lease_bounds(max_lease_s: float) -> LeaseBounds:
+    """Returns how long a lease may last after the session has decided on it.
+
+    Args:
+        max_lease_s: Longest lease that workers grant, in seconds.
+    """
+    return LeaseBounds(
+        LEASE_S / MIN_CLOCK_RATE,
+        ORDER_TIMEOUT_S + max_lease_s / MIN_CLOCK_RATE,
+    )
+
+
 class LeaseClock:
     """Computes lease deadlines on a worker's clock.
 
@@ -113,7 +127,9 @@
 class WorkerSession:
     """Polls one incarnation and sends it orders, in two threads.
 
-    Each thread has its own connection.
+    Each thread has its own connection. Leases are granted only over a connection
+    over which the incarnation has answered a poll: on the clock of its successor,
+    their deadlines would be much too late.
 
     Args:
         key: The cell that uses the worker.
@@ -143,7 +159,7 @@
         self._closed = threading.Event()
         self._acknowledged = 0
         self._acknowledged_event = threading.Event()
-        self._reachable = False
+        self._unconfirmed_at = float("-inf")
 
     def start(self) -> None:
         """Starts both threads."""
@@ -184,9 +200,12 @@
                 self._closed.wait(RETRY_PAUSE_S)
                 continue
             sent_at = steady_s()
-            grant = self._clock.grant(sent_at) if self._reachable else None
+            confirmed = client.is_confirmed
+            grant = self._clock.grant(sent_at) if confirmed else None
             self._acknowledged_event.clear()
-            result = client.poll(self._acknowledged, grant, wait_ms)
+            result = client.poll(
+                self._acknowledged, grant, wait_ms if confirmed else 0
+            )
             if self._closed.is_set():
                 break
             if isinstance(result, WorkerRuns):
@@ -198,7 +217,6 @@
                 break
             else:
                 wait_ms = 0
-                self._reachable = False
                 self._send_message(
                     WorkerUnreachable(
                         self._incarnation, self._clock.lease_until
@@ -228,15 +246,11 @@
         Returns:
             Wait of the next poll in milliseconds; -1 to end the session.
         """
-        if (
-            answer.born_ms is not None
-            and answer.born_ms != self._incarnation.born_ms
-        ):
+        if answer.born_ms is not None and not self._is_own(answer):
             successor = Incarnation(self._incarnation.worker, answer.born_ms)
             self._send_message(IncarnationEnded(self._incarnation, successor))
             return -1
         self._clock.sample(answer.clock_ms, steady_s())
-        self._reachable = True
         self._send_message(
             WorkerReport(
                 self._incarnation,
@@ -254,6 +268,10 @@
                 return 0
         return 0 if without_lease else POLL_WAIT_MS
 
+    def _is_own(self, answer: WorkerRuns) -> bool:
+        """Whether this session's incarnation has answered."""
+        return answer.born_ms in (None, self._incarnation.born_ms)
+
     def _carry_out(self) -> None:
         client = self._make_client()
         while (order := self._orders.get()) is not None:
@@ -278,32 +296,71 @@
         return client.pace(order.subtask, order.run, order.percent) is None
 
     def _start(self, client: RunClient, order: StartRun) -> bool:
-        now = steady_s()
-        deadline = self._clock.grant(now)
-        withdrawn = (
-            order.subtask,
-            order.run,
-        ) in self._stopped_runs or now > order.valid_until
-        if deadline is None or withdrawn or not self._has_authority():
-            self._send_message(StartOrderResult(order, StartOutcome.REFUSED))
-            return True
-        result = client.start(order, deadline, order.ticket)
-        if result.clock_ms is not None:
-            self._log_other_incarnation(order, deadline, result)
+        outcome = self._refusal(client, order)
+        if outcome is None:
+            outcome = self._send_start(client, order)
+            METRICS.count("acaciawing.jobs.starts", outcome=outcome.value)
+        self._send_message(StartOrderResult(order, outcome))
+        return outcome is not StartOutcome.UNANSWERED
+
+    def _refusal(
+        self, client: RunClient, order: StartRun
+    ) -> StartOutcome | None:
+        """Returns why a start is not sent; None if it may be sent."""
+        if self._is_withdrawn(order):
+            return StartOutcome.REFUSED
+        refusal = self._confirm_connection(client)
+        # To confirm the connection may have taken until a poll timed out.
+        if refusal is None and self._is_withdrawn(order):
+            return StartOutcome.REFUSED
+        return refusal
+
+    def _is_withdrawn(self, order: StartRun) -> bool:
+        return (
+            (order.subtask, order.run) in self._stopped_runs
+            or steady_s() > order.valid_until
+            or not self._has_authority()
+        )
+
+    def _confirm_connection(self, client: RunClient) -> StartOutcome | None:
+        """Polls over a new connection, to learn which incarnation answers.
+
+        Returns:
+            Why no start may be sent over the connection; None if this
+            session's incarnation has answered over it.
+        """
+        if client.is_confirmed:
+            return None
+        if steady_s() - self._unconfirmed_at < MAX_RETRY_PAUSE_S:
+            return StartOutcome.REFUSED
+        result = client.poll(0, None, 0)
+        if isinstance(result, WorkerRuns) and self._is_own(result):
             self._clock.sample(result.clock_ms, steady_s())
-        METRICS.count("acaciawing.jobs.starts", outcome=result.outcome.value)
-        self._send_message(StartOrderResult(order, result.outcome))
-        return result.outcome is not StartOutcome.UNANSWERED
+            return None
+        client.close()
+        self._unconfirmed_at = steady_s()
+        if isinstance(result, StaleFence):
+            return StartOutcome.FENCED
+        return StartOutcome.REFUSED
+
+    def _send_start(self, client: RunClient, order: StartRun) -> StartOutcome:
+        deadline_ms = self._clock.grant(steady_s())
+        if deadline_ms is None:
+            return StartOutcome.REFUSED
+        result = client.start(order, deadline_ms, order.ticket)
+        if result.clock_ms is None:
+            return result.outcome
+        if self._clock.is_of_another_incarnation(result.clock_ms):
+            self._log_other_incarnation(order, deadline_ms, result)
+            return StartOutcome.UNANSWERED
+        self._clock.sample(result.clock_ms, steady_s())
+        return result.outcome
 
     def _log_other_incarnation(
         self, order: StartRun, deadline_ms: int, result: StartResult
     ) -> None:
-        """Logs an answer to a start if another incarnation has sent it."""
-        clock_ms = result.clock_ms
-        if clock_ms is None or not self._clock.is_of_another_incarnation(
-            clock_ms
-        ):
-            return
+        """Logs an answer to a start that another incarnation has sent."""
+        clock_ms = result.clock_ms or 0
         log_event(
             Event.OTHER_INCARNATION,
             {
--- a/acaciawing/jobserver/tests/test_sessions.py
+++ b/acaciawing/jobserver/tests/test_sessions.py
@@ -19,7 +19,9 @@
     WorkerMessageReceived,
 )
 from acaciawing.jobserver.sessions import WorkerSession
-from acaciawing.platform.runs import StartResult
+from acaciawing.platform.runs import StartResult, WorkerRuns
+from standins.job_worker import JobWorker
+from standins.server import serving
 
 _INCARNATION = Incarnation("w", 1)
 _SUBTASK = SubtaskId("0" * 16, 0, 0, 0)
@@ -29,13 +31,15 @@
     """Records the calls that reach the worker."""
 
     calls: list[tuple[str, int]] = []
+    clock_ms = 1_000
+    is_confirmed = True
 
     def __init__(self, *_: object) -> None:
         """Accepts any arguments."""
 
     def start(self, order: StartRun, *_: object) -> StartResult:
         self.calls.append(("start", order.run))
-        return StartResult(StartOutcome.STARTED)
+        return StartResult(StartOutcome.STARTED, self.clock_ms)
 
     def stop(self, subtask: SubtaskId, run: int) -> None:
         self.calls.append(("stop", run))
@@ -54,7 +58,7 @@
     session = WorkerSession(
         CellKey(1, 1), _INCARNATION, "192.0.2.1:80", sent.append, lambda: True
     )
-    session._clock.sample(1_000, 0.0)
+    session._clock.sample(2_000, 0.0)
     for order in orders:
         session.order(order)
     session._orders.put(None)
@@ -95,3 +99,68 @@
         assert _FakeClient.calls == [("start", 2)]
         assert isinstance(messages[0], StartOrderResult)
         assert messages[0].outcome is StartOutcome.REFUSED
+
+
+class TestNextIncarnation:
+    """Guards against leases on a clock that has started anew.
+
+    A queued start reached the next incarnation of a worker with a deadline on the
+    clock of the last one, and so got the longest lease. Its subtask was started
+    elsewhere after the usual one, while it ran.
+    """
+
+    def test_a_queued_start_does_not_reach_the_next_incarnation(self) -> None:
+        worker = JobWorker()
+        incarnation = Incarnation("w", worker.born)
+        sent: list[WorkerMessageReceived | CellFenced] = []
+        with serving(worker.handle) as address:
+            session = WorkerSession(
+                CellKey(1, 1), incarnation, address, sent.append, lambda: True
+            )
+            session._clock.sample(100_000, steady_s())
+            worker.crash()
+            for run in (1, 2):
+                session.order(StartRun(incarnation, _SUBTASK, run, "", ""))
+            session._orders.put(None)
+            session._carry_out()
+        assert not worker.starts
+        outcomes = [
+            m.message.outcome
+            for m in sent
+            if isinstance(m, WorkerMessageReceived)
+            and isinstance(m.message, StartOrderResult)
+        ]
+        assert outcomes == [StartOutcome.REFUSED] * 2
+
+    def test_an_answer_of_the_next_incarnation_confirms_no_start(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(_FakeClient, "clock_ms", 20)
+        order = StartRun(_INCARNATION, _SUBTASK, 1, "", "")
+        messages = _carry_out(monkeypatch, order)
+        assert messages == [StartOrderResult(order, StartOutcome.UNANSWERED)]
+
+    def test_a_poll_over_a_new_connection_grants_no_lease(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(sessions, "RunClient", _FakeClient)
+        session = WorkerSession(
+            CellKey(1, 1), _INCARNATION, "192.0.2.1:80", print, lambda: True
+        )
+        granted = []
+        # Whether the connection is still the one of the last answer.
+        connections = iter([False, True, False, True])
+
+        def poll(
+            client: _FakeClient, _: int, deadline_ms: int | None, __: int
+        ) -> WorkerRuns:
+            granted.append(deadline_ms is not None)
+            client.is_confirmed = next(connections, True)
+            if len(granted) == 4:
+                session.close()
+            return WorkerRuns(1_000, _INCARNATION.born_ms, (), ())
+
+        monkeypatch.setattr(_FakeClient, "poll", poll, raising=False)
+        monkeypatch.setattr(_FakeClient, "is_confirmed", False)
+        session._poll_worker()
+        assert granted == [False, False, True, False]
--- a/acaciawing/platform/http.py
+++ b/acaciawing/platform/http.py
@@ -120,9 +120,15 @@
         self._host_line = f"Host: {address}\r\n"
         self._connect_timeout_s = connect_timeout_s
         self._socket: socket.socket | None = None
+        self._opened_count = 0
         self._poll = select.poll()
         self._socket_timeout_s = 0.0
 
+    @property
+    def opened_count(self) -> int:
+        """How often the connection was opened."""
+        return self._opened_count
+
     @property
     def is_open(self) -> bool:
         """Whether the next call uses the connection that is already open."""
@@ -143,6 +149,7 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         timeout_s: float,
+        reconnect: bool = True,
     ) -> CallOutcome:
         """Makes one call; a network failure is returned, not raised.
 
@@ -152,8 +159,9 @@
             body: Body of the request.
             headers: Additional headers.
             timeout_s: Timeout for the whole response.
+            reconnect: Whether to open the connection if it is not open.
         """
-        sock = self._open(timeout_s)
+        sock = self._open(timeout_s, reconnect)
         if isinstance(sock, NotSent):
             return sock
         request = self._encode_request(method, path, body, headers or {})
@@ -163,12 +171,16 @@
             self.close()
             return OutcomeUnknown(f"{type(error).__name__}: {error}")
 
-    def _open(self, timeout_s: float) -> socket.socket | NotSent:
+    def _open(
+        self, timeout_s: float, reconnect: bool
+    ) -> socket.socket | NotSent:
         if self._socket is not None and not self.is_open:
             # Closed by the peer, or unread bytes that belong to no call.
             self.close()
         if self._socket is not None:
             return self._socket
+        if not reconnect:
+            return NotSent(False, "the connection is not open")
         try:
             sock = socket.create_connection(
                 self._address, min(self._connect_timeout_s, timeout_s)
@@ -180,6 +192,7 @@
         for option in _SOCKET_OPTIONS:
             sock.setsockopt(*option)
         self._socket, self._socket_timeout_s = sock, 0.0
+        self._opened_count += 1
         self._poll.register(sock, select.POLLIN)
         return sock
 
--- a/acaciawing/platform/runs.py
+++ b/acaciawing/platform/runs.py
@@ -106,6 +106,10 @@
 class RunClient:
     """Client of one incarnation of a worker; not thread-safe.
 
+    Requests name the worker, not its incarnation. A connection ends with the
+    incarnation that has accepted it, so a poll that was answered over it tells
+    which incarnation receives all further requests over it.
+
     Args:
         address: ``ip:port`` of the worker.
         worker: Id of the worker.
@@ -115,9 +119,18 @@
     def __init__(self, address: str, worker: str, fence: int) -> None:
         """Initializes the client; the first call opens the connection."""
         self._connection = Connection(address)
+        self._confirmed_connection = 0
         self._fence = fence
         self._headers = {**JSON_HEADERS, "Target-Instance": worker}
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether a poll was answered over the connection that is open."""
+        return (
+            self._confirmed_connection == self._connection.opened_count
+            and self._connection.is_open
+        )
+
     def close(self) -> None:
         """Closes the connection."""
         self._connection.close()
@@ -133,14 +146,15 @@
         Args:
             acknowledged: The worker may discard ended runs up to this number.
             deadline_ms: Expiry of all leases on the worker's clock; None grants
-                no leases.
+                no leases. Must be None unless the client is confirmed.
             wait_ms: How long the worker may delay its response until a run
                 ends.
         """
+        confirmed = self.is_confirmed
         body: dict[str, object] = {
             "Fence": self._fence,
             # Number of the last acknowledged ended run.
-            "LastSeen": acknowledged if self._connection.is_open else 0,
+            "LastSeen": acknowledged if confirmed else 0,
         }
         if deadline_ms is not None:
             body["DeadlineMs"] = deadline_ms
@@ -148,7 +162,10 @@
             body["WaitMs"] = wait_ms
         # The wire calls a poll a hold.
         outcome = self._call(
-            "/v1/hold", body, POLL_TIMEOUT_MARGIN_S + wait_ms / 1000
+            "/v1/hold",
+            body,
+            POLL_TIMEOUT_MARGIN_S + wait_ms / 1000,
+            reconnect=not confirmed,
         )
         if not isinstance(outcome, Response):
             return CallFailure(outcome.detail)
@@ -158,13 +175,18 @@
             return StaleFence()
         if outcome.status != 200:
             return CallFailure(f"status {outcome.status}")
-        return _parse_worker_runs(decode_object(outcome.body))
+        result = _parse_worker_runs(decode_object(outcome.body))
+        if isinstance(result, WorkerRuns):
+            self._confirmed_connection = self._connection.opened_count
+        return result
 
     def start(
         self, order: StartRun, deadline_ms: int, ticket: str = ""
     ) -> StartResult:
         """Starts a run with a lease that expires at `deadline_ms`.
 
+        The request is sent only over a connection that is open already.
+
         Args:
             order: The run to start.
             deadline_ms: Expiry of the lease on the worker's clock.
@@ -181,7 +203,9 @@
             body["LastCheckpoint"] = order.checkpoint
         if ticket:
             body["Ticket"] = ticket
-        outcome = self._call("/v1/run-start", body, ORDER_TIMEOUT_S)
+        outcome = self._call(
+            "/v1/run-start", body, ORDER_TIMEOUT_S, reconnect=False
+        )
         if isinstance(outcome, NotSent):
             return StartResult(StartOutcome.REFUSED)
         if isinstance(outcome, OutcomeUnknown):
@@ -251,7 +275,12 @@
         return None
 
     def _call(
-        self, path: str, body: dict[str, object], timeout_s: float
+        self,
+        path: str,
+        body: dict[str, object],
+        timeout_s: float,
+        *,
+        reconnect: bool = True,
     ) -> Response | NotSent | OutcomeUnknown:
         return self._connection.call(
             "POST",
@@ -259,6 +288,7 @@
             body=encode_json(body),
             headers=self._headers,
             timeout_s=timeout_s,
+            reconnect=reconnect,
         )
 
 
--- a/acaciawing/platform/tests/test_runs.py
+++ b/acaciawing/platform/tests/test_runs.py
@@ -19,6 +19,7 @@
         # its earlier incarnation it would discard runs that were never read.
         with serving(JobWorker(run_s=0.0).handle) as address:
             client = RunClient(address, "w", 1)
+            assert isinstance(client.poll(0, None, 0), WorkerRuns)
             order = StartRun(Incarnation("w", 1), _SUBTASK, 1, "", "")
             started = client.start(order, _FAR_DEADLINE_MS)
             assert started.outcome is StartOutcome.STARTED
