Log runs that may be on a worker's next incarnation

AW3313 is logged when a run that the ended incarnation has not reported is moved to its successor, with whether that has ever answered.

--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -196,6 +196,15 @@
         for placed in (self._active, self._copies):
             if placed.get(run.subtask) is old:
                 placed[run.subtask] = new
+        self._log(
+            "RUN_IN_DOUBT",
+            subtask=str(run.subtask),
+            run=run.number,
+            worker=new.incarnation.worker,
+            born_ms=new.incarnation.born_ms,
+            contacted=new.contacted,
+            phase=run.phase.value,
+        )
 
     def _end_incarnation(
         self, incarnation: Incarnation, reason: WorkerEnd, now: float
--- a/acaciawing/telemetry/events.py
+++ b/acaciawing/telemetry/events.py
@@ -56,6 +56,7 @@
     RUN_LOST = ("AW3310", "run lost with its worker")
     SUBTASK_GIVEN_UP = ("AW3311", "subtask given up")
     STOP_WITHDRAWN = ("AW3312", "stop withdrawn")
+    RUN_IN_DOUBT = ("AW3313", "run may be on the next incarnation")
     POOL_SIZED = ("AW3503", "pool sized")
     MACHINE_ORDERED = ("AW3501", "machine ordered")
     WAVE_STATE = ("AW3502", "wave state written")
