Give up runs on an incarnation that has never answered

Cause: a run that the ended incarnation has not reported is moved to the next one. That one never answered, and each way to give up a silent worker asked whether it had: lapsed leases, the list of machines, and whether that list is read at all.

Ruled out: a subtask that is not queued again (no AW3204 or AW3203 follows) or finds no worker (no AW3310).

Related path: after a takeover, a list of machines that was requested while an engaged worker restarted ended its next incarnation. The list must be newer now.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -34,7 +34,7 @@
 )
 from acaciawing.jobs.retention import expired_jobs, records_to_rewrite
 from acaciawing.jobs.speculation import Speculation
-from acaciawing.jobs.state import Takeover
+from acaciawing.jobs.state import Takeover, UnconfirmedWorker
 from acaciawing.jobs.worker_tracking import WorkerEnd
 from acaciawing.jobs.workers import Phase
 
@@ -72,14 +72,18 @@
         self.recovered = True
         if self.table.suspects or self.table.started or self.table.explained:
             self._crash_seen_at = now
-        until = dict.fromkeys(self.table.engaged, now + unconfirmed_s)
-        self._takeover = Takeover(until, frozenset(self.table.jobs))
-        for incarnation in self._ended_incarnations & until.keys():
+        # They were engaged, and so had started, before the takeover.
+        unconfirmed = dict.fromkeys(
+            self.table.engaged,
+            UnconfirmedWorker(now + unconfirmed_s, float("-inf")),
+        )
+        self._takeover = Takeover(unconfirmed, frozenset(self.table.jobs))
+        for incarnation in self._ended_incarnations & unconfirmed.keys():
             self._end_incarnation(incarnation, WorkerEnd.REPLACED, now)
         for incarnation, record in self.table.engaged.items():
             if incarnation not in self.views:
                 unregistered = _unregistered_worker(incarnation, record.address)
-                self._add_view(unregistered).present = False
+                self._add_view(unregistered, now).present = False
         for view in self.views.values():
             view.engaged = view.incarnation in self.table.engaged
         for progress in self.table.jobs.values():
@@ -118,7 +122,7 @@
         view = self.views.get(message.worker)
         if view is None:
             return
-        self._takeover.unconfirmed_until.pop(message.worker, None)
+        self._takeover.unconfirmed.pop(message.worker, None)
         view.last_contact_at = message.sent_at
         # A predecessor's orders may have granted longer leases.
         view.lease_until = max(view.lease_until, message.lease_until)
@@ -181,7 +185,7 @@
             registration = msgspec.structs.replace(
                 view.registration, incarnation=successor
             )
-            self._add_view(registration).present = view.present
+            self._add_view(registration, now).present = view.present
         self._replace_incarnation(message.worker, successor, now)
 
     @receive.register
@@ -220,10 +224,8 @@
         self._unix_ms = unix_ms
         if not self.recovered:
             return
-        for incarnation, until in list(
-            self._takeover.unconfirmed_until.items()
-        ):
-            if self._confirmed_at >= until:
+        for incarnation, worker in list(self._takeover.unconfirmed.items()):
+            if self._confirmed_at >= worker.until:
                 self._remove_worker(incarnation, WorkerEnd.LAPSED, now)
         for view in list(self.views.values()):
             self._check_worker(view, now)
--- a/acaciawing/jobs/crash_tracking.py
+++ b/acaciawing/jobs/crash_tracking.py
@@ -72,7 +72,7 @@
         if view is not None:
             lost += lost_runs(view, now)
         lost += self._unseen_runs(incarnation)
-        if lost or incarnation in self._takeover.unconfirmed_until:
+        if lost or incarnation in self._takeover.unconfirmed:
             self._crash_seen_at = now
         for run in lost:
             if run.subtask in unconfirmed:
--- a/acaciawing/jobs/disruptions.py
+++ b/acaciawing/jobs/disruptions.py
@@ -19,7 +19,7 @@
         While runs of an earlier holder may exist on workers that were not
         reached, it is not known which subtasks are at work.
         """
-        return not self._takeover.unconfirmed_until and self._count_away(
+        return not self._takeover.unconfirmed and self._count_away(
             run, now
         ) < max(1, run.step.may_miss)
 
--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -221,10 +221,7 @@
 
     def _may_still_run(self, job: str) -> bool:
         """Whether a job may have runs that an earlier holder started."""
-        return (
-            bool(self._takeover.unconfirmed_until)
-            and job in self._takeover.jobs
-        )
+        return bool(self._takeover.unconfirmed) and job in self._takeover.jobs
 
     def _place_gang(
         self,
@@ -264,7 +261,7 @@
             if (
                 complete
                 or now - oldest < GANG_START_TIMEOUT_S
-                or self._takeover.unconfirmed_until
+                or self._takeover.unconfirmed
             ):
                 continue
             for member_view, run in members:
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -36,16 +36,28 @@
 from acaciawing.jobs.workers import Phase, Run, StopReason, WorkerView
 
 
+class UnconfirmedWorker(NamedTuple):
+    """A worker that may have runs of an earlier holder.
+
+    Attributes:
+        until: Time after which no such run can exist there, in seconds.
+        started_before: Time at which its incarnation had certainly started, in
+            seconds; an older list of machines may lack it for that reason.
+    """
+
+    until: float
+    started_before: float
+
+
 class Takeover(NamedTuple):
     """Runs of earlier holders that may still exist after a takeover.
 
     Attributes:
-        unconfirmed_until: For each engaged worker that was not reached yet,
-            the time after which no such run can exist there, in seconds.
+        unconfirmed: Engaged workers that were not reached yet.
         jobs: Jobs that existed at the takeover.
     """
 
-    unconfirmed_until: dict[Incarnation, float]
+    unconfirmed: dict[Incarnation, UnconfirmedWorker]
     jobs: frozenset[str]
 
 
--- a/acaciawing/jobs/tests/test_disruption_budget.py
+++ b/acaciawing/jobs/tests/test_disruption_budget.py
@@ -128,7 +128,7 @@
         harness.settle()
         assert harness.starts
         harness.cell.views[Incarnation("w", 0)] = WorkerView(
-            make_worker("w", born_ms=0)
+            make_worker("w", born_ms=0), harness.now
         )
         for _ in range(3):
             assert not self._run_round(harness, planner)
--- a/acaciawing/jobs/tests/test_next_incarnation.py
+++ b/acaciawing/jobs/tests/test_next_incarnation.py
@@ -15,6 +15,7 @@
     make_job,
     make_worker,
 )
+from acaciawing.jobs.workers import CONTACT_TIMEOUT_S
 
 _SUBTASK = SubtaskId("j", 0, 0, 0)
 _OTHER = make_worker("x")
@@ -73,3 +74,58 @@
         assert not harness.starts
         _wait(harness, 1.0, _OTHER)
         assert [s.worker.worker for s in harness.starts] == ["x"]
+
+
+class TestSilentSuccessor:
+    """Guards against a run that stays on an incarnation that never answers.
+
+    A run that the last incarnation had not reported was taken to be on the next
+    one. When that never answered, its subtask was never started again.
+    """
+
+    def test_run_is_given_up_when_no_machine_runs_the_worker(self) -> None:
+        harness = CellHarness()
+        _restart_during_a_start(harness)
+        assert harness.cell.has_unconfirmed_runs()
+        _wait(harness, CONTACT_TIMEOUT_S + 0.5, _OTHER)
+        harness.cell.update_machines({"x"}, harness.now, harness.now)
+        _wait(harness, 0.5, _OTHER)
+        assert [s.worker.worker for s in harness.starts] == ["w", "x"]
+
+    def test_run_is_given_up_after_the_longest_lease(self) -> None:
+        harness = CellHarness()
+        _restart_during_a_start(harness)
+        harness.update_workers(_OTHER)
+        _wait(harness, LONGEST_LEASE_S - 0.5, _OTHER)
+        assert len(harness.starts) == 1
+        _wait(harness, 1.0, _OTHER)
+        assert [s.worker.worker for s in harness.starts] == ["w", "x"]
+        assert _RESTARTED.incarnation not in harness.cell.views
+
+    def test_list_from_before_its_start_does_not_end_it(self) -> None:
+        harness = CellHarness()
+        _restart_during_a_start(harness)
+        harness.wait(0.1)
+        harness.cell.update_machines({"x"}, harness.now, harness.now)
+        _wait(harness, 1.0, _OTHER)
+        assert len(harness.starts) == 1
+
+    def test_list_from_before_its_start_does_not_end_it_after_a_takeover(
+        self,
+    ) -> None:
+        # The list was requested while the worker restarted, and arrived after
+        # its new registration.
+        harness = CellHarness(fence=2)
+        harness.recover(
+            JobSubmitted(make_job("j"), 0),
+            WorkerEngaged("w", 1, "192.0.2.1:80"),
+        )
+        requested_at = harness.now
+        harness.wait(0.1)
+        harness.update_workers(_RESTARTED, _OTHER)
+        harness.cell.update_machines({"x"}, requested_at, harness.now)
+        _wait(harness, 1.0, _OTHER)
+        assert not harness.starts
+        harness.report(_RESTARTED, (RunningRow(_SUBTASK, 100_001, "", 5, 0),))
+        _wait(harness, 1.0, _OTHER)
+        assert not harness.starts
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -17,6 +17,7 @@
     WorkerEngaged,
     WorkerReleased,
 )
+from acaciawing.jobs.state import UnconfirmedWorker
 from acaciawing.jobs.workers import (
     CONTACT_TIMEOUT_S,
     Phase,
@@ -59,7 +60,7 @@
             if incarnation in self._ended_incarnations:
                 continue
             if view is None:
-                self._add_view(worker)
+                self._add_view(worker, now)
             else:
                 view.registration = worker
                 view.present = True
@@ -73,7 +74,7 @@
                 )
                 self._replace_incarnation(incarnation, successor, now)
         for incarnation in [
-            *self._takeover.unconfirmed_until,
+            *self._takeover.unconfirmed,
             *self._silent_runs,
         ]:
             if newest_born_ms.get(incarnation.worker, 0) > incarnation.born_ms:
@@ -85,11 +86,10 @@
     def has_unconfirmed_runs(self) -> bool:
         """Whether workers that don't answer may still have runs."""
         return (
-            bool(self._takeover.unconfirmed_until)
+            bool(self._takeover.unconfirmed)
             or bool(self._silent_runs)
             or any(
-                view.contacted and view.runs and not view.reachable
-                for view in self.views.values()
+                view.runs and not view.reachable for view in self.views.values()
             )
         )
 
@@ -106,8 +106,11 @@
             requested_at: When the list was requested, in seconds.
             now: Current time in seconds.
         """
-        for incarnation in list(self._takeover.unconfirmed_until):
-            if incarnation.worker not in workers:
+        for incarnation, worker in list(self._takeover.unconfirmed.items()):
+            if (
+                worker.started_before < requested_at
+                and incarnation.worker not in workers
+            ):
                 self._end_incarnation(incarnation, WorkerEnd.NO_MACHINE, now)
         for incarnation, lost in list(self._silent_runs.items()):
             if lost.since > requested_at:
@@ -118,19 +121,30 @@
                 # Its machine is up, so it could only not be reached.
                 del self._silent_runs[incarnation]
         for view in list(self.views.values()):
-            silent = view.contacted and not view.reachable
-            contact_is_older = view.last_contact_at < requested_at
             if (
-                silent
-                and contact_is_older
+                self._was_silent(view, requested_at)
                 and view.incarnation.worker not in workers
             ):
                 self._end_incarnation(
                     view.incarnation, WorkerEnd.NO_MACHINE, now
                 )
 
-    def _add_view(self, worker: Worker) -> WorkerView:
-        view = WorkerView(worker)
+    def _was_silent(self, view: WorkerView, requested_at: float) -> bool:
+        """Whether a list of machines may tell that a silent worker has ended.
+
+        A worker that was never reached matters only if it may have runs of its
+        predecessor. It may be listed some time after its start.
+
+        Args:
+            view: The worker.
+            requested_at: When the list was requested, in seconds.
+        """
+        if view.contacted:
+            return not view.reachable and view.last_contact_at < requested_at
+        return bool(view.runs) and _is_listed_by(view) < requested_at
+
+    def _add_view(self, worker: Worker, now: float) -> WorkerView:
+        view = WorkerView(worker, now)
         view.capacity_valid_until = self._capacity_valid_until(worker.service)
         view.engaged = self.recovered and (
             worker.incarnation in self.table.engaged
@@ -159,19 +173,15 @@
         Orders name the worker by its id, so a start that the old incarnation
         has not reported may have reached the new one.
         """
-        until = self._takeover.unconfirmed_until.pop(incarnation, None)
+        unconfirmed = self._takeover.unconfirmed.pop(incarnation, None)
+        old, new = self.views.get(incarnation), self.views.get(successor)
         # Such a start may be an earlier holder's, so the successor must answer
         # as well before its runs are known.
-        if (
-            until is not None
-            and successor not in self.views
-            or until is not None
-            and not self.views[successor].contacted
-        ):
-            self._takeover.unconfirmed_until[successor] = (
-                until + self._leases.excess_s
+        if unconfirmed is not None and (new is None or not new.contacted):
+            self._takeover.unconfirmed[successor] = UnconfirmedWorker(
+                unconfirmed.until + self._leases.excess_s,
+                now if new is None else _is_listed_by(new),
             )
-        old, new = self.views.get(incarnation), self.views.get(successor)
         if new is not None:
             new.lease_until = max(new.lease_until, now + self._leases.longest_s)
         if old is not None and new is not None:
@@ -218,7 +228,7 @@
         self, incarnation: Incarnation, reason: WorkerEnd, now: float
     ) -> None:
         """Removes an incarnation that has ended or whose leases have lapsed."""
-        self._takeover.unconfirmed_until.pop(incarnation, None)
+        self._takeover.unconfirmed.pop(incarnation, None)
         view = self.views.pop(incarnation, None)
         if view is not None:
             self._log_lost_runs(view, now)
@@ -256,12 +266,12 @@
             now - view.last_contact_at > CONTACT_TIMEOUT_S
             and self._confirmed_at >= view.lease_until
         )
-        if lapsed and view.runs and view.contacted:
+        if lapsed and view.runs:
             self._log(
                 "LEASES_LAPSED",
                 worker=view.incarnation.worker,
                 runs=len(view.runs),
-                age_s=round(now - view.last_contact_at, 3),
+                age_s=round(now - view.silent_since, 3),
             )
             self._keep_silent_runs(view, now)
             for run in list(view.runs.values()):
@@ -271,7 +281,7 @@
                     self._stop_run(view, run, StopReason.LEASE_LAPSED, now)
                 # The worker may have crashed, which is not known yet.
                 self._remove_run(view, run.subtask, now, settled=False)
-        unconfirmed = view.incarnation in self._takeover.unconfirmed_until
+        unconfirmed = view.incarnation in self._takeover.unconfirmed
         if not view.present and lapsed and not view.runs and not unconfirmed:
             self._remove_worker(view.incarnation, WorkerEnd.LAPSED, now)
             return
@@ -311,3 +321,12 @@
         return run.phase is Phase.CLOSING or not self._within_disruption_budget(
             run, now
         )
+
+
+def _is_listed_by(view: WorkerView) -> float:
+    """Returns when the list of machines certainly has a running worker.
+
+    Returns:
+        The time in seconds, for a worker that was never reached.
+    """
+    return view.known_since + CONTACT_TIMEOUT_S
--- a/acaciawing/jobs/workers.py
+++ b/acaciawing/jobs/workers.py
@@ -138,6 +138,7 @@
         registration: Newest entry in the platform's list.
         incarnation: Its incarnation.
         present: Whether the platform lists it.
+        known_since: When this holder learned of it, in seconds.
         contacted: Whether it has answered under this holder's fence.
         reachable: Whether it has answered the last lease renewal.
         engaged: Whether its `WorkerEngaged` record is durable.
@@ -175,6 +176,7 @@
         "failure_times",
         "incarnation",
         "isolated_for",
+        "known_since",
         "last_contact_at",
         "lasting",
         "lease_until",
@@ -192,9 +194,10 @@
         "used",
     )
 
-    def __init__(self, worker: Worker) -> None:
+    def __init__(self, worker: Worker, now: float) -> None:
         """Creates the view of a worker that was not contacted yet."""
         self.registration = worker
+        self.known_since = now
         self.incarnation: Incarnation = worker.incarnation
         self.present = True
         self.contacted = False
@@ -249,6 +252,11 @@
                 del self.runs_per_step[key]
         return run
 
+    @property
+    def silent_since(self) -> float:
+        """When it answered last, or became known if it never did."""
+        return self.last_contact_at if self.contacted else self.known_since
+
     def reports(self, run: Run) -> bool:
         """Whether the worker's last report has a run."""
         return run.reported_at == self.last_contact_at
