Log the requests to the advice service and their answers

AW3314 names the workers that are asked about, AW3315 those with a ticket and those that are taken as refused.

--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -181,7 +181,15 @@
 
     def receive_advice(self, advice: AdviceResponse) -> None:
         """Stores the tickets that the advice service returned for a step."""
-        self._tickets.store_answer(advice.step, advice.tickets, advice.until)
+        refused = self._tickets.store_answer(
+            advice.step, advice.tickets, advice.until
+        )
+        self._log(
+            "TICKETS_RECEIVED",
+            step=".".join(str(part) for part in advice.step),
+            granted=sorted(advice.tickets),
+            refused=sorted(refused),
+        )
 
     def _workers_with_ticket(
         self, subtask: SubtaskId, views: list[WorkerView], now: float
@@ -192,6 +200,11 @@
         requested = self._tickets.next_request(step, workers, now)
         if requested:
             self._actions.append(AdviceRequest(step, requested))
+            self._log(
+                "TICKETS_REQUESTED",
+                step=".".join(str(part) for part in step),
+                workers=requested,
+            )
         return [
             v
             for v in views
--- a/acaciawing/jobs/tickets.py
+++ b/acaciawing/jobs/tickets.py
@@ -63,19 +63,24 @@
 
     def store_answer(
         self, step: StepKey, granted: dict[str, str], until: float
-    ) -> None:
+    ) -> frozenset[str]:
         """Stores the answer to a request; workers without a ticket are refused.
 
         Args:
             step: The step.
             granted: Tickets by worker.
             until: When they expire, in seconds.
+
+        Returns:
+            The workers that are refused.
         """
         requested, _ = self._requested.pop(step, (frozenset(), 0.0))
         tickets = self._tickets.setdefault(step, {})
         for worker, text in granted.items():
             tickets[worker] = Ticket(text, until)
-        self._refused.setdefault(step, set()).update(requested - granted.keys())
+        refused = requested - granted.keys()
+        self._refused.setdefault(step, set()).update(refused)
+        return refused
 
     def drop(self, step: StepKey, worker: str) -> None:
         """Removes a ticket that a worker has rejected."""
--- a/acaciawing/telemetry/events.py
+++ b/acaciawing/telemetry/events.py
@@ -57,6 +57,8 @@
     SUBTASK_GIVEN_UP = ("AW3311", "subtask given up")
     STOP_WITHDRAWN = ("AW3312", "stop withdrawn")
     RUN_IN_DOUBT = ("AW3313", "run may be on the next incarnation")
+    TICKETS_REQUESTED = ("AW3314", "tickets requested")
+    TICKETS_RECEIVED = ("AW3315", "tickets received")
     POOL_SIZED = ("AW3503", "pool sized")
     MACHINE_ORDERED = ("AW3501", "machine ordered")
     WAVE_STATE = ("AW3502", "wave state written")
