Match answers of the advice service with their requests

Cause: the ticket book kept one request a step and took any answer for one to the newest. A worker that came back between two requests was taken as refused by the answer to the first, and never asked about again. Its ticket came with the second answer, so the step stopped only when that had expired.

Change: requests have numbers; an answer or failure carries its request, ends only that one and refuses only its workers. Each worker is asked about at most once at a time, so a slow service gets no repeated requests; the task that calls it reports every failure, which was seen only by its age before.

Related path: tickets and refusals are kept for an incarnation of a worker, as a ticket holds only during one life of it.

--- a/acaciawing/jobs/__init__.py
+++ b/acaciawing/jobs/__init__.py
@@ -3,6 +3,7 @@
 from acaciawing.jobs.actions import (
     Acknowledge,
     Action,
+    AdviceFailure,
     AdviceRequest,
     AdviceResponse,
     ConnectWorker,
@@ -61,6 +62,7 @@
 __all__ = [
     "Acknowledge",
     "Action",
+    "AdviceFailure",
     "AdviceRequest",
     "AdviceResponse",
     "CancelRequested",
--- a/acaciawing/jobs/actions.py
+++ b/acaciawing/jobs/actions.py
@@ -72,26 +72,36 @@
 
 
 class AdviceRequest(msgspec.Struct, frozen=True):
-    """Request tickets for a step on some workers from the advice service."""
+    """Request tickets for a step on some workers from the advice service.
 
+    `number` counts this holder's requests from 1.
+    """
+
+    number: int
     step: tuple[str, int, int]
-    workers: tuple[str, ...]
+    workers: tuple[Incarnation, ...]
 
 
 class AdviceResponse(msgspec.Struct, frozen=True):
     """The advice service's answer to an `AdviceRequest`.
 
     Attributes:
-        step: Job, occurrence and step.
-        tickets: Tickets by worker.
+        request: The request.
+        tickets: Tickets by worker id.
         until: When the tickets expire, in seconds.
     """
 
-    step: tuple[str, int, int]
+    request: AdviceRequest
     tickets: dict[str, str]
     until: float
 
 
+class AdviceFailure(msgspec.Struct, frozen=True):
+    """The advice service has sent no usable answer to a request."""
+
+    request: AdviceRequest
+
+
 Action: TypeAlias = (
     AdviceRequest
     | StartRun
--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -1,9 +1,10 @@
 """Placement of waiting subtasks on workers."""
 
 from collections.abc import Set
+from functools import singledispatchmethod
 
 from acaciawing.jobs.actions import (
-    AdviceRequest,
+    AdviceFailure,
     AdviceResponse,
     StartRun,
 )
@@ -179,36 +180,45 @@
             and not view.runs
         ]
 
-    def receive_advice(self, advice: AdviceResponse) -> None:
-        """Stores the tickets that the advice service returned for a step."""
-        refused = self._tickets.store_answer(
-            advice.step, advice.tickets, advice.until
-        )
+    @singledispatchmethod
+    def receive_advice(self, advice: AdviceResponse | AdviceFailure) -> None:
+        """Handles the end of a request to the advice service."""
+        raise TypeError(f"unknown advice {advice!r}")
+
+    @receive_advice.register
+    def _(self, advice: AdviceResponse) -> None:
+        refused = self._tickets.store_answer(advice)
         self._log(
             "TICKETS_RECEIVED",
-            step=".".join(str(part) for part in advice.step),
+            step=_format_step(advice.request.step),
+            request=advice.request.number,
             granted=sorted(advice.tickets),
-            refused=sorted(refused),
+            refused=sorted(w.worker for w in refused),
         )
 
+    @receive_advice.register
+    def _(self, advice: AdviceFailure) -> None:
+        self._tickets.store_failure(advice)
+
     def _workers_with_ticket(
         self, subtask: SubtaskId, views: list[WorkerView], now: float
     ) -> list[WorkerView]:
         """Returns workers with a ticket; requests tickets for the others."""
         step = subtask[:3]
-        workers = [v.incarnation.worker for v in views]
-        requested = self._tickets.next_request(step, workers, now)
-        if requested:
-            self._actions.append(AdviceRequest(step, requested))
+        workers = [v.incarnation for v in views]
+        request = self._tickets.next_request(step, workers, now)
+        if request is not None:
+            self._actions.append(request)
             self._log(
                 "TICKETS_REQUESTED",
-                step=".".join(str(part) for part in step),
-                workers=requested,
+                step=_format_step(step),
+                request=request.number,
+                workers=[w.worker for w in request.workers],
             )
         return [
             v
             for v in views
-            if self._tickets.ticket(step, v.incarnation.worker, now) is not None
+            if self._tickets.ticket(step, v.incarnation, now) is not None
         ]
 
     def _placement_rank(
@@ -330,8 +340,7 @@
                 run.number,
                 self.table.jobs[subtask.job].job.payload,
                 checkpoint,
-                self._tickets.ticket(subtask[:3], view.incarnation.worker, now)
-                or "",
+                self._tickets.ticket(subtask[:3], view.incarnation, now) or "",
                 view.capacity_valid_until,
             )
         )
@@ -344,6 +353,10 @@
         return max(checkpoints)
 
 
+def _format_step(step: StepKey) -> str:
+    return ".".join(str(part) for part in step)
+
+
 def _max_free_cpu(views: list[WorkerView]) -> int:
     """Returns the largest free cpu of a worker, in thousandths of a core."""
     return max(view.registration.capacity.cpu - view.used.cpu for view in views)
--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -77,7 +77,7 @@
         elif outcome is StartOutcome.REFUSED:
             view.suspended_until = now + REFUSAL_SUSPENSION_S
         elif outcome is StartOutcome.NO_TICKET:
-            self._tickets.drop(run.subtask[:3], view.incarnation.worker)
+            self._tickets.drop(run.subtask[:3], view.incarnation)
         self._log(
             "START_REFUSED",
             subtask=str(run.subtask),
--- a/acaciawing/jobs/tickets.py
+++ b/acaciawing/jobs/tickets.py
@@ -3,6 +3,13 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from acaciawing.jobs.actions import (
+    AdviceFailure,
+    AdviceRequest,
+    AdviceResponse,
+)
+from acaciawing.jobs.model import Incarnation
+
 # Maximum number of workers in one request.
 MAX_WORKERS_PER_REQUEST = 100
 
@@ -10,8 +17,9 @@
 # milliseconds, and is queued behind earlier ones.
 EXPIRY_MARGIN_S = 0.3
 
-# An unanswered request is repeated after this time.
-REQUEST_RETRY_S = 2.0
+# While a request for a step is unanswered, other workers are asked about only
+# this long after it: the service takes most of its time for the call itself.
+REQUEST_INTERVAL_S = 2.0
 
 StepKey = tuple[str, int, int]
 
@@ -28,16 +36,29 @@
     until: float
 
 
+class _Pending(NamedTuple):
+    request: AdviceRequest
+    requested_at: float
+
+
 class TicketBook:
-    """Tickets by step and worker, and the pending requests for them."""
+    """Tickets by step and worker, and the pending requests for them.
+
+    A ticket is for one incarnation of a worker. Each is asked about at most once
+    at a time.
+    """
 
     def __init__(self) -> None:
         """Creates a book without tickets."""
-        self._tickets: dict[StepKey, dict[str, Ticket]] = {}
-        self._refused: dict[StepKey, set[str]] = {}
-        self._requested: dict[StepKey, tuple[frozenset[str], float]] = {}
-
-    def ticket(self, step: StepKey, worker: str, now: float) -> str | None:
+        self._tickets: dict[StepKey, dict[Incarnation, Ticket]] = {}
+        self._refused: dict[StepKey, set[Incarnation]] = {}
+        # Unanswered requests by number, newest last.
+        self._pending: dict[StepKey, dict[int, _Pending]] = {}
+        self._last_number = 0
+
+    def ticket(
+        self, step: StepKey, worker: Incarnation, now: float
+    ) -> str | None:
         """Returns a ticket that is valid for long enough, or None."""
         found = self._tickets.get(step, {}).get(worker)
         if found is None or found.until - EXPIRY_MARGIN_S < now:
@@ -45,49 +66,64 @@
         return found.text
 
     def next_request(
-        self, step: StepKey, workers: Iterable[str], now: float
-    ) -> tuple[str, ...]:
-        """Returns workers to request tickets for; none during a request."""
-        requested, retry_at = self._requested.get(step, (frozenset(), 0.0))
-        if requested and now < retry_at:
-            return ()
-        refused = self._refused.get(step, set())
+        self, step: StepKey, workers: Iterable[Incarnation], now: float
+    ) -> AdviceRequest | None:
+        """Returns a request for missing tickets; None if there is none now."""
+        pending = list(self._pending.get(step, {}).values())
+        if pending and now - pending[-1].requested_at < REQUEST_INTERVAL_S:
+            return None
+        settled = self._refused.get(step, set()).union(
+            *(p.request.workers for p in pending)
+        )
         unknown = [
             w
             for w in sorted(workers)
-            if w not in refused and self.ticket(step, w, now) is None
+            if w not in settled and self.ticket(step, w, now) is None
         ][:MAX_WORKERS_PER_REQUEST]
-        if unknown:
-            self._requested[step] = (frozenset(unknown), now + REQUEST_RETRY_S)
-        return tuple(unknown)
-
-    def store_answer(
-        self, step: StepKey, granted: dict[str, str], until: float
-    ) -> frozenset[str]:
-        """Stores the answer to a request; workers without a ticket are refused.
+        if not unknown:
+            return None
+        self._last_number += 1
+        request = AdviceRequest(self._last_number, step, tuple(unknown))
+        self._pending.setdefault(step, {})[request.number] = _Pending(
+            request, now
+        )
+        return request
 
-        Args:
-            step: The step.
-            granted: Tickets by worker.
-            until: When they expire, in seconds.
+    def store_answer(self, answer: AdviceResponse) -> frozenset[Incarnation]:
+        """Stores an answer; the workers of its request without a ticket are refused.
 
         Returns:
             The workers that are refused.
         """
-        requested, _ = self._requested.pop(step, (frozenset(), 0.0))
-        tickets = self._tickets.setdefault(step, {})
-        for worker, text in granted.items():
-            tickets[worker] = Ticket(text, until)
-        refused = requested - granted.keys()
-        self._refused.setdefault(step, set()).update(refused)
-        return refused
-
-    def drop(self, step: StepKey, worker: str) -> None:
+        request = answer.request
+        if not self._end_request(request):
+            return frozenset()
+        tickets = self._tickets.setdefault(request.step, {})
+        refused = set()
+        for worker in request.workers:
+            text = answer.tickets.get(worker.worker)
+            if text is None:
+                refused.add(worker)
+            else:
+                tickets[worker] = Ticket(text, answer.until)
+        self._refused.setdefault(request.step, set()).update(refused)
+        return frozenset(refused)
+
+    def store_failure(self, failure: AdviceFailure) -> None:
+        """Allows the workers of a failed request to be asked about again."""
+        self._end_request(failure.request)
+
+    def _end_request(self, request: AdviceRequest) -> bool:
+        """Ends a request; returns whether it was pending."""
+        pending = self._pending.get(request.step, {})
+        return pending.pop(request.number, None) is not None
+
+    def drop(self, step: StepKey, worker: Incarnation) -> None:
         """Removes a ticket that a worker has rejected."""
         self._tickets.get(step, {}).pop(worker, None)
 
     def forget(self, job: str) -> None:
         """Removes everything about a job."""
-        for by_step in (self._tickets, self._refused, self._requested):
+        for by_step in (self._tickets, self._refused, self._pending):
             for step in [s for s in by_step if s[0] == job]:
                 del by_step[step]
--- a/acaciawing/jobserver/advice_task.py
+++ b/acaciawing/jobserver/advice_task.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from queue import SimpleQueue
 
-from acaciawing.jobs import AdviceRequest, AdviceResponse
+from acaciawing.jobs import AdviceFailure, AdviceRequest, AdviceResponse
 from acaciawing.jobserver.clock import steady_s
 from acaciawing.jobserver.limits import RETRY_PAUSE_S
 from acaciawing.jobserver.messages import AdviceReceived, CellKey
@@ -43,15 +43,24 @@
     def _run(self) -> None:
         while True:
             key, request = self._requests.get()
-            requested_at = steady_s()
-            result = self._client.request_tickets(request.step, request.workers)
-            if isinstance(result, Advice):
-                advice = AdviceResponse(
-                    request.step, result.tickets, requested_at + result.valid_s
-                )
+            # The cell asks again only after an answer or a failure.
+            advice: AdviceResponse | AdviceFailure = AdviceFailure(request)
+            try:
+                advice = self._request(request)
+            finally:
                 self._send(AdviceReceived(key, advice))
-                continue
-            log_event(
-                Event.FINDING, {"place": "advice", "fault": result.detail}
+            if isinstance(advice, AdviceFailure):
+                self._pause.wait(RETRY_PAUSE_S)
+
+    def _request(
+        self, request: AdviceRequest
+    ) -> AdviceResponse | AdviceFailure:
+        requested_at = steady_s()
+        workers = tuple(w.worker for w in request.workers)
+        result = self._client.request_tickets(request.step, workers)
+        if isinstance(result, Advice):
+            return AdviceResponse(
+                request, result.tickets, requested_at + result.valid_s
             )
-            self._pause.wait(RETRY_PAUSE_S)
+        log_event(Event.FINDING, {"place": "advice", "fault": result.detail})
+        return AdviceFailure(request)
--- a/acaciawing/jobserver/messages.py
+++ b/acaciawing/jobserver/messages.py
@@ -5,6 +5,7 @@
 from typing import TypeAlias
 
 from acaciawing.jobs import (
+    AdviceFailure,
     AdviceResponse,
     Configuration,
     Record,
@@ -61,10 +62,10 @@
 
 @dataclass(frozen=True)
 class AdviceReceived:
-    """The advice service has returned tickets for a step."""
+    """The advice service has answered a request, or failed to."""
 
     key: CellKey
-    advice: AdviceResponse
+    advice: AdviceResponse | AdviceFailure
 
 
 @dataclass(frozen=True)
