Place no run by the registration of a worker's last incarnation

A cell that learns of a worker's next incarnation from an answer used the registration of the last one for it, until the new one was read: service, labels and capacity. A worker may start again as one of another kind, so a run could be started on a worker without the label that it needs (ROUTE), or over its capacity where workers don't guard it (LIMIT).

Change: such an incarnation gets no new run before it is listed.

The new test fails without the change: a run of 32 cores is started on a worker that has 8.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -185,7 +185,8 @@
             registration = msgspec.structs.replace(
                 view.registration, incarnation=successor
             )
-            self._add_view(registration, now).present = view.present
+            # It may be of another kind; it gets new runs once it is listed.
+            self._add_view(registration, now).present = False
         self._replace_incarnation(message.worker, successor, now)
 
     @receive.register
--- a/acaciawing/jobs/tests/test_next_incarnation.py
+++ b/acaciawing/jobs/tests/test_next_incarnation.py
@@ -1,8 +1,11 @@
 """Tests of runs that may be on the next incarnation of a worker."""
 
 from acaciawing.jobs import (
+    IncarnationEnded,
     JobSubmitted,
+    Resources,
     RunningRow,
+    Step,
     SubtaskId,
     Worker,
     WorkerEngaged,
@@ -129,3 +132,33 @@
         harness.report(_RESTARTED, (RunningRow(_SUBTASK, 100_001, "", 5, 0),))
         _wait(harness, 1.0, _OTHER)
         assert not harness.starts
+
+
+class TestUnregisteredSuccessor:
+    """Guards against runs placed by the registration of the last incarnation.
+
+    A worker may start again as one of another kind, with other labels and less
+    capacity. It answers before its new registration is read.
+    """
+
+    def test_it_gets_no_run_before_it_is_registered(self) -> None:
+        harness = CellHarness()
+        harness.recover()
+        harness.update_workers(_CRASHED)
+        harness.report(_CRASHED)
+        harness.settle()
+        harness.cell.receive(
+            IncarnationEnded(_CRASHED.incarnation, _RESTARTED.incarnation),
+            harness.now,
+        )
+        harness.report(_RESTARTED)
+        harness.settle()
+        large = Step(1, Resources(32_000))
+        harness.submit(make_job("j", large))
+        harness.settle()
+        assert not harness.starts
+        harness.update_workers(make_worker("w", born_ms=5_000, cores=8))
+        harness.report(_RESTARTED)
+        harness.submit(make_job("k"))
+        harness.settle()
+        assert [s.subtask.job for s in harness.starts] == ["k"]
