Keep a successor in doubt when its predecessor ended before recovery

A new holder calls the workers while it still reads the records. When it learned in that time that an engaged worker had restarted, the end of the old incarnation ended the doubt about it, and nothing asked whether an earlier holder's order had reached the next one. After recovery, the doubt was passed on.

Change: the same is done with an end that was seen before recovery.

The new test fails without the change: a subtask that may be on a silent successor is started on another worker at once.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -79,7 +79,7 @@
         )
         self._takeover = Takeover(unconfirmed, frozenset(self.table.jobs))
         for incarnation in self._ended_incarnations & unconfirmed.keys():
-            self._end_incarnation(incarnation, WorkerEnd.REPLACED, now)
+            self._end_engaged_incarnation(incarnation, now)
         for incarnation, record in self.table.engaged.items():
             if incarnation not in self.views:
                 unregistered = _unregistered_worker(incarnation, record.address)
--- a/acaciawing/jobs/tests/test_next_incarnation.py
+++ b/acaciawing/jobs/tests/test_next_incarnation.py
@@ -78,6 +78,26 @@
         _wait(harness, 1.0, _OTHER)
         assert [s.worker.worker for s in harness.starts] == ["x"]
 
+    def test_an_end_seen_before_recovery_leaves_the_successor_in_doubt(
+        self,
+    ) -> None:
+        # The records that name the ended incarnation are read after its end.
+        harness = CellHarness(fence=2)
+        harness.update_workers(_CRASHED, _OTHER)
+        harness.cell.receive(
+            IncarnationEnded(_CRASHED.incarnation, _RESTARTED.incarnation),
+            harness.now,
+        )
+        harness.recover(
+            JobSubmitted(make_job("j"), 0),
+            WorkerEngaged("w", 1, "192.0.2.1:80"),
+        )
+        _wait(harness, 1.0, _OTHER)
+        assert not harness.starts
+        harness.report(_RESTARTED)
+        _wait(harness, 1.0, _OTHER)
+        assert len(harness.starts) == 1
+
 
 class TestSilentSuccessor:
     """Guards against a run that stays on an incarnation that never answers.
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -196,6 +196,24 @@
             self._save_unconfirmed_crashes(unreported, successor)
         self._end_incarnation(incarnation, WorkerEnd.RESTARTED, now)
 
+    def _end_engaged_incarnation(
+        self, incarnation: Incarnation, now: float
+    ) -> None:
+        """Handles the end of an incarnation that was known before recovery.
+
+        Orders of an earlier holder may have reached its successor.
+        """
+        successors = [
+            other
+            for other in self.views
+            if other.worker == incarnation.worker
+            and other.born_ms > incarnation.born_ms
+        ]
+        if successors:
+            self._replace_incarnation(incarnation, max(successors), now)
+        else:
+            self._end_incarnation(incarnation, WorkerEnd.REPLACED, now)
+
     def _transfer_run(
         self, run: Run, old: WorkerView, new: WorkerView, now: float
     ) -> None:
