Evacuate the next incarnation of a worker that is being evacuated

The evacuation of a worker was marked on the incarnation known at the request.

Change: the cell keeps the last request and applies it to each worker that it learns of.

The new test fails without the change: a run is started on the machine.

--- a/acaciawing/jobs/evacuation.py
+++ b/acaciawing/jobs/evacuation.py
@@ -29,13 +29,10 @@
         stopped after a timeout. A long-running run is moved when the
         disruption budget of its step allows it and another worker has room.
         """
+        self._evacuation = evacuation
         for view in self.views.values():
-            requested = view.incarnation.worker in evacuation.workers
-            if requested and not view.evacuating:
-                view.evacuating_since = now
-            view.evacuating = requested
-            view.maintenance_pending = view.incarnation.worker in evacuation.due
-            if requested:
+            self._mark_evacuation(view, now)
+            if view.evacuating:
                 hurried = view.incarnation.worker in evacuation.hurried
                 self._evacuate_worker(view, hurried, now)
 
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -16,6 +16,7 @@
     Suspicion,
     assess_suspicion,
 )
+from acaciawing.jobs.fleet import Evacuation
 from acaciawing.jobs.lease_bounds import LeaseBounds
 from acaciawing.jobs.limits import CAPACITY_VALIDITY_S
 from acaciawing.jobs.model import (
@@ -114,6 +115,8 @@
             tuple[SubtaskId, int], tuple[Incarnation, LostRun]
         ] = {}
         self._crash_seen_at = float("-inf")
+        # What the fleet's holder has requested last.
+        self._evacuation = Evacuation()
         self._tickets = TicketBook()
         # The worker on which each subtask last failed or stalled.
         self._avoided_workers: dict[SubtaskId, str] = {}
--- a/acaciawing/jobs/tests/test_next_incarnation.py
+++ b/acaciawing/jobs/tests/test_next_incarnation.py
@@ -10,6 +10,7 @@
     Worker,
     WorkerEngaged,
 )
+from acaciawing.jobs.fleet import Evacuation
 from acaciawing.jobs.tests.builders import (
     LEASE_S,
     LONGEST_LEASE_S,
@@ -182,3 +183,28 @@
         harness.submit(make_job("k"))
         harness.settle()
         assert [s.subtask.job for s in harness.starts] == ["k"]
+
+
+class TestEvacuatedSuccessor:
+    """Guards against a run placed on a machine just before it is taken down.
+
+    The evacuation of a worker held only for the incarnation that was known when
+    it was requested, and the next one was free for new runs until the next
+    request.
+    """
+
+    def test_it_gets_no_run_while_its_worker_is_evacuated(self) -> None:
+        harness = CellHarness()
+        harness.recover()
+        harness.update_workers(_CRASHED)
+        harness.report(_CRASHED)
+        harness.cell.evacuate(Evacuation(frozenset({"w"})), harness.now)
+        harness.settle()
+        harness.update_workers(_RESTARTED)
+        harness.report(_RESTARTED)
+        harness.submit(make_job("j"))
+        harness.settle()
+        assert not harness.starts
+        harness.cell.evacuate(Evacuation(), harness.now)
+        harness.settle()
+        assert [s.worker for s in harness.starts] == [_RESTARTED.incarnation]
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -149,10 +149,21 @@
         view.engaged = self.recovered and (
             worker.incarnation in self.table.engaged
         )
+        # An order for its machine may follow before the next request.
+        self._mark_evacuation(view, now)
         self.views[worker.incarnation] = view
         self._actions.append(ConnectWorker(worker.incarnation, worker.address))
         return view
 
+    def _mark_evacuation(self, view: WorkerView, now: float) -> None:
+        """Marks whether a worker is to be evacuated, by the last request."""
+        worker = view.incarnation.worker
+        requested = worker in self._evacuation.workers
+        if requested and not view.evacuating:
+            view.evacuating_since = now
+        view.evacuating = requested
+        view.maintenance_pending = worker in self._evacuation.due
+
     def _engage_worker(self, view: WorkerView) -> None:
         if view.incarnation in self._pending_engagements.values():
             return
