Name a successor in doubt to the next holder

A holder that has just taken over waits for an engaged worker, and for its successor when it has restarted. It recorded the old incarnation as released, and the new one as engaged only after that had answered.

Change: the successor is recorded as engaged when the doubt passes to it.

The new test fails without the change: the third holder starts the subtask at once.

--- a/acaciawing/jobs/tests/test_next_incarnation.py
+++ b/acaciawing/jobs/tests/test_next_incarnation.py
@@ -99,6 +99,20 @@
         _wait(harness, 1.0, _OTHER)
         assert len(harness.starts) == 1
 
+    def test_the_doubt_outlives_a_second_takeover(self) -> None:
+        submitted = JobSubmitted(make_job("j"), 0)
+        second = CellHarness(fence=2)
+        second.recover(submitted, WorkerEngaged("w", 1, "192.0.2.1:80"))
+        second.update_workers(_RESTARTED, _OTHER)
+        second.settle()
+        third = CellHarness(fence=3)
+        third.update_workers(_RESTARTED, _OTHER)
+        third.recover(
+            submitted, WorkerEngaged("w", 1, "192.0.2.1:80"), *second.log
+        )
+        _wait(third, 1.0, _OTHER)
+        assert not third.starts
+
 
 class TestSilentSuccessor:
     """Guards against a run that stays on an incarnation that never answers.
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -193,6 +193,9 @@
                 unconfirmed.until + self._leases.excess_s,
                 now if new is None else _is_listed_by(new),
             )
+            if new is not None:
+                # A next holder has to ask the successor as well.
+                self._engage_worker(new)
         if new is not None:
             new.lease_until = max(new.lease_until, now + self._leases.longest_s)
         if old is not None and new is not None:
