--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -10,6 +10,9 @@
 
 _POLL_INTERVAL_S = 0.01
 
+# Longest lease that is granted, in ms; the platform's bound `HoldMaxMs`.
+MAX_LEASE_MS = 10_000
+
 # Payload of a job whose first subtask crashes each worker that starts it.
 DEADLY_PAYLOAD = "deadly"
 
@@ -99,7 +102,9 @@
         self._fence = 0
         self._last_end_number = 0
         self._before_lapse = 0
-        self._lease_until_ms = 0.0
+        # The clock of an incarnation starts at 0, and so does its lease.
+        self._started_at = time.monotonic()
+        self._lease_until_ms = 0
         self.born = time.time_ns() // 1_000_000
         self.down = False
         self.starts: list[tuple[str, int]] = []
@@ -156,7 +161,8 @@
             self._last_ended_runs.clear()
             self._reported_ends.clear()
             self._fence = self._last_end_number = self._before_lapse = 0
-            self._lease_until_ms = 0.0
+            self._started_at = time.monotonic()
+            self._lease_until_ms = 0
             self.born = max(self.born + 1, time.time_ns() // 1_000_000)
 
     def _record_run(
@@ -174,7 +180,7 @@
         )
 
     def _now_ms(self) -> int:
-        return time.monotonic_ns() // 1_000_000
+        return int((time.monotonic() - self._started_at) * 1000)
 
     def _respond(self, status: int, **values: Any) -> Response:
         return json_response(
@@ -183,15 +189,22 @@
 
     def _extend_lease(self, request: dict[str, Any]) -> None:
         if "DeadlineMs" in request:
-            deadline_ms = min(request["DeadlineMs"], self._now_ms() + 10_000)
+            deadline_ms = min(
+                request["DeadlineMs"], self._now_ms() + MAX_LEASE_MS
+            )
             self._lease_until_ms = max(self._lease_until_ms, deadline_ms)
 
+    @property
+    def _lease_until(self) -> float:
+        """Monotonic time at which the lease lapses, in seconds."""
+        return self._started_at + self._lease_until_ms / 1000
+
     def _end(self, name: str, end_reason: str) -> None:
         run = self._running.pop(name)
         self._last_end_number += 1
         ended_at = min(time.monotonic(), run.ends_at)
         if end_reason == "lapsed":
-            ended_at = min(ended_at, self._lease_until_ms / 1000)
+            ended_at = min(ended_at, self._lease_until)
         self._record_run(name, run, ended_at, end_reason)
         self._reported_ends.append(
             [self._last_end_number, name, run.number, end_reason, ""]
@@ -200,8 +213,8 @@
 
     def _end_due_runs(self) -> None:
         now = time.monotonic()
-        lapsed = 1000 * now > self._lease_until_ms
-        until = self._lease_until_ms / 1000 if lapsed else now
+        lapsed = now > self._lease_until
+        until = self._lease_until if lapsed else now
         for name, run in list(self._running.items()):
             if run.ends_at <= until:
                 self._end(name, "done")
