Count a job as started only when a start is known to have had effect

Cause: a job counted as started when its first start was ordered, for good.

Change: a job counts as started when a worker has confirmed a start or lists the run as running or ended. The records of starts that are written after crashes say that a start was ordered, and no longer count either.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -201,6 +201,7 @@
             return
         if message.outcome is StartOutcome.STARTED:
             run.confirmed = True
+            self.table.jobs[order.subtask.job].started = True
             if run.phase is Phase.ORDERED:
                 run.enter(Phase.RUNNING, now, now)
         elif message.outcome in UNCONFIRMED_OUTCOMES:
--- a/acaciawing/jobs/progress.py
+++ b/acaciawing/jobs/progress.py
@@ -56,7 +56,7 @@
             on; see `urgency.critical_paths_ms`.
         cancelled: Whether its cancellation was requested.
         failed: Whether a subtask has used up its attempts.
-        started: Whether any subtask has been started.
+        started: Whether any subtask is known to have started.
         completed: Whether all subtasks are done.
         occurrences: Occurrences that are due or have progress.
         failed_runs: Numbers of the failed runs of each subtask.
@@ -311,7 +311,6 @@
             case RunStarted():
                 self.started.pop(subtask, None)  # Keeps the order of starts.
                 self.started[subtask] = record
-                progress.started = True
             case RunSettled():
                 self.forget_start(subtask, record.run)
             case SuspicionCleared():
--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -305,7 +305,6 @@
         self._waiting.discard(subtask)
         run = self._order_run(view, subtask, waiting_step.step, now)
         self._active[subtask] = view
-        self.table.jobs[subtask.job].started = True
         self._log(
             "RUN_PLACED",
             subtask=str(subtask),
--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -99,6 +99,7 @@
                 run.progressed_at = now
             run.percent, run.load_metric = row.percent, row.load_metric
             run.confirmed, run.reported_at = True, view.last_contact_at
+            self.table.jobs[row.subtask.job].started = True
             self._unconfirmed_crashes.pop((row.subtask, row.run), None)
             if run.phase in (Phase.ORDERED, Phase.UNCONFIRMED):
                 run.enter(Phase.RUNNING, now, now)
@@ -212,6 +213,7 @@
         if step is None:
             return
         progress = self.table.jobs[row.subtask.job]
+        progress.started = True
         if row.checkpoint:
             self._checkpoints[row.subtask] = row.checkpoint
         self._log(
