Review: show that one of two simultaneous copies is forgotten

Case 9, rule UNASKED; it takes the place of the queue that moves to another service. A run that is slow and on a silent worker is copied twice at once; the first copy is never stopped.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A queue is removed and added again for another service."""
+"""Two copies of one run are started at once, and one of them is forgotten."""
 
 import sys
 import time
@@ -7,46 +7,72 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "kit2"))
 
-from deployment import has_trouble, play, wait_for  # noqa: E402
+from deployment import PREFIX, has_trouble, play, wait_for  # noqa: E402
 
-JOBS = [f"5c0e7a21d94b36f{n}" for n in range(4)]
-RUN_S = 20.0
-STEP = {"Count": 2, "Cpu": 1000, "MemMb": 256, "EstimatedMs": 20000}
-# Longer than `ConfigApplyMs` and than `visible_ms`.
-PAUSE_S = 4.0
-ASKED_S = 12.0
+JOB = "5c0e7a21d94b36f8"
+STRAGGLER = f"{JOB}.0.0.1"
+STEP = {
+    "Count": 2,
+    "Cpu": 4000,
+    "MemMb": 256,
+    "EstimatedMs": 400,
+    "AntiAffinity": 1,
+    "Speculative": True,
+    "run_s": [0.4, 60.0],
+}
+# Fills the pool, so that the straggler is copied only when this job has ended.
+OTHER_JOB = "5c0e7a21d94b36f9"
+OTHER_STEP = {
+    "Count": 16,
+    "Cpu": 14000,
+    "MemMb": 256,
+    "EstimatedMs": 3000,
+    "run_s": 3.0,
+}
+CUT_AFTER_S, CUT_S = 1.5, 3.0
+CALM_S = 5.0
+CANCEL_S, STOP_GRACE_S = 3.0, 0.9
+# For the transit of the last order.
+SLACK_S = 0.5
 
 
 def case(deployment):
     """Plays the case; returns why the rule is broken."""
     client = deployment.instances()[0]
-    for job in JOBS:
-        if deployment.submit(client, job, {**STEP, "run_s": RUN_S}) != 200:
-            return ""
-    wait_for(
-        lambda: all(len(deployment.starts(j)) >= 2 for j in JOBS), 10, "no runs"
-    )
-    time.sleep(PAUSE_S)
-    deployment.configure("care-home-roster")
-    time.sleep(PAUSE_S)
+    if deployment.submit(client, JOB, STEP) != 200:
+        return ""
+    worker = wait_for(lambda: deployment.worker_of(STRAGGLER), 10, "no run")
+    if deployment.submit(client, OTHER_JOB, OTHER_STEP) != 200:
+        return ""
+    time.sleep(CUT_AFTER_S)
     if has_trouble():
-        deployment.configure("care-home-roster", next_visit="routing")
-    else:
-        deployment.configure("care-home-roster", "next-visit")
-    time.sleep(PAUSE_S)
-    gone = {}
-    until = time.monotonic() + ASKED_S
-    while time.monotonic() < until:
-        for number in deployment.instances():
-            for job in JOBS:
-                status, _ = deployment.state(number, job)
-                if status == 410:
-                    gone[job] = gone.get(job, 0) + 1
-        time.sleep(1.0)
-    if gone:
-        return f"accepted jobs are answered 410: {gone}"
+        deployment.workers[worker].cut(True)
+    time.sleep(CUT_S)
+    if has_trouble():
+        deployment.workers[worker].cut(False)
+    time.sleep(CALM_S)
+    deployment.note(f"straggler runs on {runs(deployment)}")
+    status, _ = deployment.call(client, "DELETE", PREFIX + JOB)
+    if status != 200:
+        return ""
+    time.sleep(CANCEL_S + STOP_GRACE_S + SLACK_S)
+    left = runs(deployment)
+    deployment.note(f"after the cancelling it runs on {left}")
+    if left:
+        time.sleep(10.0)
+        deployment.note(f"10 s later it runs on {runs(deployment)}")
+        return f"a cancelled subtask runs on: {left}"
     return ""
 
 
+def runs(deployment):
+    """Returns worker and run number of the straggler's runs."""
+    return [
+        (worker.name, worker.running[STRAGGLER].number)
+        for worker in deployment.workers
+        if STRAGGLER in worker.running
+    ]
+
+
 if __name__ == "__main__":
-    sys.exit(play(FOLDER, case, workers=8, both_services=True))
+    sys.exit(play(FOLDER, case))
--- a/review/kit2/deployment.py
+++ b/review/kit2/deployment.py
@@ -216,9 +216,16 @@
         self._temporary.cleanup()
 
     def find_step(self, name):
-        """Returns the step of a subtask by the subtask's name."""
-        job, _, step, _ = name.split(".")
-        return self.jobs[job][int(step)]
+        """Returns the step of a subtask by the subtask's name.
+
+        A list under ``run_s`` holds the work of each subtask.
+        """
+        job, _, number, index = name.split(".")
+        step = self.jobs[job][int(number)]
+        run_s = step.get("run_s")
+        if isinstance(run_s, list):
+            return {**step, "run_s": run_s[int(index)]}
+        return step
 
     def configure(self, *queues, **moved):
         """Writes the next version of the configuration.
--- a/review/kit2/worker.py
+++ b/review/kit2/worker.py
@@ -58,6 +58,8 @@
         self.running = {}
         self.noted = set()
         self.is_up = True
+        self._reachable = threading.Event()
+        self._reachable.set()
         self._begin()
 
     def _begin(self):
@@ -98,6 +100,14 @@
                 )
             self.running.clear()
 
+    def cut(self, is_cut):
+        """Cuts the worker off, or ends that; it runs on meanwhile."""
+        self._record(f"worker {self.name} is {'cut off' if is_cut else 'back'}")
+        if is_cut:
+            self._reachable.clear()
+        else:
+            self._reachable.set()
+
     def restart(self):
         """Begins the next life."""
         with self._lock:
@@ -118,7 +128,20 @@
         }
 
     def handle(self, method, path, query, body, headers):
-        """Answers one request."""
+        """Answers one request; none that a cut holds up, on either way."""
+        if not self._is_reachable():
+            return None
+        answer = self._handle(method, path, query, body, headers)
+        return answer if self._is_reachable() else None
+
+    def _is_reachable(self):
+        """Whether there is no cut; otherwise waits for its end first."""
+        if self._reachable.is_set():
+            return True
+        self._reachable.wait()
+        return False
+
+    def _handle(self, method, path, query, body, headers):
         if headers.get("Target-Instance") != self.name:
             return 421, {}
         with self._lock:
