--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""More than 500 ends wait at a worker while the store is down."""
+"""A copy that was forgotten is started after its subtask's end was noted."""
 
 import sys
 import time
@@ -10,64 +10,89 @@
 from deployment import has_trouble, play, wait_for  # noqa: E402
 
 JOB = "5c0e7a21d94b36f8"
-COUNT = 1500
-# The work of the subtasks is spread evenly, in no order of their numbers.
-SHORTEST_S, SPREAD_S, STRIDE = 5.0, 4.0, 701
+SECOND = f"{JOB}.0.0.1"
 STEP = {
-    "Count": COUNT,
-    "Cpu": 40,
-    "MemMb": 16,
-    "EstimatedMs": 7000,
-    "run_s": [
-        SHORTEST_S + SPREAD_S * (STRIDE * n % COUNT) / COUNT
-        for n in range(COUNT)
-    ],
+    "Count": 2,
+    "Cpu": 1000,
+    "MemMb": 256,
+    "EstimatedMs": 1000,
+    "AntiAffinity": 1,
+    "Speculative": True,
+    "run_s": 1.0,
 }
-# When the store goes down, measured from the first start, and for how long.
-DOWN_AFTER_S, DOWN_S = 5.0, 4.2
+# Label of the first four workers.
+RACK = "r1-0"
+# Fills these, so that another job waits, and nothing is copied meanwhile.
+FULL_JOB = "5c0e7a21d94b36f9"
+FULL_STEP = {
+    "Count": 2,
+    "MemMb": 256,
+    "EstimatedMs": 3000,
+    "Requirements": RACK,
+    "run_s": 3.0,
+}
+FULL_STEPS = ({**FULL_STEP, "Cpu": 31000}, {**FULL_STEP, "Cpu": 32000})
+# Waits, and then fills one of these workers and a part of the next one.
+SMALL_JOB = "5c0e7a21d94b36fa"
+SMALL_STEP = {
+    "Count": 34,
+    "Cpu": 1500,
+    "MemMb": 256,
+    "EstimatedMs": 2000,
+    "Requirements": RACK,
+    "run_s": 2.0,
+}
+CUT_S = 4.0
+WATCH_S = 8.0
+# The rule's "over a second after such an end was taken note of".
+NOTED_SLACK_S = 1.0
 
 
 def case(deployment):
     """Plays the case; returns why the rule is broken."""
     client = deployment.instances()[0]
-    status = deployment.submit(client, JOB, STEP)
-    if status != 200:
+    if deployment.submit(client, JOB, STEP) != 200:
         return ""
-    wait_for(lambda: len(deployment.starts(JOB)) >= COUNT, 30, "no runs")
-    first_at = deployment.starts(JOB)[0][2]
+    cut = wait_for(lambda: deployment.worker_of(SECOND), 10, "no run")
+    for job, steps in ((FULL_JOB, FULL_STEPS), (SMALL_JOB, [SMALL_STEP])):
+        if deployment.submit(client, job, *steps) != 200:
+            return ""
+    wait_for(lambda: len(deployment.starts(FULL_JOB)) == 4, 10, "not full")
+    workers = deployment.workers
     if has_trouble():
-        time.sleep(max(0.0, first_at + DOWN_AFTER_S - time.monotonic()))
-        deployment.store.refuses = True
-        deployment.note("store: answers 503")
-        time.sleep(DOWN_S)
-        deployment.store.refuses = False
-        deployment.note("store: answers again")
-    asked = deployment.instances()[-1]
-    until = time.monotonic() + 40
-    while time.monotonic() < until:
-        if deployment.state(asked, JOB)[1] in ("completed", "failed"):
-            break
-        time.sleep(0.5)
-    return started_again(deployment)
+        workers[cut].cut(True)
+        for worker in workers:
+            worker.lose_orders(True)
+    time.sleep(CUT_S)
+    if has_trouble():
+        workers[cut].cut(False)
+    time.sleep(WATCH_S)
+    return started_late(deployment)
 
 
-def started_again(deployment):
-    """Returns which subtasks were started after a noted end `done`."""
-    done_at = {}
-    for name, number, how, at in deployment.ends(JOB):
-        if how == "done" and deployment.is_noted(name, number):
-            done_at[name] = min(at, done_at.get(name, at))
-    again = [
-        (name, run, at - done_at[name])
-        for name, run, at, _ in deployment.starts(JOB)
-        if at > done_at.get(name, float("inf"))
-    ]
-    for name, run, late_s in again:
-        deployment.note(f"{name} run {run} starts {late_s:.2f} s after done")
-    if not again:
-        return ""
-    return f"{len(again)} starts after the subtask had ended done"
+def started_late(deployment):
+    """Returns how long after the noted end the subtask was started again."""
+    late = {key for worker in deployment.workers for key in worker.late_starts}
+    done = {end[:2] for end in deployment.ends(JOB) if end[2] == "done"}
+    noted_at = min(
+        (
+            at
+            for worker in deployment.workers
+            for key, at in list(worker.noted.items())
+            if key in done and key[0] == SECOND
+        ),
+        default=float("inf"),
+    )
+    for name, run, at, worker in deployment.starts(JOB):
+        after_s = at - noted_at
+        if name != SECOND or after_s <= NOTED_SLACK_S:
+            continue
+        if (name, run) in late:
+            deployment.note(f"{name} run {run}: an order carried out late")
+            continue
+        return f"run {run} starts on w-{worker} {after_s:.2f} s after the note"
+    return ""
 
 
 if __name__ == "__main__":
-    sys.exit(play(FOLDER, case, workers=2))
+    sys.exit(play(FOLDER, case))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A queue is removed, the cell changes its holder, and its jobs stand still."""
+"""A queue is removed and added again for another service."""
 
 import sys
 import time
@@ -7,68 +7,46 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "kit2"))
 
-from deployment import (  # noqa: E402
-    has_trouble,
-    play,
-    wait_for,
-)
+from deployment import has_trouble, play, wait_for  # noqa: E402
 
 JOBS = [f"5c0e7a21d94b36f{n}" for n in range(4)]
-FIRST_RUN_S, SECOND_RUN_S = 14.0, 1.0
-IDLE_LIMIT_S = 3.0
-CALM_BEFORE_S = 4.0
-WATCH_S = 20.0
-STEP = {"Count": 2, "Cpu": 1000, "MemMb": 256, "EstimatedMs": 14000}
+RUN_S = 20.0
+STEP = {"Count": 2, "Cpu": 1000, "MemMb": 256, "EstimatedMs": 20000}
+# Longer than `ConfigApplyMs` and than `visible_ms`.
+PAUSE_S = 4.0
+ASKED_S = 12.0
 
 
 def case(deployment):
     """Plays the case; returns why the rule is broken."""
-    first = deployment.instances()[0]
+    client = deployment.instances()[0]
     for job in JOBS:
-        status = deployment.submit(
-            first,
-            job,
-            {**STEP, "run_s": FIRST_RUN_S},
-            {**STEP, "DependsOn": [0], "run_s": SECOND_RUN_S},
-        )
-        if status != 200:
+        if deployment.submit(client, job, {**STEP, "run_s": RUN_S}) != 200:
             return ""
     wait_for(
         lambda: all(len(deployment.starts(j)) >= 2 for j in JOBS), 10, "no runs"
     )
+    time.sleep(PAUSE_S)
     deployment.configure("care-home-roster")
+    time.sleep(PAUSE_S)
     if has_trouble():
-        # One instance after the other, each replaced before the next one.
+        deployment.configure("care-home-roster", next_visit="routing")
+    else:
+        deployment.configure("care-home-roster", "next-visit")
+    time.sleep(PAUSE_S)
+    gone = {}
+    until = time.monotonic() + ASKED_S
+    while time.monotonic() < until:
         for number in deployment.instances():
-            deployment.stop_instance(number)
-            deployment.start_instance(number)
-            deployment.wait_ready()
-    ended_at = wait_for(lambda: first_step_end(deployment), 30, "no ends")
-    time.sleep(WATCH_S)
-    reason = ""
-    for job in JOBS:
-        later = [s for s in deployment.starts(job) if s[0].split(".")[2] == "1"]
-        waited_s = (later[0][2] if later else time.monotonic()) - ended_at
-        deployment.note(f"{job}: second step waited {waited_s:.1f} s")
-        if waited_s > CALM_BEFORE_S + IDLE_LIMIT_S and not reason:
-            reason = f"{job} had nothing running for {waited_s:.1f} s"
-    deployment.configure("care-home-roster", "next-visit")
-    time.sleep(2.5)
-    for job in JOBS:
-        deployment.state(deployment.instances()[0], job)
-    return reason
-
-
-def first_step_end(deployment):
-    """Returns when all first steps had ended done; None before."""
-    ends = [
-        end
-        for job in JOBS
-        for end in deployment.ends(job)
-        if end[0].split(".")[2] == "0" and end[2] == "done"
-    ]
-    return max(e[3] for e in ends) if len(ends) == 2 * len(JOBS) else None
+            for job in JOBS:
+                status, _ = deployment.state(number, job)
+                if status == 410:
+                    gone[job] = gone.get(job, 0) + 1
+        time.sleep(1.0)
+    if gone:
+        return f"accepted jobs are answered 410: {gone}"
+    return ""
 
 
 if __name__ == "__main__":
-    sys.exit(play(FOLDER, case))
+    sys.exit(play(FOLDER, case, workers=8, both_services=True))
--- a/review/kit2/deployment.py
+++ b/review/kit2/deployment.py
@@ -450,10 +450,6 @@
             if end[0].startswith(job)
         ]
 
-    def is_noted(self, name, run):
-        """Whether a holder has taken note of the end of a run."""
-        return any((name, run) in worker.noted for worker in self.workers)
-
     def worker_of(self, name):
         """Number of the worker on which a subtask runs; None for none."""
         for number, worker in enumerate(self.workers):
--- a/review/kit2/worker.py
+++ b/review/kit2/worker.py
@@ -10,6 +10,8 @@
 CPU = 32_000
 MEMORY_MB = 131_072
 CONFLICT = 409
+# How late an order is carried out that got no answer.
+LATE_S = 2.5
 
 
 class Run:
@@ -56,7 +58,10 @@
         self.starts = []
         self.ends = []
         self.running = {}
-        self.noted = set()
+        self.noted = {}
+        self.late_starts = set()
+        self._loses_orders = False
+        self._order_count = 0
         self.is_up = True
         self._reachable = threading.Event()
         self._reachable.set()
@@ -108,6 +113,11 @@
         else:
             self._reachable.set()
 
+    def lose_orders(self, loses):
+        """Leaves each second start unanswered and carries it out late."""
+        self._record(f"worker {self.name} carries out orders late: {loses}")
+        self._loses_orders = loses
+
     def restart(self):
         """Begins the next life."""
         with self._lock:
@@ -131,9 +141,20 @@
         """Answers one request; none that a cut holds up, on either way."""
         if not self._is_reachable():
             return None
+        if path == "/v1/run-start" and self._is_lost_order():
+            time.sleep(LATE_S)
+            self.late_starts.add((body["Task"], body["Run"]))
+            self._handle(method, path, query, body, headers)
+            return None
         answer = self._handle(method, path, query, body, headers)
         return answer if self._is_reachable() else None
 
+    def _is_lost_order(self):
+        if not self._loses_orders:
+            return False
+        self._order_count += 1
+        return self._order_count % 2 == 1
+
     def _is_reachable(self):
         """Whether there is no cut; otherwise waits for its end first."""
         if self._reachable.is_set():
@@ -245,7 +266,9 @@
         noted = [row for row in self._ended if row[0] <= seen]
         if noted:
             self._record(f"worker {self.name} ends noted up to {seen}")
-        self.noted.update((row[1], row[2]) for row in noted)
+        now = time.monotonic()
+        for row in noted:
+            self.noted.setdefault((row[1], row[2]), now)
         self._ended = [row for row in self._ended if row[0] > seen]
 
     def _percent(self, run):
