--- a/review/kit2/deployment.py
+++ b/review/kit2/deployment.py
@@ -483,16 +483,21 @@
             empty text if it held.
         options: Arguments of the deployment.
     """
-    deployment = Deployment(folder, **options)
+    try:
+        deployment = Deployment(folder, **options)
+    except OSError as error:
+        print(f"cannot run: {error}")
+        return NOT_RUN
     try:
         deployment.wait_ready()
         # Until the cells have settled on the instances.
         time.sleep(SETTLING_S)
         reason = case(deployment)
         deployment.check_alive()
-    except CannotRunError as error:
-        deployment.note(f"cannot run: {error}")
-        print(f"cannot run: {error}")
+    except Exception as error:
+        # An uncaught error would end the script like a broken rule.
+        deployment.note(f"cannot run: {error!r}")
+        print(f"cannot run: {error!r}")
         return NOT_RUN
     finally:
         deployment.close()
--- a/review/kit2/worker.py
+++ b/review/kit2/worker.py
@@ -10,6 +10,8 @@
 CPU = 32_000
 MEMORY_MB = 131_072
 CONFLICT = 409
+# After this time a long-running subtask is at work.
+STARTUP_S = 0.5
 # How late an order is carried out that got no answer.
 LATE_S = 2.5
 
@@ -272,7 +274,7 @@
         self._ended = [row for row in self._ended if row[0] > seen]
 
     def _percent(self, run):
-        if run.ends_at == float("inf"):
-            return 100
         age = time.monotonic() - run.started_at
+        if run.ends_at == float("inf"):
+            return 100 if age > STARTUP_S else 0
         return min(99, int(100 * age / max(0.001, run.step["run_s"])))
