--- a/review/6/case.py
+++ b/review/6/case.py
@@ -43,7 +43,9 @@
     "run_s": 2.0,
 }
 CUT_S = 4.0
-WATCH_S = 8.0
+# Within the cut, orders begin to be carried out late, for this time.
+LATE_AFTER_S, LATE_FOR_S = 2.0, 5.5
+WATCH_S = 5.0
 # The rule's "over a second after such an end was taken note of".
 NOTED_SLACK_S = 1.0
 
@@ -58,18 +60,25 @@
         if deployment.submit(client, job, *steps) != 200:
             return ""
     wait_for(lambda: len(deployment.starts(FULL_JOB)) == 4, 10, "not full")
-    workers = deployment.workers
     if has_trouble():
-        workers[cut].cut(True)
-        for worker in workers:
-            worker.lose_orders(True)
-    time.sleep(CUT_S)
+        deployment.workers[cut].cut(True)
+    time.sleep(LATE_AFTER_S)
+    lose_orders(deployment, has_trouble())
+    time.sleep(CUT_S - LATE_AFTER_S)
     if has_trouble():
-        workers[cut].cut(False)
+        deployment.workers[cut].cut(False)
+    time.sleep(LATE_AFTER_S + LATE_FOR_S - CUT_S)
+    lose_orders(deployment, False)
     time.sleep(WATCH_S)
     return started_late(deployment)
 
 
+def lose_orders(deployment, loses):
+    """Begins or ends that workers carry out each second start late."""
+    for worker in deployment.workers:
+        worker.lose_orders(loses)
+
+
 def started_late(deployment):
     """Returns how long after the noted end the subtask was started again."""
     late = {key for worker in deployment.workers for key in worker.late_starts}
--- a/review/kit2/worker.py
+++ b/review/kit2/worker.py
@@ -59,6 +59,7 @@
         self._lock = threading.RLock()
         self.starts = []
         self.ends = []
+        self.crashes = 0
         self.running = {}
         self.noted = {}
         self.late_starts = set()
@@ -75,6 +76,9 @@
         self._lease_ms = 0
         self._fence = 0
         self._ended = []
+        # Ends up to this number were followed by a lapse of the lease, so that
+        # they don't count as taken note of, whenever they are.
+        self._last_lapsed = 0
         self._last_number = 0
         self._past_runs = {}
 
@@ -100,6 +104,7 @@
         """Ends this life; nothing runs any more."""
         with self._lock:
             self.is_up = False
+            self.crashes += 1
             for name, run in self.running.items():
                 self._note("crashed", name, run.number)
                 self.ends.append(
@@ -202,6 +207,8 @@
                 self._end(name, "lapsed", lapse_at)
             elif stops_at <= now:
                 self._end(name, "stopped", stops_at)
+        if lapse_at < now:
+            self._last_lapsed = self._last_number
 
     def _end(self, name, how, at):
         run = self.running.pop(name)
@@ -270,7 +277,8 @@
             self._record(f"worker {self.name} ends noted up to {seen}")
         now = time.monotonic()
         for row in noted:
-            self.noted.setdefault((row[1], row[2]), now)
+            if row[0] > self._last_lapsed:
+                self.noted.setdefault((row[1], row[2]), now)
         self._ended = [row for row in self._ended if row[0] > seen]
 
     def _percent(self, run):
