--- a/acaciawing/jobs/crash_tracking.py
+++ b/acaciawing/jobs/crash_tracking.py
@@ -226,7 +226,7 @@
 
     def _clear_proven_suspects(self, now: float) -> None:
         for subtask in list(self.table.suspects):
-            view = self._active.get(subtask)
+            view = self._runs.active_view(subtask)
             if view is not None and _is_proven(view, view.runs[subtask], now):
                 record = SuspicionCleared(str(subtask))
                 self.table.apply(record)
--- a/acaciawing/jobs/disruptions.py
+++ b/acaciawing/jobs/disruptions.py
@@ -29,7 +29,7 @@
         for subtask in self._step_subtasks(run.subtask):
             if subtask == run.subtask:
                 continue
-            view = self._active.get(subtask)
+            view = self._runs.active_view(subtask)
             if view is None or not _is_serving(view, view.runs[subtask], now):
                 away += 1
         return away
--- a/acaciawing/jobs/load_report.py
+++ b/acaciawing/jobs/load_report.py
@@ -89,7 +89,7 @@
     def _expired_runs(self) -> dict[StepKey, Resources]:
         """Returns what a run reserves in each step of a job that has expired."""
         expired: dict[StepKey, Resources] = {}
-        for key in {subtask[:3] for subtask in self._active}:
+        for key in {subtask[:3] for subtask in self._runs}:
             progress = self.table.jobs[key[0]]
             queue = self._queues.get(progress.job.queue)
             step = progress.job.steps[key[2]]
--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -254,7 +254,7 @@
         now: float,
     ) -> None:
         members = self._step_subtasks(subtask)
-        missing = [m for m in members if m not in self._active]
+        missing = [m for m in members if m not in self._runs]
         if len(missing) < len(members):
             return
         chosen = choose_gang(
@@ -270,8 +270,8 @@
     def _check_gangs(self, now: float) -> None:
         """Stops gangs of which a member did not start in time."""
         gangs: dict[tuple[str, int, int], list[tuple[WorkerView, Run]]] = {}
-        for subtask, view in self._active.items():
-            run = view.runs[subtask]
+        for subtask in self._runs:
+            view, run = self._runs.runs(subtask)[0]
             if run.step.gang:
                 gangs.setdefault(subtask[:3], []).append((view, run))
         for key, members in gangs.items():
@@ -304,7 +304,6 @@
         waited_s = now - waiting_step.since.get(subtask, now)
         self._waiting.discard(subtask)
         run = self._order_run(view, subtask, waiting_step.step, now)
-        self._active[subtask] = view
         self._log(
             "RUN_PLACED",
             subtask=str(subtask),
@@ -325,7 +324,7 @@
             subtask, self.fence * RUN_NUMBERS_PER_FENCE + count, step, now
         )
         run.isolated = view.isolated_for == subtask
-        view.add(run)
+        self._runs.add(view, run)
         self._record_start(view, run, now)
         checkpoint = (
             self._gang_checkpoint(subtask)
--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -19,9 +19,7 @@
     NO_ROOM_SUSPENSION_S,
     REFUSAL_SUSPENSION_S,
 )
-from acaciawing.jobs.model import (
-    SubtaskId,
-)
+from acaciawing.jobs.model import Step, SubtaskId
 from acaciawing.jobs.progress import JobProgress
 from acaciawing.jobs.records import (
     JobFailed,
@@ -111,7 +109,7 @@
                 view, row.subtask, row.run, StopReason.NOT_NEEDED, row.percent
             )
             return
-        other = self._active.get(row.subtask)
+        other = self._runs.active_view(row.subtask)
         if other is None:
             self._adopt_run(view, row, now)
         elif other is not view and self._keeps_reported_run(row, other):
@@ -141,17 +139,13 @@
         """Takes over a run that this holder did not start or had given up."""
         step = self.table.find_step(row.subtask)
         assert step is not None
-        adopted = Run(row.subtask, row.run, step, now)
-        adopted.enter(Phase.RUNNING, now, now)
-        adopted.percent, adopted.load_metric = row.percent, row.load_metric
-        adopted.confirmed = adopted.may_be_stopping = True
-        adopted.reported_at = view.last_contact_at
+        adopted = _reported_run(view, row, step, now)
+        adopted.may_be_stopping = True
         if self._suspicion(row.subtask) >= Suspicion.ISOLATED:
             adopted.isolated = not view.runs
             view.isolated_for = row.subtask
-        view.remove(row.subtask)
-        view.add(adopted)
-        self._active[row.subtask] = view
+        self._runs.remove(view, row.subtask)
+        self._runs.add(view, adopted, active=True)
         self._waiting.discard(row.subtask)
         self.table.jobs[row.subtask.job].started = True
         self._log(
@@ -239,12 +233,11 @@
         members = self._step_subtasks(row.subtask) if gang else [row.subtask]
         for member in members:
             self._waiting.discard(member)
-            for placed in (self._active, self._copies):
-                other = placed.get(member)
-                if other is not None and not gang:
-                    run = other.runs[member]
-                    if run.number != row.run:
-                        self._stop_run(other, run, StopReason.NOT_NEEDED, now)
+            if gang:
+                continue
+            for other, run in self._runs.runs(member):
+                if run.number != row.run and run.phase is not Phase.STOPPING:
+                    self._stop_run(other, run, StopReason.NOT_NEEDED, now)
         if progress.finished:
             self._end_job(progress, now)
         else:
@@ -289,13 +282,20 @@
         job = progress.job.id
         progress.finished_at_ms = self._unix_ms
         self._waiting.discard_job(job)
-        placed = [*self._active.items(), *self._copies.items()]
-        for subtask, view in placed:
-            if subtask.job != job:
-                continue
-            run = view.runs[subtask]
+        for view, run in self._runs.runs_of_job(job):
             # A run of a done subtask has ended or was already ordered to stop.
-            done = progress.is_done(subtask)
+            done = progress.is_done(run.subtask)
             if run.phase is not Phase.STOPPING and not done:
                 self._stop_run(view, run, StopReason.JOB_ENDED, now)
         self._log("JOB_ENDED", job=job, state=progress.state)
+
+
+def _reported_run(
+    view: WorkerView, row: RunningRow, step: Step, now: float
+) -> Run:
+    """Returns a run that a worker has reported and that was not known."""
+    run = Run(row.subtask, row.run, step, now)
+    run.enter(Phase.RUNNING, now, now)
+    run.percent, run.load_metric = row.percent, row.load_metric
+    run.confirmed, run.reported_at = True, view.last_contact_at
+    return run
--- a/acaciawing/jobs/speculation.py
+++ b/acaciawing/jobs/speculation.py
@@ -51,6 +51,9 @@
             return
         usable = [v for v in self.views.values() if v.usable(now)]
         for view, run in slow:
+            if not self._needs_copy(run):
+                # It is slow and on a worker that doesn't answer.
+                continue
             others = [
                 v
                 for v in usable
@@ -86,7 +89,7 @@
         runs = []
         for index in range(count):
             subtask = SubtaskId(*key, index)
-            view = self._active.get(subtask)
+            view = self._runs.active_view(subtask)
             if view is not None and self._needs_copy(view.runs[subtask]):
                 runs.append((view, view.runs[subtask]))
         return runs
@@ -98,7 +101,7 @@
             if view.contacted and not view.reachable
             for run in view.runs.values()
             if _may_copy(run)
-            and self._active.get(run.subtask) is view
+            and self._runs.active_view(run.subtask) is view
             and self._needs_copy(run)
         ]
 
@@ -106,14 +109,13 @@
         """Whether a run is the only one of a subtask that is still needed."""
         return (
             run.phase not in (Phase.CLOSING, Phase.STOPPING)
-            and run.subtask not in self._copies
+            and not self._runs.has_copy(run.subtask)
             and run.subtask not in self.table.suspects
             and self._still_needed(run.subtask)
         )
 
     def _start_copy(self, view: WorkerView, run: Run, now: float) -> None:
         copy = self._order_run(view, run.subtask, run.step, now)
-        self._copies[run.subtask] = view
         self._log(
             "RUN_COPIED",
             subtask=str(run.subtask),
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -32,6 +32,7 @@
     RunCrashed,
     RunSettled,
 )
+from acaciawing.jobs.run_table import RunTable
 from acaciawing.jobs.tickets import TicketBook
 from acaciawing.jobs.waiting import StepKey, WaitingWork
 from acaciawing.jobs.workers import Phase, Run, StopReason, WorkerView
@@ -92,9 +93,7 @@
         self._actions: list[Action] = []
         self._takeover = Takeover({}, frozenset())
         self._waiting = WaitingWork()
-        self._active: dict[SubtaskId, WorkerView] = {}
-        # Worker of the speculative copy of each subtask that has one.
-        self._copies: dict[SubtaskId, WorkerView] = {}
+        self._runs = RunTable()
         self._run_times_s: dict[StepKey, list[float]] = {}
         self._checkpoints: dict[SubtaskId, str] = {}
         self._run_counts: dict[SubtaskId, int] = {}
@@ -207,18 +206,11 @@
             now: Current time in seconds.
             settled: Whether it is known how the run has ended.
         """
-        removed = view.remove(subtask)
+        removed = self._runs.remove(view, subtask)
         if removed is not None:
             if settled:
                 self._settle_start(subtask, removed.number)
             self._unconfirmed_crashes.pop((subtask, removed.number), None)
-        if self._copies.get(subtask) is view:
-            del self._copies[subtask]
-        elif self._active.get(subtask) is view:
-            del self._active[subtask]
-            copy = self._copies.pop(subtask, None)
-            if copy is not None:
-                self._active[subtask] = copy
         if self._still_needed(subtask):
             self._enqueue(subtask, now)
 
@@ -278,7 +270,7 @@
         return list(progress.crashed_runs.get(subtask, {}).values())
 
     def _enqueue(self, subtask: SubtaskId, now: float) -> None:
-        if subtask not in self._active:
+        if subtask not in self._runs:
             self._waiting.add(subtask, self.table.jobs[subtask.job], now)
 
     def _step_subtasks(self, subtask: SubtaskId) -> list[SubtaskId]:
--- /dev/null
+++ b/acaciawing/jobs/tests/test_run_bookkeeping.py
@@ -0,0 +1,125 @@
+"""Tests that no run of a subtask is forgotten while it may be on a worker."""
+
+from acaciawing.jobs import (
+    CancelRequested,
+    EndedRow,
+    EndKind,
+    Incarnation,
+    IncarnationEnded,
+    Resources,
+    StartRun,
+    Step,
+    StopRun,
+    SubtaskId,
+    WorkerUnreachable,
+)
+from acaciawing.jobs.tests.builders import (
+    LEASE_S,
+    CellHarness,
+    make_job,
+    make_worker,
+)
+
+_SUBTASK = SubtaskId("j", 0, 0, 0)
+_STRAGGLER = SubtaskId("j", 0, 0, 1)
+
+
+def _make_harness(*names: str) -> CellHarness:
+    harness = CellHarness()
+    harness.recover()
+    harness.update_workers(*(make_worker(name) for name in names))
+    for view in list(harness.cell.views.values()):
+        harness.report(view.registration, ())
+    harness.settle()
+    return harness
+
+
+def _submit_straggler(harness: CellHarness) -> StartRun:
+    """Starts two speculative subtasks; returns the start of the one left."""
+    step = Step(2, Resources(20_000), speculative=True)
+    harness.submit(make_job("j", step))
+    harness.settle()
+    first, straggler = harness.starts
+    harness.now += 0.4
+    _end(harness, first, EndKind.DONE)
+    return straggler
+
+
+def _end(harness: CellHarness, start: StartRun, kind: EndKind) -> None:
+    view = harness.cell.views[start.worker]
+    row = EndedRow(view.newest_end + 1, start.subtask, start.run, kind, "")
+    harness.report(view.registration, ended=(row,))
+    harness.settle()
+
+
+def _silence(harness: CellHarness, worker: Incarnation) -> None:
+    harness.cell.receive(
+        WorkerUnreachable(worker, harness.now + LEASE_S), harness.now
+    )
+
+
+def _copy_while_silent(harness: CellHarness, start: StartRun) -> None:
+    """Makes a run both slow and one on a worker that does not answer."""
+    harness.wait(3.0)
+    for view in list(harness.cell.views.values()):
+        if view.incarnation != start.worker:
+            harness.report(view.registration)
+    _silence(harness, start.worker)
+    harness.settle()
+
+
+def _stopped(harness: CellHarness) -> set[tuple[SubtaskId, int]]:
+    return {
+        (a.subtask, a.run) for a in harness.actions if isinstance(a, StopRun)
+    }
+
+
+class TestCopies:
+    """Guards against copies that the cell forgets."""
+
+    def test_slow_run_on_a_silent_worker_is_copied_once(self) -> None:
+        # Was copied as a slow run and as one on a silent worker at the same
+        # moment (review/9).
+        harness = _make_harness("w0", "w1", "w2", "w3")
+        straggler = _submit_straggler(harness)
+        _copy_while_silent(harness, straggler)
+        assert [s.subtask for s in harness.starts[2:]] == [_STRAGGLER]
+
+    def test_cancellation_stops_every_run_on_a_worker(self) -> None:
+        harness = _make_harness("w0", "w1", "w2", "w3")
+        straggler = _submit_straggler(harness)
+        _copy_while_silent(harness, straggler)
+        for view in list(harness.cell.views.values()):
+            harness.report(view.registration)
+        harness.cell.fold([CancelRequested("j", 0)], harness.now, 0)
+        harness.settle()
+        left = {
+            (run.subtask, run.number)
+            for view in harness.cell.views.values()
+            for run in view.runs.values()
+        }
+        assert left == _stopped(harness)
+        assert len(left) == 2
+
+    def test_copy_is_not_lost_when_its_worker_gets_the_first_run(self) -> None:
+        # The start on w0's last incarnation may have reached the next one, to
+        # which the copy was ordered.
+        harness = _make_harness("w0")
+        step = Step(1, Resources(9_000), speculative=True)
+        harness.submit(make_job("j", step))
+        harness.step(answer=False)
+        (first,) = harness.starts
+        later = make_worker("w0", born_ms=2)
+        harness.update_workers(make_worker("w0"), later)
+        harness.report(later, ())
+        harness.settle()
+        _silence(harness, first.worker)
+        harness.settle()
+        copy = harness.starts[1]
+        assert copy.worker == later.incarnation
+        harness.cell.receive(
+            IncarnationEnded(first.worker, later.incarnation), harness.now
+        )
+        view = harness.cell.views[later.incarnation]
+        assert view.runs[_SUBTASK].number == copy.run
+        assert view.used == step.request
--- a/acaciawing/jobs/worker_choice.py
+++ b/acaciawing/jobs/worker_choice.py
@@ -12,6 +12,8 @@
         return False
     if not view.free.covers(step.reserved):
         return False
+    if subtask in view.runs:
+        return False
     limit = step.max_per_worker
     return not limit or view.runs_per_step.get(subtask[:3], 0) < limit
 
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -231,13 +231,15 @@
     def _transfer_run(
         self, run: Run, old: WorkerView, new: WorkerView, now: float
     ) -> None:
-        old.remove(run.subtask)
+        other = new.runs.get(run.subtask)
+        if other is not None:
+            # A worker has one run of a subtask at a time. If it has started
+            # the earlier one, it refuses the later one and reports the other.
+            self._remove_run(old, run.subtask, now, settled=False)
+            return
         ending = run.phase in (Phase.CLOSING, Phase.STOPPING)
         run.enter(Phase.CLOSING if ending else Phase.UNCONFIRMED, now, now)
-        new.add(run)
-        for placed in (self._active, self._copies):
-            if placed.get(run.subtask) is old:
-                placed[run.subtask] = new
+        self._runs.move(run, old, new)
         self._log(
             "RUN_IN_DOUBT",
             subtask=str(run.subtask),
@@ -345,7 +347,7 @@
         """
         needed = (
             run.step.lasting
-            and self._active.get(run.subtask) is view
+            and self._runs.active_view(run.subtask) is view
             and self._still_needed(run.subtask)
         )
         if not needed or not view.reports(run):
