Count reported runs that are not needed until they have ended

What callers could see: a subtask that must not run twice started while its second run was still being stopped (TWICE); a worker that does not guard its capacity got more than it has (LIMIT).

Cause: a run that a worker reported and that was not needed was ordered to stop and kept in no table. Neither its capacity nor its existence were known, and the order was repeated at each report, up to several times a second. A reported run with a known number was taken for good without the question whether its subtask is done or its job has ended.

Change: such a run is added to its worker as one that is being stopped. Its capacity stays reserved, its subtask waits until it has ended, and the order is repeated like any other. A known run that is no longer needed is stopped, but for members of a gang that is done, which end together.

Four tests of TestReportedRuns fail without the change: the run isn't stopped; 0 of 9,000 thousandths of a core reserved; three orders instead of one; the subtask is started a second time.

--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -101,13 +101,13 @@
             self._unconfirmed_crashes.pop((row.subtask, row.run), None)
             if run.phase in (Phase.ORDERED, Phase.UNCONFIRMED):
                 run.enter(Phase.RUNNING, now, now)
+            if run.phase is Phase.RUNNING and self._is_superfluous(run):
+                self._stop_run(view, run, StopReason.NOT_NEEDED, now)
             return
         if run is not None and run.number > row.run:
             return
         if not self._still_needed(row.subtask):
-            self._order_stop(
-                view, row.subtask, row.run, StopReason.NOT_NEEDED, row.percent
-            )
+            self._stop_reported_run(view, row, now)
             return
         other = self._runs.active_view(row.subtask)
         if other is None:
@@ -118,9 +118,36 @@
             )
             self._adopt_run(view, row, now)
         else:
+            self._stop_reported_run(view, row, now)
+
+    def _is_superfluous(self, run: Run) -> bool:
+        """Whether a run goes on although its subtask needs none any more.
+
+        The members of a gang end together, each on its own worker, so the end
+        of one is known before the others report theirs.
+        """
+        progress = self.table.jobs[run.subtask.job]
+        if run.step.gang and progress.is_done(run.subtask):
+            return False
+        return not self._still_needed(run.subtask)
+
+    def _stop_reported_run(
+        self, view: WorkerView, row: RunningRow, now: float
+    ) -> None:
+        """Stops a reported run that was not known and is not needed.
+
+        It uses its worker's capacity until it has ended.
+        """
+        step = self.table.find_step(row.subtask)
+        if step is None:
             self._order_stop(
                 view, row.subtask, row.run, StopReason.NOT_NEEDED, row.percent
             )
+            return
+        self._runs.remove(view, row.subtask)
+        run = _reported_run(view, row, step, now)
+        self._runs.add(view, run)
+        self._stop_run(view, run, StopReason.NOT_NEEDED, now)
 
     def _keeps_reported_run(self, row: RunningRow, other: WorkerView) -> bool:
         """Whether to keep a run that was not known instead of the known one.
--- a/acaciawing/jobs/tests/test_run_bookkeeping.py
+++ b/acaciawing/jobs/tests/test_run_bookkeeping.py
@@ -7,8 +7,10 @@
     Incarnation,
     IncarnationEnded,
     Resources,
+    RunningRow,
     StartRun,
     Step,
+    StopOrderResult,
     StopRun,
     SubtaskId,
     WorkerUnreachable,
@@ -123,3 +125,73 @@
         view = harness.cell.views[later.incarnation]
         assert view.runs[_SUBTASK].number == copy.run
         assert view.used == step.request
+
+
+class TestReportedRuns:
+    """Guards against reported runs that are taken for good, or not counted."""
+
+    def test_known_run_of_a_subtask_that_is_done_is_stopped(self) -> None:
+        # The subtask's end comes from a run that an earlier holder ordered.
+        harness = _make_harness("w0", "w1")
+        harness.submit(make_job("j", Step(1, Resources(9_000))))
+        harness.settle()
+        (start,) = harness.starts
+        progress = harness.cell.table.jobs["j"]
+        progress.mark_done(_SUBTASK)
+        harness.report(harness.cell.views[start.worker].registration)
+        harness.settle()
+        assert (_SUBTASK, start.run) in _stopped(harness)
+
+    def test_reported_run_that_is_stopped_keeps_its_capacity(self) -> None:
+        # Otherwise a worker that does not guard its capacity gets more.
+        harness = _make_harness("w0")
+        worker = make_worker("w0")
+        harness.submit(make_job("j", Step(1, Resources(9_000))))
+        harness.cell.fold([CancelRequested("j", 0)], harness.now, 0)
+        row = RunningRow(_SUBTASK, 7, "", 50, 0)
+        harness.report(worker, (row,))
+        harness.settle()
+        view = harness.cell.views[worker.incarnation]
+        assert (_SUBTASK, 7) in _stopped(harness)
+        assert view.used == Resources(9_000)
+        stop = next(a for a in harness.actions if isinstance(a, StopRun))
+        harness.cell.receive(StopOrderResult(stop, True, False), harness.now)
+        harness.now += 0.1
+        harness.report(worker, ())
+        assert view.used == Resources()
+
+    def test_stop_of_a_reported_run_is_not_repeated_at_each_report(
+        self,
+    ) -> None:
+        harness = _make_harness("w0")
+        worker = make_worker("w0")
+        harness.submit(make_job("j", Step(1, Resources(9_000))))
+        harness.cell.fold([CancelRequested("j", 0)], harness.now, 0)
+        row = RunningRow(_SUBTASK, 7, "", 50, 0)
+        for _ in range(3):
+            harness.report(worker, (row,))
+            harness.settle()
+        stops = [a for a in harness.actions if isinstance(a, StopRun)]
+        assert len(stops) == 1
+
+    def test_subtask_waits_for_the_end_of_its_second_run(self) -> None:
+        # Two workers report runs of a subtask that must not run twice.
+        harness = _make_harness("w0", "w1", "w2")
+        harness.submit(make_job("j", Step(1, Resources(9_000))))
+        harness.settle()
+        (start,) = harness.starts
+        other = next(
+            view
+            for view in harness.cell.views.values()
+            if view.incarnation != start.worker
+        )
+        row = RunningRow(_SUBTASK, 7, "", 50, 0)
+        harness.report(other.registration, (row,))
+        _end(harness, start, EndKind.FAILED)
+        assert len(harness.starts) == 1
+        stop = next(a for a in harness.actions if isinstance(a, StopRun))
+        harness.cell.receive(StopOrderResult(stop, True, False), harness.now)
+        harness.now += 0.1
+        harness.report(other.registration, ())
+        harness.settle()
+        assert len(harness.starts) == 2
