Keep a finished job while a worker has a run of it

What callers could see: the instance that holds the cell loses its engine task, and all its cells with it.

Cause: the state of a job is dropped 120 s after its end. A worker that still reports a run of it, because it did not carry out the order to stop, makes the next report raise a KeyError, as does a report of the cell's load.

Change: a job is dropped only when no worker has a run of it.

test_job_is_kept_while_a_worker_has_a_run_of_it fails without it: KeyError 'j'.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -249,7 +249,10 @@
         """
         if not self.recovered:
             return
+        running = self._runs.jobs()
         for job in expired_jobs(self.table, state_retention_ms, self._unix_ms):
+            if job in running:
+                continue
             self.table.forget(job)
             self._job_record_numbers.pop(job, None)
             self._tickets.forget(job)
--- a/acaciawing/jobs/tests/test_run_bookkeeping.py
+++ b/acaciawing/jobs/tests/test_run_bookkeeping.py
@@ -195,3 +195,17 @@
         harness.report(other.registration, ())
         harness.settle()
         assert len(harness.starts) == 2
+
+    def test_job_is_kept_while_a_worker_has_a_run_of_it(self) -> None:
+        harness = _make_harness("w0")
+        worker = make_worker("w0")
+        harness.submit(make_job("j", Step(1, Resources(9_000))))
+        harness.settle()
+        harness.cell.tick(harness.now, 1_000)
+        harness.cell.fold([CancelRequested("j", 0)], harness.now, 1_000)
+        harness.settle()
+        harness.cell.tick(harness.now, 500_000)
+        harness.cell.retain(10_000_000, 120_000)
+        harness.report(worker)
+        harness.cell.report(harness.now)
+        assert harness.cell.state("j") == "cancelled"
