--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -260,8 +260,7 @@
         members = self._step_subtasks(row.subtask) if gang else [row.subtask]
         for member in members:
             self._waiting.discard(member)
-            if gang:
-                continue
+            # The members of a gang have the same run number and end together.
             for other, run in self._runs.runs(member):
                 if run.number != row.run and run.phase is not Phase.STOPPING:
                     self._stop_run(other, run, StopReason.NOT_NEEDED, now)
--- a/acaciawing/jobs/tests/test_run_bookkeeping.py
+++ b/acaciawing/jobs/tests/test_run_bookkeeping.py
@@ -24,6 +24,7 @@
 
 _SUBTASK = SubtaskId("j", 0, 0, 0)
 _STRAGGLER = SubtaskId("j", 0, 0, 1)
+_GANG = Step(2, Resources(20_000), gang=True)
 
 
 def _make_harness(*names: str) -> CellHarness:
@@ -209,3 +210,43 @@
         harness.report(worker)
         harness.cell.report(harness.now)
         assert harness.cell.state("j") == "cancelled"
+
+
+class TestQueuedStarts:
+    """Guards against queued starts that are sent after their subtask's end."""
+
+    def test_end_withdraws_the_queued_starts_of_all_copies(self) -> None:
+        # The start of a forgotten copy was sent 2 s after the end of its
+        # subtask was noted (review/6).
+        harness = _make_harness("w0", "w1", "w2", "w3")
+        straggler = _submit_straggler(harness)
+        harness.wait(3.0)
+        for view in list(harness.cell.views.values()):
+            if view.incarnation != straggler.worker:
+                harness.report(view.registration)
+        _silence(harness, straggler.worker)
+        harness.step(answer=False)
+        harness.step(answer=False)
+        copies = {(s.subtask, s.run) for s in harness.starts[2:]}
+        assert copies
+        _end(harness, straggler, EndKind.DONE)
+        assert copies <= _stopped(harness)
+
+    def test_end_of_a_gang_withdraws_the_starts_of_its_next_run(self) -> None:
+        # The workers of its first run were silent until their leases lapsed,
+        # but the gang had ended before that.
+        harness = _make_harness("w0", "w1", "w2", "w3")
+        harness.submit(make_job("j", _GANG))
+        harness.settle()
+        first = list(harness.starts)
+        silent = {start.worker for start in first}
+        harness.wait(LEASE_S + 3.0)
+        for view in list(harness.cell.views.values()):
+            if view.incarnation not in silent:
+                harness.report(view.registration)
+        harness.step(answer=False)
+        harness.step(answer=False)
+        second = {(s.subtask, s.run) for s in harness.starts[2:]}
+        assert len(second) == 2
+        _end(harness, first[0], EndKind.DONE)
+        assert second == _stopped(harness)
