Send no start once the worker's session is closed

What callers could see: a subtask starts on a worker that its cell has given up, or by an instance that has lost the cell (TWICE).

Cause: a start that needs a new connection polls the worker first, for up to 0.3 s. Whether the session was closed was asked before that, and not again before the start was sent.

Change: a closed session withdraws the start that it has in hand.

test_a_start_is_not_sent_once_its_session_is_closed fails without it: the start is sent.

--- a/acaciawing/jobserver/sessions.py
+++ b/acaciawing/jobserver/sessions.py
@@ -317,7 +317,8 @@
 
     def _is_withdrawn(self, order: StartRun) -> bool:
         return (
-            (order.subtask, order.run) in self._stopped_runs
+            self._closed.is_set()
+            or (order.subtask, order.run) in self._stopped_runs
             or steady_s() > order.valid_until
             or not self._has_authority()
         )
--- a/acaciawing/jobserver/tests/test_sessions.py
+++ b/acaciawing/jobserver/tests/test_sessions.py
@@ -100,6 +100,27 @@
         assert isinstance(messages[0], StartOrderResult)
         assert messages[0].outcome is StartOutcome.REFUSED
 
+    def test_a_start_is_not_sent_once_its_session_is_closed(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # The worker is given up, or the cell is lost, while the session waits
+        # for the answer that confirms its connection.
+        monkeypatch.setattr(sessions, "RunClient", _FakeClient)
+        _FakeClient.calls = []
+        session = WorkerSession(
+            CellKey(1, 1), _INCARNATION, "192.0.2.1:80", print, lambda: True
+        )
+
+        def poll(*_: object) -> WorkerRuns:
+            session.close()
+            return WorkerRuns(1_000, _INCARNATION.born_ms, (), ())
+
+        monkeypatch.setattr(_FakeClient, "poll", poll, raising=False)
+        monkeypatch.setattr(_FakeClient, "is_confirmed", False)
+        session.order(StartRun(_INCARNATION, _SUBTASK, 1, "", ""))
+        session._carry_out()
+        assert not _FakeClient.calls
+
 
 class TestNextIncarnation:
     """Guards against leases on a clock that has started anew.
