Refuse starts that waited in the queue for over a second

Cause: orders for a worker are sent one after the other, and each one that is not answered takes 0.5 s. A start had no limit to its wait, but where the worker doesn't guard its capacity.

Change: a start is not sent later than 1 s after its decision; it is refused as one whose worker wasn't reached, and its subtask waits for another worker. DrainMs is 2,000 and the list of workers lags by some tenths of a second.

test_start_expires_in_the_queue fails without it: valid until inf.

--- a/acaciawing/jobs/limits.py
+++ b/acaciawing/jobs/limits.py
@@ -12,6 +12,11 @@
 # used.
 CAPACITY_VALIDITY_S = 2.5
 
+# A start is not sent later than this after the decision. Orders for a worker are
+# sent one after the other, and each one that is not answered takes 0.5 s; the
+# worker may begin to drain meanwhile, and gets no start 2 s after that.
+START_VALIDITY_S = 1.0
+
 # A worker that refused a start for lack of room gets no new runs for this time:
 # about one lease renewal, after which its runs are known again.
 NO_ROOM_SUSPENSION_S = 0.15
--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -13,6 +13,7 @@
     CONFIRMATION_VALIDITY_S,
     GANG_START_TIMEOUT_S,
     RUN_NUMBERS_PER_FENCE,
+    START_VALIDITY_S,
 )
 from acaciawing.jobs.model import Queue, Step, SubtaskId
 from acaciawing.jobs.suspect_placement import SuspectPlacement
@@ -339,7 +340,7 @@
                 self.table.jobs[subtask.job].job.payload,
                 checkpoint,
                 self._tickets.ticket(subtask[:3], view.incarnation, now) or "",
-                view.capacity_valid_until,
+                min(view.capacity_valid_until, now + START_VALIDITY_S),
             )
         )
         return run
--- a/acaciawing/jobs/tests/test_run_bookkeeping.py
+++ b/acaciawing/jobs/tests/test_run_bookkeeping.py
@@ -15,6 +15,7 @@
     SubtaskId,
     WorkerUnreachable,
 )
+from acaciawing.jobs.limits import START_VALIDITY_S
 from acaciawing.jobs.tests.builders import (
     LEASE_S,
     CellHarness,
@@ -250,3 +251,11 @@
         assert len(second) == 2
         _end(harness, first[0], EndKind.DONE)
         assert second == _stopped(harness)
+
+    def test_start_expires_in_the_queue(self) -> None:
+        # It would be sent to a worker that has begun to drain meanwhile.
+        harness = _make_harness("w0")
+        harness.submit(make_job("j", Step(1, Resources(9_000))))
+        harness.settle()
+        (start,) = harness.starts
+        assert start.valid_until <= harness.now + START_VALIDITY_S
