--- a/acaciawing/jobserver/client_api.py
+++ b/acaciawing/jobserver/client_api.py
@@ -165,6 +165,7 @@
             Event.JOB_STATE_TOLD,
             {
                 "job": job,
+                "cell": self._cell(queue),
                 "state": answer.state,
                 "holder": answer.holder,
                 "age_s": round(answer.age_s, 3),
@@ -193,7 +194,12 @@
         if isinstance(result, Stored):
             log_event(
                 Event.JOB_ACCEPTED,
-                {"job": job_id, "queue": queue.name, "offset": result.offset},
+                {
+                    "job": job_id,
+                    "queue": queue.name,
+                    "cell": self._cell(queue),
+                    "offset": result.offset,
+                },
             )
             return Reply(200, {})
         if isinstance(result, NotStored):
@@ -213,7 +219,11 @@
         result = self._append(queue, job, record, deadline)
         log_event(
             Event.JOB_CANCELLED,
-            {"job": job, "stored": isinstance(result, Stored)},
+            {
+                "job": job,
+                "cell": self._cell(queue),
+                "stored": isinstance(result, Stored),
+            },
         )
         if isinstance(result, Stored):
             return Reply(200, {})
