--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -46,6 +46,7 @@
         fence: Fence of this holder, higher than that of any earlier holder.
         leases: How long leases may last on the workers.
         on_event: Called with the name and the values of each event to log.
+        is_own: Returns whether the cell runs the jobs of a service.
     """
 
     def fold(self, records: Iterable[Record], now: float, unix_ms: int) -> None:
@@ -249,6 +250,7 @@
         """
         if not self.recovered:
             return
+        self.table.forget_foreign(self._unix_ms - retention_ms)
         running = self._runs.jobs()
         for job in expired_jobs(self.table, state_retention_ms, self._unix_ms):
             if job in running:
--- a/acaciawing/jobs/load_report.py
+++ b/acaciawing/jobs/load_report.py
@@ -38,7 +38,7 @@
                 total = capacity.get(service, none)
                 capacity[service] = total + view.registration.capacity
         for waiting_step in self._waiting.steps:
-            queue = self._queues.get(waiting_step.progress.job.queue)
+            queue = self._queue_of(waiting_step.progress.job)
             if queue is None:
                 continue
             service = queue.service
@@ -91,7 +91,7 @@
         expired: dict[StepKey, Resources] = {}
         for key in {subtask[:3] for subtask in self._runs}:
             progress = self.table.jobs[key[0]]
-            queue = self._queues.get(progress.job.queue)
+            queue = self._queue_of(progress.job)
             step = progress.job.steps[key[2]]
             if queue is None or step.lasting:
                 continue
--- a/acaciawing/jobs/model.py
+++ b/acaciawing/jobs/model.py
@@ -167,27 +167,12 @@
     interval_ms: int = 0
 
 
-class Job(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A submitted job.
-
-    Attributes:
-        id: Chosen by the client; a repeated submission has the same id.
-        queue: Name of the queue that accepted it.
-        payload: Passed to each subtask unchanged.
-        steps: The steps, in the client's order.
-        schedule: Repetitions.
-    """
-
-    id: str
-    queue: str
-    payload: str
-    steps: tuple[Step, ...]
-    schedule: Schedule = Schedule()
-
-
-class Queue(msgspec.Struct, frozen=True):
+class Queue(msgspec.Struct, frozen=True, array_like=True):
     """A queue of the operators' configuration.
 
+    It is stored with each job, as an array: new fields come last and have a
+    default.
+
     Attributes:
         name: Its name.
         host: Host name of the clients' requests.
@@ -213,6 +198,27 @@
     advice: bool = False
 
 
+class Job(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A submitted job.
+
+    Attributes:
+        id: Chosen by the client; a repeated submission has the same id.
+        queue: Name of the queue that accepted it.
+        payload: Passed to each subtask unchanged.
+        steps: The steps, in the client's order.
+        schedule: Repetitions.
+        accepted_by: The queue as it was when it accepted the job; None if that
+            is not recorded.
+    """
+
+    id: str
+    queue: str
+    payload: str
+    steps: tuple[Step, ...]
+    schedule: Schedule = Schedule()
+    accepted_by: Queue | None = None
+
+
 class Pool(msgspec.Struct, frozen=True):
     """The workers of a service.
 
--- a/acaciawing/jobs/progress.py
+++ b/acaciawing/jobs/progress.py
@@ -1,6 +1,6 @@
 """Progress of a cell's jobs, computed by a fold of its records."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from acaciawing.jobs.model import (
     Incarnation,
@@ -19,6 +19,7 @@
     RunFailed,
     RunSettled,
     RunStarted,
+    SubmissionSource,
     SubtaskDone,
     SubtaskGivenUp,
     SuspicionCleared,
@@ -191,6 +192,12 @@
 class JobTable:
     """All jobs of a cell, and the workers that may have their runs.
 
+    A partition may also have submissions of jobs that other cells run. The
+    first submission of an id decides which cell runs the job.
+
+    Args:
+        is_own: Returns whether the cell runs the jobs of a service.
+
     Attributes:
         jobs: Progress by id of the job.
         early_cancellations: Ids of jobs whose cancellation was read before
@@ -201,16 +208,22 @@
             crashed, until its outcome is known; the oldest start first.
         explained: Job of the subtask that is known to have crashed a worker, by
             the worker's incarnation.
+        foreign: When each job that another cell runs was submitted, Unix time
+            in milliseconds, by id of the job.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, is_own: Callable[[str], bool] = lambda service: True
+    ) -> None:
         """Creates a table without jobs."""
+        self._is_own = is_own
         self.jobs: dict[str, JobProgress] = {}
         self.early_cancellations: set[str] = set()
         self.engaged: dict[Incarnation, WorkerEngaged] = {}
         self.suspects: set[SubtaskId] = set()
         self.started: dict[SubtaskId, RunStarted] = {}
         self.explained: dict[Incarnation, str] = {}
+        self.foreign: dict[str, int] = {}
 
     def find_step(self, subtask: SubtaskId) -> Step | None:
         """Returns the step of a subtask, or None if no job has it."""
@@ -233,7 +246,10 @@
         """
         match record:
             case JobSubmitted():
-                return self._submit(record.job, record.at_ms)
+                return self._submit(record)
+            case SubmissionSource():
+                # It matters to the reader of the records alone.
+                return None
             case CancelRequested():
                 return self._cancel(record.job)
             case SubtaskDone():
@@ -257,10 +273,26 @@
         else:
             self.engaged.pop(incarnation, None)
 
-    def _submit(self, job: Job, at_ms: int) -> JobProgress:
+    def _submit(self, record: JobSubmitted) -> JobProgress | None:
+        job = record.job
+        if job.id in self.foreign:
+            return None
+        accepted_by = job.accepted_by
+        if (
+            job.id not in self.jobs
+            and accepted_by is not None
+            and not self._is_own(accepted_by.service)
+        ):
+            self.foreign[job.id] = record.at_ms
+            self.early_cancellations.discard(job.id)
+            return None
+        return self._add_job(job, record.at_ms)
+
+    def _add_job(self, job: Job, at_ms: int) -> JobProgress:
         known = self.jobs.get(job.id)
         if known is not None:
             return known
+        self.foreign.pop(job.id, None)
         progress = JobProgress(job, at_ms)
         progress.cancelled = job.id in self.early_cancellations
         self.jobs[job.id] = progress
@@ -269,7 +301,8 @@
     def _cancel(self, job: str) -> JobProgress | None:
         known = self.jobs.get(job)
         if known is None:
-            self.early_cancellations.add(job)
+            if job not in self.foreign:
+                self.early_cancellations.add(job)
             return None
         if not known.finished:
             known.cancelled = True
@@ -354,7 +387,7 @@
         return progress
 
     def _apply_summary(self, record: JobSummary) -> JobProgress:
-        progress = self._submit(record.job, record.at_ms)
+        progress = self._add_job(record.job, record.at_ms)
         for name in record.done:
             self._mark_done(name)
         for name, runs in record.failed_runs.items():
@@ -377,6 +410,14 @@
         for incarnation in [i for i, j in self.explained.items() if j == job]:
             del self.explained[incarnation]
 
+    def forget_foreign(self, before_ms: int) -> None:
+        """Forgets jobs of other cells that were submitted before a time."""
+        self.foreign = {
+            job: at_ms
+            for job, at_ms in self.foreign.items()
+            if at_ms >= before_ms
+        }
+
     def forget_start(self, subtask: SubtaskId, run: int) -> None:
         """Forgets a start whose outcome is known."""
         start = self.started.get(subtask)
--- a/acaciawing/jobs/records.py
+++ b/acaciawing/jobs/records.py
@@ -26,6 +26,19 @@
     at_ms: int
 
 
+class SubmissionSource(msgspec.Struct, frozen=True, tag="source"):
+    """Jobs of the cell are also submitted to the partition of another cell.
+
+    It is stored before the first of these jobs is accepted, for the holder of
+    that time. Later holders read the homes of the queues.
+
+    Attributes:
+        partition: The other partition.
+    """
+
+    partition: int
+
+
 class CancelRequested(msgspec.Struct, frozen=True, tag="cancel"):
     """A client requested the cancellation of a job."""
 
@@ -172,6 +185,7 @@
 
 Record: TypeAlias = (
     JobSubmitted
+    | SubmissionSource
     | CancelRequested
     | SubtaskDone
     | RunFailed
--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -67,7 +67,7 @@
         for waiting_step in sorted(
             self._waiting.steps, key=self._placement_rank
         ):
-            queue = self._queues.get(waiting_step.progress.job.queue)
+            queue = self._queue_of(waiting_step.progress.job)
             if queue is None or queue.service not in pools:
                 continue
             if waiting_step.step.reserved.cpu > max_free_cpu[queue.service]:
@@ -141,7 +141,7 @@
     def _place_alone(self, subtask: SubtaskId, now: float) -> None:
         """Starts a subtask on a worker of its own; reserves one meanwhile."""
         waiting_step = self._waiting.find(subtask[:3])
-        queue = self._queue_of(subtask)
+        queue = self._queue_of(self.table.jobs[subtask.job].job)
         if waiting_step is None or queue is None:
             return
         step = waiting_step.step
@@ -227,7 +227,7 @@
     ) -> tuple[Rank, StepKey]:
         """Returns the sort key of a waiting step; the smallest goes first."""
         progress = waiting_step.progress
-        queue = self._queues.get(progress.job.queue)
+        queue = self._queue_of(progress.job)
         priority = queue.priority if queue is not None else 0
         urgency = (
             self._urgency(progress, queue, waiting_step.key)
--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -277,7 +277,7 @@
             record = RunFailed(str(row.subtask), row.run)
             self.table.apply(record)
             self._save_record(record, progress)
-        queue = self._queues.get(progress.job.queue)
+        queue = self._queue_of(progress.job)
         limit = queue.max_attempts if queue is not None else 1
         if (
             progress.failed_attempts(row.subtask) >= limit
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -22,6 +22,7 @@
 from acaciawing.jobs.model import (
     Configuration,
     Incarnation,
+    Job,
     Pool,
     Queue,
     SubtaskId,
@@ -70,6 +71,7 @@
         fence: Fence of this holder, higher than that of any earlier holder.
         leases: How long leases may last on the workers.
         on_event: Called with the name and the values of each event to log.
+        is_own: Returns whether the cell runs the jobs of a service.
     """
 
     def __init__(
@@ -77,11 +79,12 @@
         fence: int,
         leases: LeaseBounds,
         on_event: Callable[..., None] = lambda *_, **__: None,
+        is_own: Callable[[str], bool] = lambda service: True,
     ) -> None:
         """Creates the state of a cell whose records were not read yet."""
         self.fence = fence
         self._leases = leases
-        self.table = JobTable()
+        self.table = JobTable(is_own)
         self.views: dict[Incarnation, WorkerView] = {}
         self.recovered = False
         self.fenced = False
@@ -122,7 +125,7 @@
 
     def configure(self, configuration: Configuration) -> None:
         """Applies a configuration."""
-        # Jobs of a removed queue keep the queue's last settings.
+        # Jobs that do not record their queue keep the settings that it had last.
         self._queues.update(configuration.queues)
         self._pools.update(configuration.pools)
         self._limit_capacity_validity()
@@ -287,5 +290,15 @@
             self._job_record_numbers[progress.job.id] = self._last_record_number
         return self._last_record_number
 
-    def _queue_of(self, subtask: SubtaskId) -> Queue | None:
-        return self._queues.get(self.table.jobs[subtask.job].job.queue)
+    def _queue_of(self, job: Job) -> Queue | None:
+        """Returns the queue of a job, with the settings that hold for it.
+
+        A queue may be removed, or moved to another service. Its jobs then keep
+        the settings with which it accepted them.
+        """
+        current, accepted_by = self._queues.get(job.queue), job.accepted_by
+        if accepted_by is None:
+            return current
+        if current is None or current.service != accepted_by.service:
+            return accepted_by
+        return current
--- a/acaciawing/jobserver/cell_log.py
+++ b/acaciawing/jobserver/cell_log.py
@@ -1,15 +1,25 @@
 """Tasks that read and append the records of one cell."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from queue import Empty, SimpleQueue
+from typing import NamedTuple
 
 from xxhash import xxh32_intdigest
 
-from acaciawing.jobs import SaveRecord, decode_record, encode_record
+from acaciawing.jobs import (
+    CancelRequested,
+    JobSubmitted,
+    Record,
+    SaveRecord,
+    SubmissionSource,
+    decode_record,
+    encode_record,
+)
 from acaciawing.jobserver.clock import steady_s
+from acaciawing.jobserver.home_records import HOMES_TOPIC, decode_homes
 from acaciawing.jobserver.limits import (
     MAX_RETRY_PAUSE_S,
     READ_WAIT_MS,
@@ -25,6 +35,7 @@
 )
 from acaciawing.jobserver.tasks import start_task
 from acaciawing.platform.store import (
+    NewestRecords,
     OffsetExpired,
     OutOfSequence,
     Producer,
@@ -36,8 +47,9 @@
 from acaciawing.telemetry import Event, log_event
 
 # Job submissions and cancellations, appended by any instance. Each partition is
-# a cell. The store appends to a partition one call at a time, and a slow one
-# takes 0.12 s for each, so the jobs of a cell are spread over several topics.
+# a cell, and has the submissions of the queues whose home it is. The store
+# appends to a partition one call at a time, and a slow one takes 0.12 s for each,
+# so the jobs of a cell are spread over several topics.
 JOBS_TOPIC = "jobs"
 _JOBS_TOPICS = (JOBS_TOPIC, *(f"{JOBS_TOPIC}.{lane}" for lane in range(1, 8)))
 
@@ -59,30 +71,46 @@
     return _JOBS_TOPICS[xxh32_intdigest(job.encode()) % len(_JOBS_TOPICS)]
 
 
+class _Lane(NamedTuple):
+    """A partition of one of the topics for jobs."""
+
+    topic: str
+    partition: int
+
+
 class CellReader:
     """Fences earlier holders, reads all records and then follows new ones.
 
+    Jobs of the cell may also be submitted to partitions of other cells. These
+    are read as well once a `SubmissionSource` names them.
+
     Args:
         key: The cell.
         address: ``ip:port`` of the store.
         send: Adds a message to the engine's inbox.
+        is_own: Returns whether the cell runs the jobs of a service.
     """
 
     def __init__(
-        self, key: CellKey, address: str, send: Callable[[Message], None]
+        self,
+        key: CellKey,
+        address: str,
+        send: Callable[[Message], None],
+        is_own: Callable[[str], bool],
     ) -> None:
         """Stores the arguments; `start` starts the threads."""
         self._key = key
         self._address = address
         self._send = send
+        self._is_own = is_own
         self._store = Store(address)
         self._closed = threading.Event()
         self._lock = threading.Lock()
-        # When the newest read that reached a topic's end was requested.
-        self._caught_up_at: dict[str, float] = {}
+        # When the newest read that reached a lane's end was requested.
+        self._caught_up_at: dict[_Lane, float] = {}
 
     def start(self) -> None:
-        """Starts the recovery; it starts a thread for each topic of jobs."""
+        """Starts the recovery; it starts a thread for each lane."""
         start_task("cell reader", self._run)
 
     def close(self) -> None:
@@ -93,29 +121,41 @@
         if not self._fence_earlier_holders():
             return
         requested_at = steady_s()
-        with ThreadPoolExecutor(len(_JOBS_TOPICS) + 1) as executor:
-            progress = executor.submit(self._read_to_end, PROGRESS_TOPIC)
-            jobs = list(executor.map(self._read_to_end, _JOBS_TOPICS))
+        own_lanes = _lanes(self._key.partition)
+        progress_lane = _Lane(PROGRESS_TOPIC, self._key.partition)
+        with ThreadPoolExecutor(len(_JOBS_TOPICS) + 2) as executor:
+            progress = executor.submit(self._read_to_end, progress_lane)
+            homes = executor.submit(self._read_sources)
+            jobs = list(executor.map(self._read_to_end, own_lanes))
+            sources = homes.result()
+            sources |= _sources(record for read, _ in jobs for record in read)
+            other_lanes = [
+                lane
+                for partition in sorted(sources - {self._key.partition})
+                for lane in _lanes(partition)
+            ]
+            jobs += executor.map(self._read_to_end, other_lanes)
         # Progress of a job is folded only after its submission.
-        for topic, (batches, _) in zip(_JOBS_TOPICS, jobs, strict=True):
-            self._send_batches(topic, batches)
-        self._send_batches(PROGRESS_TOPIC, progress.result()[0])
-        self._caught_up_at = dict.fromkeys(_JOBS_TOPICS, requested_at)
+        for submitted, _ in jobs:
+            self._send_records(submitted)
+        self._send_records(progress.result()[0])
+        lanes = [*own_lanes, *other_lanes]
+        self._caught_up_at = dict.fromkeys(lanes, requested_at)
         if not self._closed.is_set():
             self._send(RecordsCaughtUp(self._key, requested_at))
-        for topic, (_, end) in zip(_JOBS_TOPICS, jobs, strict=True):
-            start_task(f"{topic} reader", partial(self._follow, topic, end))
+        for lane, (_, end) in zip(lanes, jobs, strict=True):
+            self._start_following(lane, end)
 
-    def _read_to_end(self, topic: str) -> tuple[list[RecordBatch], int]:
-        """Reads a topic from its start; returns its records and its end."""
+    def _read_to_end(self, lane: _Lane) -> tuple[list[Record], int]:
+        """Reads a lane from its start; returns its records and its end."""
         store = Store(self._address)
-        batches: list[RecordBatch] = []
+        records: list[Record] = []
         offset = 0
         pause = RETRY_PAUSE_S
         while not self._closed.is_set():
-            result = store.read(topic, self._key.partition, offset, 0)
+            result = store.read(lane.topic, lane.partition, offset, 0)
             if isinstance(result, RecordBatch):
-                batches.append(result)
+                records += self._decode(result, lane, offset)
                 offset = result.next_offset
                 if offset >= result.end:
                     break
@@ -124,12 +164,23 @@
             else:
                 self._closed.wait(pause)
                 pause = min(2 * pause, MAX_RETRY_PAUSE_S)
-        return batches, offset
+        return records, offset
 
-    def _send_batches(self, topic: str, batches: list[RecordBatch]) -> None:
-        for batch in batches:
-            first = batch.next_offset - len(batch.records)
-            self._send_records(batch, topic, first)
+    def _read_sources(self) -> set[int]:
+        """Returns the partitions that may have submissions for the cell."""
+        store = Store(self._address)
+        pause = RETRY_PAUSE_S
+        while not self._closed.is_set():
+            result = store.newest(HOMES_TOPIC)
+            if isinstance(result, NewestRecords):
+                return {
+                    home.partition
+                    for home in decode_homes(result.records).values()
+                    if any(map(self._is_own, home.services))
+                }
+            self._closed.wait(pause)
+            pause = min(2 * pause, MAX_RETRY_PAUSE_S)
+        return set()
 
     def _fence_earlier_holders(self) -> bool:
         """Makes the store reject appends of earlier holders.
@@ -150,32 +201,57 @@
             self._closed.wait(RETRY_PAUSE_S)
         return False
 
-    def _follow(self, topic: str, offset: int) -> None:
-        """Follows a topic of jobs from the end offset of recovery."""
+    def _start_following(self, lane: _Lane, offset: int) -> None:
+        start_task(f"{lane.topic} reader", partial(self._follow, lane, offset))
+
+    def _follow(self, lane: _Lane, offset: int) -> None:
+        """Follows a lane from an offset on."""
         store = Store(self._address)
         while not self._closed.is_set():
             requested_at = steady_s()
             result = store.read(
-                topic, self._key.partition, offset, READ_WAIT_MS
+                lane.topic, lane.partition, offset, READ_WAIT_MS
             )
             if isinstance(result, RecordBatch):
-                self._send_records(result, topic, offset)
+                records = self._decode(result, lane, offset)
+                self._send_records(records)
+                for partition in sorted(_sources(records)):
+                    self._add_source(partition, requested_at)
                 offset = result.next_offset
                 if offset >= result.end:
-                    self._report_caught_up(topic, requested_at)
+                    self._report_caught_up(lane, requested_at)
             elif isinstance(result, OffsetExpired):
                 offset = max(offset + 1, result.first)
             else:
                 self._closed.wait(RETRY_PAUSE_S)
 
-    def _report_caught_up(self, topic: str, requested_at: float) -> None:
-        """Reports the time up to which the records of all topics were read."""
+    def _add_source(self, partition: int, requested_at: float) -> None:
+        """Follows a partition of another cell from its start."""
+        with self._lock:
+            lanes = [
+                lane
+                for lane in _lanes(partition)
+                if lane not in self._caught_up_at
+            ]
+            self._caught_up_at.update(dict.fromkeys(lanes, requested_at))
+        for lane in lanes:
+            self._start_following(lane, 0)
+
+    def _report_caught_up(self, lane: _Lane, requested_at: float) -> None:
+        """Reports the time up to which the records of all lanes were read."""
         with self._lock:
-            self._caught_up_at[topic] = requested_at
+            self._caught_up_at[lane] = requested_at
             oldest = min(self._caught_up_at.values())
             self._send(RecordsCaughtUp(self._key, oldest))
 
-    def _send_records(self, read: RecordBatch, topic: str, offset: int) -> None:
+    def _send_records(self, records: list[Record]) -> None:
+        if records:
+            self._send(RecordsRead(self._key, tuple(records)))
+
+    def _decode(
+        self, read: RecordBatch, lane: _Lane, offset: int
+    ) -> list[Record]:
+        """Decodes the records that matter to the cell."""
         records = []
         for record_offset, payload in enumerate(read.records, offset):
             record = decode_record(payload)
@@ -183,14 +259,31 @@
                 log_event(
                     Event.FINDING,
                     {
-                        "place": f"{topic}/{self._key.partition}/{record_offset}",
+                        "place": f"{lane.topic}/{lane.partition}/{record_offset}",
                         "fault": "unknown record type",
                     },
                 )
-                continue
-            records.append(record)
-        if records:
-            self._send(RecordsRead(self._key, tuple(records)))
+            elif lane.partition == self._key.partition or _may_be_elsewhere(
+                record
+            ):
+                records.append(record)
+        return records
+
+
+def _lanes(partition: int) -> list[_Lane]:
+    return [_Lane(topic, partition) for topic in _JOBS_TOPICS]
+
+
+def _sources(records: Iterable[Record]) -> set[int]:
+    """Returns the partitions that records name as sources of submissions."""
+    return {r.partition for r in records if isinstance(r, SubmissionSource)}
+
+
+def _may_be_elsewhere(record: Record) -> bool:
+    """Whether a record may be meant for another cell than its partition's."""
+    if isinstance(record, JobSubmitted):
+        return record.job.accepted_by is not None
+    return isinstance(record, CancelRequested)
 
 
 class CellWriter:
--- a/acaciawing/jobserver/client_api.py
+++ b/acaciawing/jobserver/client_api.py
@@ -21,13 +21,22 @@
 from acaciawing.jobserver.keyed_topics import ConfigurationFollower
 from acaciawing.jobserver.limits import (
     ANSWER_MARGIN_S,
+    HOME_VALIDITY_S,
     MAX_RETRY_PAUSE_S,
     RETRY_PAUSE_S,
+    WAITING_HOME_VALIDITY_S,
 )
 from acaciawing.jobserver.membership import StoreContact, cell_of
+from acaciawing.jobserver.messages import JobAnswer
 from acaciawing.jobserver.metrics import METRICS
 from acaciawing.jobserver.peers import Peers
-from acaciawing.platform.store import AppendResult, NotStored, Stored
+from acaciawing.jobserver.queue_homes import QueueHomes
+from acaciawing.platform.store import (
+    AppendResult,
+    NotStored,
+    Stored,
+    StoreUnavailable,
+)
 from acaciawing.platform.wire import Finding, decode_job, is_job_id
 from acaciawing.telemetry import Event, log_event
 
@@ -70,6 +79,7 @@
     Args:
         configuration_follower: Supplies the configuration in force.
         peers: Reads job states from the cells' holders.
+        homes: Tells where the jobs of a queue are.
         appender: Appends submissions and cancellations.
         contact: Reports whether the store answers this instance.
         partitions: Number of cells.
@@ -82,6 +92,7 @@
         self,
         configuration_follower: ConfigurationFollower,
         peers: Peers,
+        homes: QueueHomes,
         appender: Appender,
         contact: StoreContact,
         partitions: int,
@@ -91,6 +102,7 @@
         """Stores the arguments."""
         self._configuration_follower = configuration_follower
         self._peers = peers
+        self._homes = homes
         self._appender = appender
         self._contact = contact
         self._partitions = partitions
@@ -154,30 +166,66 @@
         return Reply(405, {"error": "method not allowed"})
 
     def _count_waiting(self, queue: Queue) -> Reply:
-        answer = self._peers.job_state(self._cell(queue), queue.name, "")
+        """Adds up the waiting jobs of all cells that may have some."""
+        self._homes.find(queue, WAITING_HOME_VALIDITY_S)
+        waiting = 0
+        for cell in (self._cell(queue), *self._other_cells(queue)):
+            answer = self._peers.job_state(cell, queue.name, "")
+            if not answer.holder:
+                return Reply(503, {"error": "holder not reachable"})
+            waiting += answer.waiting
+        return Reply(200, {"Waiting": waiting})
+
+    def _job_state(self, queue: Queue, job: str) -> Reply:
+        answer = self._ask_holder(queue, self._cell(queue), job)
+        if not answer.state:
+            # The queue may have sent the job to another service.
+            if answer.holder:
+                home = self._homes.find(queue, HOME_VALIDITY_S)
+                if isinstance(home, StoreUnavailable):
+                    return Reply(503, {"error": "homes are not current"})
+            answer = self._ask_other_holders(queue, job, answer)
         if not answer.holder:
             return Reply(503, {"error": "holder not reachable"})
-        return Reply(200, {"Waiting": answer.waiting})
+        if answer.state:
+            return Reply(200, {"State": answer.state})
+        if answer.age_s > self._max_state_age_s:
+            return Reply(503, {"error": "records are not current"})
+        return Reply(410, {"error": "no such job"})
 
-    def _job_state(self, queue: Queue, job: str) -> Reply:
-        answer = self._peers.job_state(self._cell(queue), queue.name, job)
+    def _ask_other_holders(
+        self, queue: Queue, job: str, first: JobAnswer
+    ) -> JobAnswer:
+        """Asks the cells of a queue's earlier services for a job.
+
+        Returns:
+            The answer with a state, if there is one; otherwise the answer that
+            proves the least.
+        """
+        weakest = first
+        for cell in self._other_cells(queue):
+            answer = self._ask_holder(queue, cell, job)
+            if answer.state:
+                return answer
+            if not answer.holder or (
+                weakest.holder and answer.age_s > weakest.age_s
+            ):
+                weakest = answer
+        return weakest
+
+    def _ask_holder(self, queue: Queue, cell: int, job: str) -> JobAnswer:
+        answer = self._peers.job_state(cell, queue.name, job)
         log_event(
             Event.JOB_STATE_TOLD,
             {
                 "job": job,
-                "cell": self._cell(queue),
+                "cell": cell,
                 "state": answer.state,
                 "holder": answer.holder,
                 "age_s": round(answer.age_s, 3),
             },
         )
-        if not answer.holder:
-            return Reply(503, {"error": "holder not reachable"})
-        if answer.state:
-            return Reply(200, {"State": answer.state})
-        if answer.age_s > self._max_state_age_s:
-            return Reply(503, {"error": "records are not current"})
-        return Reply(410, {"error": "no such job"})
+        return answer
 
     def _submit(
         self, queue: Queue, job_id: str, body: bytes, deadline: float
@@ -189,6 +237,9 @@
                 {"job": job_id, "place": job.place, "reason": job.fault},
             )
             return Reply(400, {"error": job.fault, "place": job.place})
+        if self._is_known_elsewhere(queue, job_id):
+            return Reply(200, {})
+        job = msgspec.structs.replace(job, accepted_by=queue)
         record = JobSubmitted(job, unix_ms())
         result = self._append(queue, job_id, record, deadline)
         if isinstance(result, Stored):
@@ -198,6 +249,7 @@
                     "job": job_id,
                     "queue": queue.name,
                     "cell": self._cell(queue),
+                    "partition": self._partition(queue),
                     "offset": result.offset,
                 },
             )
@@ -214,6 +266,17 @@
         log_event(Event.JOB_UNDECIDED, {"job": job_id, "reason": str(result)})
         return Reply(504, {"error": "not known whether the job is stored"})
 
+    def _is_known_elsewhere(self, queue: Queue, job: str) -> bool:
+        """Whether a cell of an earlier service of the queue has a job.
+
+        The first submission decides which cell runs a job, but the store keeps
+        it for a limited time.
+        """
+        return any(
+            self._ask_holder(queue, cell, job).state
+            for cell in self._other_cells(queue)
+        )
+
     def _cancel(self, queue: Queue, job: str, deadline: float) -> Reply:
         record = CancelRequested(job, unix_ms())
         result = self._append(queue, job, record, deadline)
@@ -221,7 +284,7 @@
             Event.JOB_CANCELLED,
             {
                 "job": job,
-                "cell": self._cell(queue),
+                "partition": self._partition(queue),
                 "stored": isinstance(result, Stored),
             },
         )
@@ -252,15 +315,13 @@
         stayed unanswered: that append may have been stored.
         """
         payload = encode_record(record)
-        partition = self._cell(queue)
         began_at = steady_s()
         unconfirmed: AppendResult | None = None
         pause = RETRY_PAUSE_S
         if self._contact.is_lost(began_at):
             return NotStored("the store does not answer this instance")
         while True:
-            remaining_s = deadline - steady_s()
-            result = self._appender.append(partition, job, payload, remaining_s)
+            result = self._append_once(queue, job, payload, deadline)
             if isinstance(result, Stored):
                 return result
             if not isinstance(result, NotStored):
@@ -276,9 +337,33 @@
             self._pause.wait(pause * self._jitter.uniform(0.5, 1.0))
             pause = min(2 * pause, MAX_RETRY_PAUSE_S)
 
+    def _append_once(
+        self, queue: Queue, job: str, payload: bytes, deadline: float
+    ) -> AppendResult:
+        home = self._homes.assign(queue, deadline)
+        if isinstance(home, StoreUnavailable):
+            return NotStored(home.detail)
+        return self._appender.append(
+            home.partition, job, payload, deadline - steady_s()
+        )
+
     def _cell(self, queue: Queue) -> int:
+        """Returns the cell of the queue's present service."""
         return cell_of(queue.service, self._partitions)
 
+    def _other_cells(self, queue: Queue) -> list[int]:
+        """Returns the cells of the services that a queue had before."""
+        home = self._homes.known(queue)
+        if home is None:
+            return []
+        cells = {cell_of(s, self._partitions) for s in home.services}
+        return sorted(cells - {self._cell(queue)})
+
+    def _partition(self, queue: Queue) -> int | None:
+        """Returns the partition of the queue's submissions, if it is known."""
+        home = self._homes.known(queue)
+        return None if home is None else home.partition
+
 
 def _read_body(environ: dict[str, Any]) -> bytes:
     if environ.get("CONTENT_LENGTH") or environ.get("HTTP_TRANSFER_ENCODING"):
--- a/acaciawing/jobserver/daemon.py
+++ b/acaciawing/jobserver/daemon.py
@@ -39,6 +39,7 @@
 from acaciawing.jobserver.messages import ReleaseCells
 from acaciawing.jobserver.metrics import METRICS
 from acaciawing.jobserver.peers import Peers
+from acaciawing.jobserver.queue_homes import QueueHomes
 from acaciawing.platform.node import (
     NodeSettings,
     NodeSettingsError,
@@ -101,6 +102,7 @@
         self._client_api = ClientApi(
             self._configuration_follower,
             self._peers,
+            QueueHomes(store, self._contact, settings.partitions),
             Appender(store, self._contact),
             self._contact,
             settings.partitions,
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -338,6 +338,7 @@
             self.has_authority,
             self._request_advice,
             self._leases,
+            lambda service: cell_of(service, self._partitions) == key.partition,
             now,
         )
         self._cells[key.partition] = held
--- a/acaciawing/jobserver/held_cell.py
+++ b/acaciawing/jobserver/held_cell.py
@@ -38,6 +38,7 @@
             grant leases.
         request_advice: Sends a request to the advice service.
         leases: How long leases may last on the workers.
+        is_own: Returns whether the cell runs the jobs of a service.
         now: Current time in seconds.
     """
 
@@ -49,11 +50,12 @@
         has_authority: Callable[[], bool],
         request_advice: Callable[[CellKey, AdviceRequest], None],
         leases: LeaseBounds,
+        is_own: Callable[[str], bool],
         now: float,
     ) -> None:
         """Starts the tasks that read and append the cell's records."""
         self.key = key
-        self.cell = Cell(key.fence, leases, self._log)
+        self.cell = Cell(key.fence, leases, self._log, is_own)
         self.acquired_at = now
         self.records_current_at = float("-inf")
         self.evacuation_received_at = now
@@ -61,7 +63,7 @@
         self._has_authority = has_authority
         self._request_advice = request_advice
         self._sessions: dict[Incarnation, WorkerSession] = {}
-        self._reader = CellReader(key, store, send)
+        self._reader = CellReader(key, store, send, is_own)
         self._writer = CellWriter(key, store, send)
         self._reader.start()
         self._writer.start()
--- a/acaciawing/jobserver/limits.py
+++ b/acaciawing/jobserver/limits.py
@@ -72,6 +72,11 @@
 # that show it as evacuated were requested.
 MACHINE_ORDER_VALIDITY_S = 1.0
 
+# Maximum age of what is known of the queues' homes when a client is told that a
+# job does not exist, and when it is told how many jobs of a queue wait.
+HOME_VALIDITY_S = 1.0
+WAITING_HOME_VALIDITY_S = 10.0
+
 # Part of a client's timeout that is reserved for the transit of the answer.
 ANSWER_MARGIN_S = 0.15
 
--- a/acaciawing/jobserver/tests/test_cell_log.py
+++ b/acaciawing/jobserver/tests/test_cell_log.py
@@ -13,6 +13,7 @@
     CellReader,
     jobs_topic,
 )
+from acaciawing.jobserver.home_records import HOMES_TOPIC
 from acaciawing.jobserver.messages import (
     CellKey,
     Message,
@@ -59,7 +60,9 @@
         store.append(jobs_topic(job.id), 3, [encode_record(submitted)])
         received: SimpleQueue[Message] = SimpleQueue()
         with serving(store.handle, threads=12) as address:
-            reader = CellReader(CellKey(3, 7), address, received.put)
+            reader = CellReader(
+                CellKey(3, 7), address, received.put, lambda _: True
+            )
             reader.start()
             messages = [received.get(timeout=10) for _ in range(3)]
             reader.close()
@@ -68,8 +71,8 @@
         assert isinstance(messages[2], RecordsCaughtUp)
         # Everything is read once after the fence; the rest follows new records.
         assert store.calls[0] == f"/v1/log-append {PROGRESS_TOPIC}"
-        assert sorted(store.calls[1:10]) == sorted(
-            {f"/v1/log-read {PROGRESS_TOPIC}"}
+        assert sorted(store.calls[1:11]) == sorted(
+            {f"/v1/log-read {PROGRESS_TOPIC}", f"/v1/log-newest {HOMES_TOPIC}"}
             | {f"/v1/log-read {jobs_topic(f'{n:016x}')}" for n in range(99)}
         )
 
--- a/acaciawing/platform/store.py
+++ b/acaciawing/platform/store.py
@@ -75,8 +75,13 @@
     expected: int
 
 
+@dataclass(frozen=True)
+class EndMoved:
+    """The partition does not end at the expected offset; nothing was stored."""
+
+
 AppendResult: TypeAlias = (
-    Stored | NotStored | MaybeStored | Superseded | OutOfSequence
+    Stored | NotStored | MaybeStored | Superseded | OutOfSequence | EndMoved
 )
 
 
@@ -185,13 +190,25 @@
         records: Sequence[bytes],
         producer: Producer | None = None,
         timeout_s: float = WRITE_TIMEOUT_S,
+        at_end: int | None = None,
     ) -> AppendResult:
-        """Appends records atomically."""
+        """Appends records atomically.
+
+        Args:
+            topic: Name of the topic.
+            partition: Number of the partition.
+            records: Payloads of the records.
+            producer: Identifies the append, so that it can be repeated.
+            timeout_s: Timeout of the call, in seconds.
+            at_end: Appends only if the partition ends at this offset.
+        """
         query: dict[str, str | int] = {"Topic": topic, "part": partition}
         if producer is not None:
             query["Producer"] = producer.name
             query["epoch"] = producer.epoch
             query["Sequence"] = producer.sequence
+        if at_end is not None:
+            query["At"] = at_end
         body = b"".join(_RECORD_LENGTH.pack(len(r)) + r for r in records)
         outcome = self._connection.call(
             "POST",
@@ -386,6 +403,8 @@
         offset = to_whole_number(values.get("Offset"))
         end = to_whole_number(values.get("End"))
         return Stored(offset or 0, end or 0)
+    if response.status == 412:
+        return EndMoved()
     if response.status == 409 and values.get("Reason") == "fenced":
         return Superseded()
     if response.status == 409:
--- a/acaciawing/telemetry/events.py
+++ b/acaciawing/telemetry/events.py
@@ -52,6 +52,7 @@
     JOB_UNDECIDED = ("AW3403", "job submission undecided")
     JOB_STATE_TOLD = ("AW3404", "job state told")
     JOB_CANCELLED = ("AW3405", "job cancelled")
+    QUEUE_HOME_ASSIGNED = ("AW3406", "queue home assigned")
     RUN_COPIED = ("AW3309", "run copied")
     RUN_LOST = ("AW3310", "run lost with its worker")
     SUBTASK_GIVEN_UP = ("AW3311", "subtask given up")
--- a/standins/job_store.py
+++ b/standins/job_store.py
@@ -142,7 +142,11 @@
             records.append(body[position + 4 : position + 4 + size])
             position += 4 + size
         if "Producer" not in query:
-            offset = self.append(topic, partition, records)
+            with self._changed:
+                end = len(self._logs.get((topic, partition), ()))
+                if int(query.get("At", end)) != end:
+                    return json_response(412, {"End": end})
+                offset = self.append(topic, partition, records)
             return json_response(
                 200, {"Offset": offset, "End": offset + len(records)}
             )
--- a/standins/platform_harness.py
+++ b/standins/platform_harness.py
@@ -66,6 +66,8 @@
         run_s: Run time of each subtask, in seconds.
         guarded: Whether the configuration says that workers refuse what does
             not fit.
+        services: Services, to which the workers belong by turns; the queue is
+            the first one's.
         route: Returns the address at which an instance reaches a stand-in,
             given the number of the instance (0 for all instances) and the
             address of the stand-in.
@@ -83,6 +85,7 @@
         route: Callable[[int, str], str] = lambda _, address: address,
         *,
         guarded: bool = True,
+        services: tuple[str, ...] = (SERVICE,),
     ):
         """Starts the stand-ins."""
         self._folder = folder
@@ -95,6 +98,8 @@
         self._processes: dict[int, subprocess.Popen[bytes]] = {}
         self.store = JobStore(PARTITIONS)
         self._guarded = guarded
+        self._services = services
+        self._version = 0
         self.reset_worker: Callable[[int], None] = lambda _: None
         self.workers = [
             JobWorker(run_s, partial(self._crash_worker, number))
@@ -105,7 +110,9 @@
         self._serve(1, _MACHINES_PORT, self._serve_machine_list)
         for number, worker in enumerate(self.workers):
             self._serve(100 + number, _WORKER_PORT, worker.handle)
-        self._publish_configuration()
+        self.configure(services[0])
+        for number in range(workers):
+            self._publish_worker(number)
 
     @property
     def store_address(self) -> str:
@@ -242,7 +249,7 @@
         rows = [
             {
                 "Machine": f"m-{n}",
-                "Pool": SERVICE,
+                "Pool": self._service(n),
                 "State": "up",
                 "Capacity": {"Cpu": _WORKER_CPU, "MemMb": 8192},
                 "Id": f"w-{n}",
@@ -251,25 +258,36 @@
         ]
         return json_response(200, {"Machines": rows, "NextToken": None})
 
-    def _publish_configuration(self) -> None:
+    def configure(self, service: str | None) -> None:
+        """Publishes the next version of the configuration.
+
+        Args:
+            service: Service of the queue; None removes the queue.
+        """
+        self._version += 1
         route = {
             "Name": "next-visit",
             "Host": HOST,
             "PathPrefix": PREFIX,
-            "Service": SERVICE,
+            "Service": service,
             "MaxAttempts": 2,
             "Stretch": 1.6,
             "TargetLatencyMs": 600,
             "TimeoutMs": 3000,
         }
-        services = [{"Name": SERVICE, "RejectsOverload": self._guarded}]
+        services = [
+            {"Name": name, "RejectsOverload": self._guarded}
+            for name in self._services
+        ]
         self.store.put(
             "keyed.op",
             "config",
-            {"Version": 1, "Routes": [route], "Services": services},
+            {
+                "Version": self._version,
+                "Routes": [route] if service else [],
+                "Services": services,
+            },
         )
-        for number in range(len(self.workers)):
-            self._publish_worker(number)
 
     def _publish_worker(self, number: int) -> None:
         address = f"{self._network}.{100 + number}:{_WORKER_PORT}"
@@ -277,7 +295,7 @@
             "keyed.servers",
             f"w-{number}",
             {
-                "Service": SERVICE,
+                "Service": self._service(number),
                 "Address": self._route(0, address),
                 "Zone": "a",
                 "State": "ready",
@@ -287,6 +305,9 @@
             },
         )
 
+    def _service(self, worker: int) -> str:
+        return self._services[worker % len(self._services)]
+
     def _settings(self, number: int) -> str:
         ip = f"{self._network}.{number}"
         store = self._route(number, self.store_address)
