Don't let clients wait for the homes of queues while the store is away

What callers could see: while the store is away, a question for an unknown job or for a queue's length waits for up to 1 s, one after the other, and takes the threads that refuse submissions.

Change: homes are not read while the store is lost to the instance, a request waits for another one's read for 0.3 s at most, and doesn't read again what that one has read. Gangs are checked without a list for each run.

test_lost_store_is_not_waited_for fails without it: two calls are made.

--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -271,10 +271,9 @@
     def _check_gangs(self, now: float) -> None:
         """Stops gangs of which a member did not start in time."""
         gangs: dict[tuple[str, int, int], list[tuple[WorkerView, Run]]] = {}
-        for subtask in self._runs:
-            view, run = self._runs.runs(subtask)[0]
+        for view, run in self._runs.active_runs():
             if run.step.gang:
-                gangs.setdefault(subtask[:3], []).append((view, run))
+                gangs.setdefault(run.subtask[:3], []).append((view, run))
         for key, members in gangs.items():
             job, occurrence, step = key
             progress = self.table.jobs[job]
--- a/acaciawing/jobs/run_table.py
+++ b/acaciawing/jobs/run_table.py
@@ -32,6 +32,11 @@
         views = self._views.get(subtask)
         return views[0] if views else None
 
+    def active_runs(self) -> Iterator[tuple[WorkerView, Run]]:
+        """Yields the active run of each subtask with its worker."""
+        for subtask, views in self._views.items():
+            yield views[0], views[0].runs[subtask]
+
     def has_copy(self, subtask: SubtaskId) -> bool:
         """Whether a subtask has more than one run."""
         return len(self._views.get(subtask, ())) > 1
--- a/acaciawing/jobserver/queue_homes.py
+++ b/acaciawing/jobserver/queue_homes.py
@@ -36,6 +36,9 @@
 )
 from acaciawing.telemetry import Event, log_event
 
+# Maximum wait for another thread that reads the homes.
+_REFRESH_WAIT_S = 0.3
+
 
 class QueueHomes:
     """Reads and assigns the homes of queues; may be used from any thread.
@@ -94,13 +97,30 @@
             queue: The queue.
             max_age_s: Maximum age of what the answer rests on, in seconds.
         """
-        if steady_s() - self._current_at > max_age_s:
-            with self._lock:
-                failure = self._read()
+        if self._is_stale(max_age_s):
+            failure = self._refresh(max_age_s)
             if failure is not None:
                 return failure
         return self._homes.get(home_key(queue))
 
+    def _is_stale(self, max_age_s: float) -> bool:
+        return steady_s() - self._current_at > max_age_s
+
+    def _refresh(self, max_age_s: float) -> StoreUnavailable | None:
+        """Reads the topic, unless another thread has done so meanwhile.
+
+        Does not wait for a store that is lost: the threads that serve clients
+        would wait one after the other.
+        """
+        if self._contact.is_lost(steady_s()):
+            return StoreUnavailable("the store does not answer this instance")
+        if not self._lock.acquire(timeout=_REFRESH_WAIT_S):
+            return StoreUnavailable("another request waits for the store")
+        try:
+            return self._read() if self._is_stale(max_age_s) else None
+        finally:
+            self._lock.release()
+
     def known(self, queue: Queue) -> QueueHome | None:
         """Returns the home of a queue as far as it was read."""
         return self._homes.get(home_key(queue))
--- a/acaciawing/jobserver/tests/test_queue_homes.py
+++ b/acaciawing/jobserver/tests/test_queue_homes.py
@@ -53,7 +53,9 @@
 
 
 def _make_homes(address: str) -> QueueHomes:
-    return QueueHomes(address, StoreContact(), _PARTITIONS)
+    contact = StoreContact()
+    contact.record_answer(steady_s())
+    return QueueHomes(address, contact, _PARTITIONS)
 
 
 def _assign(homes: QueueHomes, queue: Queue) -> QueueHome:
@@ -129,6 +131,16 @@
             homes.assign(_ROUTING, steady_s() + 5), StoreUnavailable
         )
 
+    def test_lost_store_is_not_waited_for(
+        self, store: JobStore, address: str
+    ) -> None:
+        contact = StoreContact()
+        homes = QueueHomes(address, contact, _PARTITIONS)
+        contact.record_answer(steady_s() - 60.0)
+        calls = len(store.calls)
+        assert isinstance(homes.find(_VISITS, 0.0), StoreUnavailable)
+        assert len(store.calls) == calls
+
     def test_unreadable_home_hides_no_other(
         self, store: JobStore, address: str
     ) -> None:
