--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	$(PYTHON) -m demo
 
 soak: setup
-	$(PYTHON) -m soak $(if $(SEEDS),--seeds $(SEEDS))
+	$(PYTHON) -m soak $(if $(SEEDS),--seeds $(SEEDS)) $(if $(MOVES),--moves-queue)
 
 bench: setup
 	$(PYTHON) -m bench $(if $(WRITE),--write) $(SECTIONS)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -32,6 +32,7 @@
     instances: int = 3,
     workers: int = 4,
     clients: int = 3,
+    moves_queue: bool = False,
 ) -> int:
     """Runs seeds and checks the guarantees given to callers.
 
@@ -42,8 +43,9 @@
         instances: Number of job server processes.
         workers: Number of stand-in workers.
         clients: Number of concurrent callers.
+        moves_queue: Whether the queue moves between two services.
     """
-    size = Size(instances, workers, clients, seconds)
+    size = Size(instances, workers, clients, seconds, moves_queue=moves_queue)
     chosen = list(seed or [])
     if not chosen and not seeds:
         cases = tomllib.loads(_REGRESSIONS_PATH.read_text("utf-8"))
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -17,7 +17,12 @@
 from soak.faults import MAX_FAULT_DURATION_S, FaultInjector
 from soak.proxy import Fault, Proxy, ProxyHost
 from standins.job_worker import DEADLY_PAYLOAD, SHRINK_GRACE_S
-from standins.platform_harness import PREFIX, RUN_CPU, PlatformHarness
+from standins.platform_harness import (
+    PREFIX,
+    RUN_CPU,
+    SERVICE,
+    PlatformHarness,
+)
 
 # Number of submissions of a job after which its caller gives up.
 _MAX_SUBMISSIONS = 6
@@ -28,6 +33,10 @@
 
 _READY_TIMEOUT_S = 30.0
 
+# Services between which the queue moves, and range of the time between two moves.
+_SERVICES = (SERVICE, "routing")
+_MOVE_INTERVAL_S = (0.3, 2.0)
+
 # Time after which every instance has to know an accepted job; the platform's
 # bound `visible_ms`.
 MAX_VISIBILITY_DELAY_S = 3.0
@@ -43,6 +52,8 @@
         clients: Number of concurrent callers.
         seconds: Time for which faults are injected, in seconds.
         deadly_share: Share of jobs with a subtask that crashes its workers.
+        moves_queue: Whether the queue moves between two services, each with
+            half of the workers.
     """
 
     instances: int = 3
@@ -50,6 +61,7 @@
     clients: int = 3
     seconds: float = 10.0
     deadly_share: float = 0.03
+    moves_queue: bool = False
 
 
 @dataclass(frozen=True)
@@ -93,6 +105,7 @@
             run_s=0.2,
             route=self._route,
             guarded=False,
+            services=_SERVICES if size.moves_queue else _SERVICES[:1],
         )
         self.harness.reset_worker = lambda number: list(self.workers.values())[
             number
@@ -130,6 +143,8 @@
                 threading.Thread(target=self._run_client, args=(n, instances))
                 for n in range(self.size.clients)
             ]
+            if self.size.moves_queue:
+                clients.append(threading.Thread(target=self._move_queue))
             for client in clients:
                 client.start()
             fault_injector.start()
@@ -195,6 +210,15 @@
                 self._query_state(job, rng.choice(instances))
             time.sleep(rng.uniform(0.0, 0.2))
 
+    def _move_queue(self) -> None:
+        """Moves the queue to the other service, again and again."""
+        # Independent of the faults, which stay the same for a seed.
+        rng = random.Random(self.seed + 1)
+        position = 0
+        while not self.stopped.wait(rng.uniform(*_MOVE_INTERVAL_S)):
+            position += 1
+            self.harness.configure(_SERVICES[position % len(_SERVICES)])
+
     def _query_state(self, job: str, instance: int) -> str:
         requested_at = time.monotonic()
         status, body = self.harness.call(instance, "GET", PREFIX + job)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -18,6 +18,14 @@
             assert result.accepted, result
             assert not result.violations, result
 
+    def test_guarantees_hold_while_the_queue_moves(self) -> None:
+        # Jobs were looked for, repeated and cancelled in the cell of the
+        # queue's present service (review/8).
+        size = Size(2, 4, 2, 4.0, deadly_share=0.0, moves_queue=True)
+        result = run_seed(3, size)
+        assert result.accepted, result
+        assert not result.violations, result
+
 
 class TestChecks:
     """Guards against checks that miss a violation."""
