Log changes of the membership, and the age of the confirmation behind a start

Whether a holder that was cut off is confirmed again as it stands, or starts jobs without a confirmation, could not be told from the log: no join was logged, and no start said from which join its authority came.

Change: AW3105 for each answered join with another generation, or later than a member's lifetime after the one before; confirmed_s in AW3301. No decision changes.

Ruled out: a line for each join, which would be six a second on each instance.

--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -312,6 +312,7 @@
             waited_ms=round(waited_s * 1000),
             free_cpu=view.free.cpu,
             suspicion=self._suspicion(subtask).value,
+            confirmed_s=round(now - self._confirmed_at, 3),
         )
 
     def _order_run(
--- a/acaciawing/jobserver/membership.py
+++ b/acaciawing/jobserver/membership.py
@@ -109,6 +109,7 @@
         self._closed = threading.Event()
         self._ended = threading.Event()
         self._partitions: frozenset[int] = frozenset()
+        self._joined_at = float("-inf")
         self._timeout_s = JOIN_TIMEOUT_S
 
     def start(self) -> None:
@@ -170,6 +171,8 @@
         )
         if isinstance(result, GroupMembership):
             self._timeout_s = JOIN_TIMEOUT_S
+            self._log_change(generation, result, requested_at)
+            self._joined_at = requested_at
             self._partitions = result.partitions
             self._contact.record_answer(steady_s())
             self._send(
@@ -182,6 +185,25 @@
         self._contact.record_failure(steady_s(), result.detail)
         return generation
 
+    def _log_change(
+        self, before: int, answer: GroupMembership, requested_at: float
+    ) -> None:
+        """Logs an answered join after which other instances may hold cells."""
+        gap_s = requested_at - self._joined_at
+        if answer.generation == before and 1000 * gap_s <= MEMBER_TTL_MS:
+            return
+        log_event(
+            Event.MEMBERSHIP_CHANGED,
+            {
+                "generation": answer.generation,
+                "before": before,
+                "gap_s": round(gap_s, 3) if before else 0,
+                "kept": len(self._partitions & answer.partitions),
+                "gained": len(answer.partitions - self._partitions),
+                "lost": len(self._partitions - answer.partitions),
+            },
+        )
+
 
 class CellHolders:
     """Addresses of the cells' holders, refreshed by a thread.
--- a/acaciawing/telemetry/events.py
+++ b/acaciawing/telemetry/events.py
@@ -33,6 +33,7 @@
     CELL_RECOVERED = ("AW3102", "cell recovered")
     CELL_LOST = ("AW3103", "cell lost")
     QUEUES_IN_FORCE = ("AW3104", "queues in force")
+    MEMBERSHIP_CHANGED = ("AW3105", "membership changed")
     WORKER_CONTACTED = ("AW3201", "worker contacted")
     WORKER_LOST = ("AW3202", "worker not reachable")
     WORKER_GONE = ("AW3203", "worker gone")
