--- a/acaciawing/jobserver/daemon.py
+++ b/acaciawing/jobserver/daemon.py
@@ -35,6 +35,7 @@
     CellHolders,
     MembershipTask,
     StoreContact,
+    group_member,
 )
 from acaciawing.jobserver.messages import ReleaseCells
 from acaciawing.jobserver.metrics import METRICS
@@ -73,8 +74,13 @@
         store = settings.store_address
         self._address = f"{settings.ip}:{settings.first_internal_port}"
         self._contact = StoreContact()
+        capable = (
+            settings.cores >= MIN_HOLDER_CORES
+            and settings.link_mbps >= MIN_HOLDER_LINK_MBPS
+        )
         self._engine = Engine(
             store,
+            group_member(self._address, standby=not capable),
             settings.partitions,
             settings.retention_s,
             settings.state_retention_s,
@@ -87,15 +93,12 @@
             store, self._engine.send, self._engine.holds_cells
         )
         self._holders = CellHolders(store)
-        capable = (
-            settings.cores >= MIN_HOLDER_CORES
-            and settings.link_mbps >= MIN_HOLDER_LINK_MBPS
-        )
         self._membership = MembershipTask(
             store,
             self._address,
             self._contact,
             self._engine.send,
+            settings.partitions,
             None if capable else self._holders,
         )
         self._peers = Peers(self._engine, self._holders, self._address)
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -13,8 +13,8 @@
 from acaciawing.jobs.fleet import CellReport
 from acaciawing.jobserver.clock import steady_s, unix_ms
 from acaciawing.jobserver.held_cell import HeldCell
+from acaciawing.jobserver.holding import Holding
 from acaciawing.jobserver.limits import (
-    AUTHORITY_S,
     RETAIN_INTERVAL_S,
     TICK_INTERVAL_S,
     UNCONFIRMED_RUNS_S,
@@ -27,6 +27,8 @@
     CellReportQuery,
     ConfigurationRead,
     FleetTenure,
+    HoldingInterrupted,
+    HoldingVerified,
     JobAnswer,
     JobStateQuery,
     MachineListRead,
@@ -65,6 +67,7 @@
 
     Args:
         store: ``ip:port`` of the store.
+        member: Name of this instance in the store's group.
         partitions: Number of cells.
         retention_s: Retention time of records in the store, in seconds.
         state_retention_s: How long states of finished jobs are reported, in
@@ -75,6 +78,7 @@
     def __init__(
         self,
         store: str,
+        member: str,
         partitions: int,
         retention_s: int,
         state_retention_s: int,
@@ -82,6 +86,7 @@
     ) -> None:
         """Stores the arguments; `start` starts the thread."""
         self._store = store
+        self._member = member
         self._partitions = partitions
         self._retention_ms = 1000 * retention_s
         self._state_retention_ms = 1000 * state_retention_s
@@ -91,8 +96,8 @@
         self._configuration: Configuration | None = None
         self._workers: tuple[Worker, ...] | None = None
         self._workers_current_at = float("-inf")
-        self._confirmed_at = float("-inf")
         self._released = False
+        self._fleet_holding: Holding | None = None
         self._tenure: FleetTenure | None = None
         self._has_unconfirmed_runs = False
         self._request_advice: Callable[[CellKey, AdviceRequest], None] = (
@@ -118,7 +123,12 @@
 
         None if the cell is not held or this instance has no authority.
         """
-        return self._tenure if self.has_authority() else None
+        holding = self._fleet_holding
+        return (
+            self._tenure
+            if holding is not None and holding.is_valid(steady_s())
+            else None
+        )
 
     def holds_cells(self) -> bool:
         """Returns whether this instance holds any cell."""
@@ -131,13 +141,6 @@
         """
         return self._has_unconfirmed_runs
 
-    def has_authority(self) -> bool:
-        """Returns whether the membership was confirmed recently enough.
-
-        Only then may this instance give orders and grant leases.
-        """
-        return steady_s() - self._confirmed_at < AUTHORITY_S
-
     def _run(self) -> None:
         ticked_at = retained_at = steady_s()
         while True:
@@ -151,16 +154,17 @@
                     held.cell.recovered and held.cell.has_unconfirmed_runs()
                     for held in self._cells.values()
                 )
-            if now - retained_at >= RETAIN_INTERVAL_S and self.has_authority():
+            if now - retained_at >= RETAIN_INTERVAL_S:
                 retained_at = now
                 for held in self._cells.values():
-                    held.cell.retain(
-                        self._retention_ms, self._state_retention_ms
-                    )
+                    if held.holding.is_valid(now):
+                        held.cell.retain(
+                            self._retention_ms, self._state_retention_ms
+                        )
             for partition, held in list(self._cells.items()):
                 if held.cell.fenced:
                     self._drop(partition, "fenced")
-                elif self.has_authority():
+                elif held.holding.is_valid(now):
                     held.carry_out(held.cell.take_actions(now))
 
     def _receive_messages(self) -> None:
@@ -220,18 +224,38 @@
 
     @_receive.register
     def _(self, message: PartitionsAssigned, now: float) -> None:
-        self._confirmed_at = message.requested_at
-        for partition in message.partitions & self._cells.keys():
-            self._cells[partition].cell.confirm_holder(message.requested_at)
-        for partition in list(self._cells):
+        for partition, held in list(self._cells.items()):
             if partition not in message.partitions:
                 self._drop(partition, "assigned to another instance")
+            elif held.holding.was_interrupted(message):
+                self._drop(partition, "membership was interrupted")
+            else:
+                held.confirm(message)
         self._update_fleet_tenure(message, now)
         if self._released or self._configuration is None:
             return
         for partition in message.partitions & self._cells_in_use():
             if partition not in self._cells:
-                self._acquire(CellKey(partition, message.generation), now)
+                self._acquire(partition, message, now)
+
+    @_receive.register
+    def _(self, message: HoldingVerified, now: float) -> None:
+        del now
+        held = self._find_cell(message.key)
+        if held is not None:
+            held.accept(message)
+        if self._fleet_holding is not None and self._is_fleet_tenure(
+            message.key
+        ):
+            self._fleet_holding.accept(message)
+
+    @_receive.register
+    def _(self, message: HoldingInterrupted, now: float) -> None:
+        del now
+        if self._find_cell(message.key) is not None:
+            self._drop(message.key.partition, "held by another instance since")
+        if self._is_fleet_tenure(message.key):
+            self._end_fleet_tenure()
 
     @_receive.register
     def _(self, message: ConfigurationRead, now: float) -> None:
@@ -268,7 +292,11 @@
     @_receive.register
     def _(self, message: CellReportQuery, now: float) -> None:
         held = self._cells.get(message.partition)
-        if held is None or not held.cell.recovered or not self.has_authority():
+        if (
+            held is None
+            or not held.cell.recovered
+            or not held.holding.is_valid(now)
+        ):
             message.reply.set_result(CellReport(False))
             return
         held.evacuation_received_at = now
@@ -278,7 +306,7 @@
     @_receive.register
     def _(self, message: ReleaseCells, now: float) -> None:
         self._released = True
-        self._tenure = None
+        self._end_fleet_tenure()
         for partition in list(self._cells):
             self._drop(partition, "instance is stopping")
         message.reply.set_result(None)
@@ -325,24 +353,63 @@
     def _update_fleet_tenure(
         self, assignment: PartitionsAssigned, now: float
     ) -> None:
-        if fleet_cell(self._partitions) not in assignment.partitions:
-            self._tenure = None
-        elif self._tenure is None and not self._released:
-            self._tenure = FleetTenure(assignment.generation, now)
+        partition = fleet_cell(self._partitions)
+        holding = self._fleet_holding
+        if holding is not None and (
+            partition not in assignment.partitions
+            or holding.was_interrupted(assignment)
+        ):
+            self._end_fleet_tenure()
+        elif holding is not None:
+            holding.confirm(assignment)
+        if (
+            self._fleet_holding is None
+            and partition in assignment.partitions
+            and not self._released
+        ):
+            key = CellKey(partition, assignment.generation)
+            self._fleet_holding = self._make_holding(key, assignment)
+            self._tenure = FleetTenure(key.fence, now)
+
+    def _is_fleet_tenure(self, key: CellKey) -> bool:
+        return (
+            self._tenure is not None
+            and key.partition == fleet_cell(self._partitions)
+            and key.fence == self._tenure.fence
+        )
 
-    def _acquire(self, key: CellKey, now: float) -> None:
+    def _end_fleet_tenure(self) -> None:
+        if self._fleet_holding is not None:
+            self._fleet_holding.revoke()
+        self._fleet_holding = None
+        self._tenure = None
+
+    def _make_holding(
+        self, key: CellKey, assignment: PartitionsAssigned
+    ) -> Holding:
+        return Holding(
+            key,
+            self._member,
+            self._store,
+            self.send,
+            assignment.requested_at,
+        )
+
+    def _acquire(
+        self, partition: int, assignment: PartitionsAssigned, now: float
+    ) -> None:
+        key = CellKey(partition, assignment.generation)
         held = HeldCell(
             key,
             self._store,
             self.send,
-            self.has_authority,
+            self._make_holding(key, assignment),
             self._request_advice,
             self._leases,
             lambda service: cell_of(service, self._partitions) == key.partition,
             now,
         )
         self._cells[key.partition] = held
-        held.cell.confirm_holder(self._confirmed_at)
         if self._configuration is not None:
             held.cell.configure(self._configuration)
         held.cell.confirm_workers(self._workers_current_at)
--- a/acaciawing/jobserver/held_cell.py
+++ b/acaciawing/jobserver/held_cell.py
@@ -14,14 +14,25 @@
     LeaseBounds,
     PaceRun,
     SaveRecord,
+    StartOrderResult,
+    StartOutcome,
     StartRun,
+    StopOrderResult,
     StopRun,
 )
 from acaciawing.jobs.fleet import Evacuation
 from acaciawing.jobserver.cell_log import CellReader, CellWriter
-from acaciawing.jobserver.clock import unix_ms
+from acaciawing.jobserver.clock import steady_s, unix_ms
+from acaciawing.jobserver.holding import Holding
 from acaciawing.jobserver.limits import EVACUATION_RETENTION_S
-from acaciawing.jobserver.messages import CellKey, Message
+from acaciawing.jobserver.messages import (
+    CellFenced,
+    CellKey,
+    HoldingVerified,
+    Message,
+    PartitionsAssigned,
+    WorkerMessageReceived,
+)
 from acaciawing.jobserver.metrics import METRICS
 from acaciawing.jobserver.sessions import WorkerSession
 from acaciawing.telemetry import Event, log_event
@@ -34,8 +45,7 @@
         key: The cell.
         store: ``ip:port`` of the store.
         send: Adds a message to the engine's inbox.
-        has_authority: Returns whether this instance may still give orders and
-            grant leases.
+        holding: Right to give orders for the cell.
         request_advice: Sends a request to the advice service.
         leases: How long leases may last on the workers.
         is_own: Returns whether the cell runs the jobs of a service.
@@ -47,7 +57,7 @@
         key: CellKey,
         store: str,
         send: Callable[[Message], None],
-        has_authority: Callable[[], bool],
+        holding: Holding,
         request_advice: Callable[[CellKey, AdviceRequest], None],
         leases: LeaseBounds,
         is_own: Callable[[str], bool],
@@ -55,27 +65,39 @@
     ) -> None:
         """Starts the tasks that read and append the cell's records."""
         self.key = key
+        self.holding = holding
         self.cell = Cell(key.fence, leases, self._log, is_own)
         self.acquired_at = now
         self.records_current_at = float("-inf")
         self.evacuation_received_at = now
         self._send = send
-        self._has_authority = has_authority
         self._request_advice = request_advice
         self._sessions: dict[Incarnation, WorkerSession] = {}
-        self._reader = CellReader(key, store, send, is_own)
-        self._writer = CellWriter(key, store, send)
+        self._reader = CellReader(key, store, self._report, is_own)
+        self._writer = CellWriter(key, store, self._report)
+        self.cell.confirm_holder(holding.confirmed_at)
         self._reader.start()
         self._writer.start()
 
     def close(self) -> None:
-        """Stops all tasks of the cell."""
+        """Stops all tasks of the cell; orders still queued are not sent."""
+        self.holding.revoke()
         self._reader.close()
         self._writer.close()
         for session in self._sessions.values():
             session.close()
         self._sessions.clear()
 
+    def confirm(self, assignment: PartitionsAssigned) -> None:
+        """Handles a join that has assigned the cell again."""
+        self.holding.confirm(assignment)
+        self.cell.confirm_holder(self.holding.confirmed_at)
+
+    def accept(self, verified: HoldingVerified) -> None:
+        """Handles that the cell was held up to a later generation."""
+        self.holding.accept(verified)
+        self.cell.confirm_holder(self.holding.confirmed_at)
+
     def tick(self, now: float) -> None:
         """Advances the cell's time and ends an outdated evacuation."""
         if now - self.evacuation_received_at > EVACUATION_RETENTION_S:
@@ -121,12 +143,21 @@
             self.key,
             action.worker,
             action.address,
-            self._send,
-            self._has_authority,
+            self._report,
+            self._may_order,
         )
         self._sessions[action.worker] = session
         session.start()
 
+    def _may_order(self) -> bool:
+        return self.holding.is_valid(steady_s())
+
+    def _report(self, message: Message) -> None:
+        """Passes a message to the engine; a later holder ends all orders."""
+        if _shows_later_holder(message):
+            self.holding.revoke()
+        self._send(message)
+
     def _log(self, event: str, **values: Any) -> None:
         if event == "RUN_PLACED":
             METRICS.record_time(
@@ -140,3 +171,15 @@
             Event[event],
             {"cell": self.key.partition, "fence": self.key.fence, **values},
         )
+
+
+def _shows_later_holder(message: Message) -> bool:
+    """Whether the store or a worker has refused this holder's fence."""
+    match message:
+        case CellFenced():
+            return True
+        case WorkerMessageReceived(message=StartOrderResult(outcome=outcome)):
+            return outcome is StartOutcome.FENCED
+        case WorkerMessageReceived(message=StopOrderResult(fenced=fenced)):
+            return fenced
+    return False
--- a/acaciawing/jobserver/membership.py
+++ b/acaciawing/jobserver/membership.py
@@ -5,8 +5,10 @@
 
 from xxhash import xxh32_intdigest
 
+from acaciawing.jobs.holding import JoinAnswer, Membership
 from acaciawing.jobserver.cell_log import JOBS_TOPIC
 from acaciawing.jobserver.clock import steady_s
+from acaciawing.jobserver.holding import GROUP
 from acaciawing.jobserver.limits import (
     JOIN_INTERVAL_S,
     JOIN_TIMEOUT_S,
@@ -17,11 +19,9 @@
 )
 from acaciawing.jobserver.messages import PartitionsAssigned
 from acaciawing.jobserver.tasks import start_task
-from acaciawing.platform.store import GroupMembership, Store, StoreUnavailable
+from acaciawing.platform.store import Store, StoreUnavailable
 from acaciawing.telemetry import Event, log_event
 
-GROUP = "cells"
-
 # Interval between two reads of the cells' holders.
 _HOLDERS_READ_INTERVAL_S = 1.0
 
@@ -35,6 +35,16 @@
 _HANDOVER_S = 0.03
 
 
+def group_member(address: str, *, standby: bool) -> str:
+    """Returns an instance's name in the group.
+
+    Args:
+        address: The instance's address for its peers.
+        standby: Whether it holds cells only if no more capable one does.
+    """
+    return address + _STANDBY_SUFFIX if standby else address
+
+
 def cell_of(service: str, partitions: int) -> int:
     """Returns the cell of a service.
 
@@ -88,6 +98,7 @@
         member: Name in the group: this instance's address for its peers.
         contact: Records whether the store answers.
         send: Adds a message to the engine's inbox.
+        partitions: Number of partitions that the group assigns.
         holders: Determines whether this instance must stand by for a more
             capable one; None if it is capable itself.
     """
@@ -98,18 +109,19 @@
         member: str,
         contact: StoreContact,
         send: Callable[[PartitionsAssigned], None],
+        partitions: int,
         holders: "CellHolders | None" = None,
     ) -> None:
         """Stores the arguments; `start` starts the thread."""
         self._store = Store(address)
-        self._member = member if holders is None else member + _STANDBY_SUFFIX
+        self._member = group_member(member, standby=holders is not None)
         self._holders = holders
+        self._partition_count = partitions
         self._contact = contact
         self._send = send
         self._closed = threading.Event()
         self._ended = threading.Event()
-        self._partitions: frozenset[int] = frozenset()
-        self._joined_at = float("-inf")
+        self._membership = Membership()
         self._timeout_s = JOIN_TIMEOUT_S
 
     def start(self) -> None:
@@ -131,80 +143,90 @@
                 steady_s(), "no answer to the leave request"
             )
             self._closed.wait(JOIN_INTERVAL_S)
-        generation = 0
         while not self._closed.is_set():
             if self._holders is not None and self._holders.standby_required(
                 steady_s()
             ):
-                if generation:
-                    self._step_down(generation)
-                generation = 0
+                if self._membership.generation:
+                    self._begin_anew()
                 self._closed.wait(JOIN_INTERVAL_S)
                 continue
-            before = self._partitions
-            generation = self._join(generation)
+            before = self._membership.partitions
+            self._join()
             # The next join releases the cells assigned to other instances.
-            removed = before - self._partitions
+            removed = before - self._membership.partitions
             self._closed.wait(_HANDOVER_S if removed else JOIN_INTERVAL_S)
         self._store.leave(GROUP, self._member)
         self._ended.set()
 
-    def _step_down(self, generation: int) -> None:
-        """Releases all cells to a more capable instance."""
-        self._partitions = frozenset()
-        self._send(PartitionsAssigned(frozenset(), generation, steady_s()))
+    def _begin_anew(self) -> None:
+        """Releases all cells and leaves the group."""
+        self._membership = Membership()
+        self._send_assignment()
         self._closed.wait(_HANDOVER_S)
         if not self._store.leave(GROUP, self._member):
             self._contact.record_failure(
                 steady_s(), "no answer to the leave request"
             )
 
-    def _join(self, generation: int) -> int:
+    def _join(self) -> None:
         requested_at = steady_s()
         result = self._store.join(
             GROUP,
             self._member,
             JOBS_TOPIC,
             MEMBER_TTL_MS,
-            generation,
+            self._membership.generation,
             self._timeout_s,
         )
-        if isinstance(result, GroupMembership):
-            self._timeout_s = JOIN_TIMEOUT_S
-            self._log_change(generation, result, requested_at)
-            self._joined_at = requested_at
-            self._partitions = result.partitions
-            self._contact.record_answer(steady_s())
-            self._send(
-                PartitionsAssigned(
-                    result.partitions, result.generation, requested_at
-                )
-            )
-            return result.generation
-        self._timeout_s = SLOW_JOIN_TIMEOUT_S
-        self._contact.record_failure(steady_s(), result.detail)
-        return generation
-
-    def _log_change(
-        self, before: int, answer: GroupMembership, requested_at: float
-    ) -> None:
-        """Logs an answered join after which other instances may hold cells."""
-        gap_s = requested_at - self._joined_at
-        if answer.generation == before and 1000 * gap_s <= MEMBER_TTL_MS:
+        if isinstance(result, StoreUnavailable):
+            self._timeout_s = SLOW_JOIN_TIMEOUT_S
+            self._contact.record_failure(steady_s(), result.detail)
+            return
+        self._timeout_s = JOIN_TIMEOUT_S
+        self._contact.record_answer(steady_s())
+        answer = JoinAnswer(result.generation, result.partitions, requested_at)
+        fault = self._membership.find_fault(answer, self._partition_count)
+        if fault is not None:
+            log_event(Event.FINDING, {"place": "join", "fault": fault})
+            self._begin_anew()
             return
-        log_event(
-            Event.MEMBERSHIP_CHANGED,
-            {
-                "generation": answer.generation,
-                "before": before,
-                "gap_s": round(gap_s, 3) if before else 0,
-                "kept": len(self._partitions & answer.partitions),
-                "gained": len(answer.partitions - self._partitions),
-                "lost": len(self._partitions - answer.partitions),
-            },
+        before = self._membership
+        self._membership = before.renew(answer, MEMBER_TTL_MS / 1000)
+        _log_change(before, self._membership)
+        self._send_assignment()
+
+    def _send_assignment(self) -> None:
+        membership = self._membership
+        self._send(
+            PartitionsAssigned(
+                membership.partitions,
+                membership.generation,
+                membership.confirmed_at,
+                membership.first_generation,
+            )
         )
 
 
+def _log_change(before: Membership, after: Membership) -> None:
+    """Logs an answered join after which other instances may hold cells."""
+    gap_s = after.confirmed_at - before.confirmed_at
+    if after.generation == before.generation and 1000 * gap_s <= MEMBER_TTL_MS:
+        return
+    log_event(
+        Event.MEMBERSHIP_CHANGED,
+        {
+            "generation": after.generation,
+            "before": before.generation,
+            "gap_s": round(gap_s, 3) if before.generation else 0,
+            "unbroken": after.first_generation == before.first_generation,
+            "kept": len(before.partitions & after.partitions),
+            "gained": len(after.partitions - before.partitions),
+            "lost": len(before.partitions - after.partitions),
+        },
+    )
+
+
 class CellHolders:
     """Addresses of the cells' holders, refreshed by a thread.
 
--- a/acaciawing/jobserver/messages.py
+++ b/acaciawing/jobserver/messages.py
@@ -75,6 +75,29 @@
     key: CellKey
 
 
+@dataclass(frozen=True)
+class HoldingVerified:
+    """A partition was held from its fence's generation up to a later one.
+
+    Attributes:
+        key: The cell.
+        generation: The later generation.
+        requested_at: When the join that was answered with it was sent, in
+            seconds.
+    """
+
+    key: CellKey
+    generation: int
+    requested_at: float
+
+
+@dataclass(frozen=True)
+class HoldingInterrupted:
+    """A partition was assigned to another member since its fence's generation."""
+
+    key: CellKey
+
+
 @dataclass(frozen=True)
 class PartitionsAssigned:
     """The group has confirmed the partitions of this instance.
@@ -83,11 +106,14 @@
         partitions: Partitions assigned to this instance.
         generation: Generation of the group.
         requested_at: When the join was sent, in seconds.
+        first_generation: Generation in which the membership began that was
+            not interrupted since.
     """
 
     partitions: frozenset[int]
     generation: int
     requested_at: float
+    first_generation: int
 
 
 @dataclass(frozen=True)
@@ -208,6 +234,8 @@
     | WorkerMessageReceived
     | AdviceReceived
     | CellFenced
+    | HoldingVerified
+    | HoldingInterrupted
     | PartitionsAssigned
     | ConfigurationRead
     | WorkerListRead
--- a/acaciawing/jobserver/tests/test_membership.py
+++ b/acaciawing/jobserver/tests/test_membership.py
@@ -19,6 +19,8 @@
 from acaciawing.jobserver.messages import PartitionsAssigned
 from acaciawing.platform.store import GroupMembership, StoreUnavailable
 
+_PARTITIONS = 8
+
 
 class _FakeGroup:
     """Store group that answers joins from a list, then ends the task."""
@@ -64,7 +66,9 @@
     group, closed = _FakeGroup(*answers), _FakeEvent()
     monkeypatch.setattr(membership, "Store", lambda address: group)
     assignments: list[PartitionsAssigned] = []
-    task = MembershipTask("store:1", "me", StoreContact(), assignments.append)
+    task = MembershipTask(
+        "store:1", "me", StoreContact(), assignments.append, _PARTITIONS
+    )
     monkeypatch.setattr(task, "_closed", closed)
     group.finish = closed.set
     task._run()
@@ -146,7 +150,12 @@
 
         monkeypatch.setattr(holders, "standby_required", is_standby_required)
         task = MembershipTask(
-            "s:1", "me", StoreContact(), assignments.append, holders
+            "s:1",
+            "me",
+            StoreContact(),
+            assignments.append,
+            _PARTITIONS,
+            holders,
         )
         monkeypatch.setattr(task, "_closed", closed)
         task._run()
--- a/acaciawing/platform/store.py
+++ b/acaciawing/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import struct
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from typing import TypeAlias
 from urllib.parse import urlencode
@@ -154,7 +154,17 @@
     """
 
     generation: int
-    partitions: frozenset[int]
+    partitions: Collection[int]
+
+
+@dataclass(frozen=True)
+class Committed:
+    """The member has owned the partition since the generation it named."""
+
+
+@dataclass(frozen=True)
+class NotOwned:
+    """The member does not own the partition, or owns it since later."""
 
 
 @dataclass(frozen=True)
@@ -327,11 +337,50 @@
         if new_generation is None or not isinstance(rows, list):
             return StoreUnavailable("malformed response")
         try:
-            partitions = frozenset(int(r[1]) for r in rows if r[0] == topic)
+            partitions = tuple(int(r[1]) for r in rows if r[0] == topic)
         except _MALFORMED_ERRORS as error:
             return StoreUnavailable(f"malformed response: {error!r}")
         return GroupMembership(new_generation, partitions)
 
+    def commit(
+        self,
+        group: str,
+        member: str,
+        topic: str,
+        partition: int,
+        generation: int,
+    ) -> Committed | NotOwned | StoreUnavailable:
+        """Commits offset 0 of a partition, to learn whether it was kept.
+
+        Args:
+            group: Name of the group.
+            member: Name of the member.
+            topic: Topic of the partition.
+            partition: Number of the partition.
+            generation: Generation since which the member may have owned it.
+        """
+        outcome = self._connection.call(
+            "POST",
+            "/v1/log-commit",
+            body=encode_json(
+                {
+                    "group": group,
+                    "Member": member,
+                    "Generation": generation,
+                    "Topic": topic,
+                    "part": partition,
+                    "Offset": 0,
+                }
+            ),
+            headers=JSON_HEADERS,
+            timeout_s=WRITE_TIMEOUT_S,
+        )
+        if not isinstance(outcome, Response):
+            return StoreUnavailable(outcome.detail)
+        if outcome.status == 409:
+            return NotOwned()
+        return Committed() if outcome.status == 200 else _unavailable(outcome)
+
     def leave(self, group: str, member: str) -> bool:
         """Leaves a group; returns whether the store confirmed it."""
         outcome = self._post(
--- a/standins/job_store.py
+++ b/standins/job_store.py
@@ -27,6 +27,7 @@
         self.ttl_s: dict[str, float] = {}
         self.owners: dict[int, str] = {}
         self.targets: dict[int, str] = {}
+        self.owned_since: dict[int, int] = {}
 
     def expire(self, now: float) -> None:
         expired = [
@@ -53,12 +54,20 @@
         for partition, target in self.targets.items():
             if target == member and partition not in self.owners:
                 self.owners[partition] = member
+                self.owned_since[partition] = self.generation
         return sorted(
             p
             for p, owner in self.owners.items()
             if owner == member and self.targets.get(p) == member
         )
 
+    def commit(self, member: str, partition: int, generation: int) -> bool:
+        """Returns whether a member has owned a partition since a generation."""
+        return (
+            self.owners.get(partition) == member
+            and generation >= self.owned_since[partition]
+        )
+
     def _assign(self) -> None:
         self.generation += 1
         members = sorted(self.last_join_at)
@@ -121,6 +130,8 @@
             return self._serve_newest(query)
         if path == "/v1/log-owners":
             return self._serve_owners(query)
+        if path == "/v1/log-commit":
+            return self._serve_commit(json.loads(body))
         if path in ("/v1/log-join", "/v1/log-leave"):
             return self._serve_member(path, json.loads(body))
         return json_response(404, {})
@@ -207,6 +218,13 @@
             rows = [["jobs", p, m, 0] for p, m in group.owners.items()]
         return json_response(200, {"parts": rows})
 
+    def _serve_commit(self, body: dict[str, Any]) -> Response:
+        with self._changed:
+            kept = self._group(body["group"]).commit(
+                body["Member"], body["part"], body["Generation"]
+            )
+        return json_response(200 if kept else 409, {})
+
     def _serve_member(self, path: str, body: dict[str, Any]) -> Response:
         now = time.monotonic()
         with self._changed:
