--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -30,6 +30,7 @@
     Worker,
 )
 from acaciawing.jobs.records import (
+    JobSubmitted,
     Record,
 )
 from acaciawing.jobs.retention import expired_jobs, records_to_rewrite
@@ -53,6 +54,8 @@
         """Applies records that were read from the store."""
         self._unix_ms = unix_ms
         for record in records:
+            if isinstance(record, JobSubmitted):
+                self._note_unconfirmed_job(record.job.id, now)
             progress = self.table.apply(record)
             if progress is None or not self.recovered:
                 continue
@@ -62,6 +65,14 @@
             else:
                 self._queue_ready_steps(progress, now)
 
+    def _note_unconfirmed_job(self, job: str, now: float) -> None:
+        """Notes a job that was submitted after a takeover by a later holder.
+
+        That holder starts it at once, unlike jobs from before its takeover.
+        """
+        if job not in self.table.jobs and not self._is_confirmed(now):
+            self._unconfirmed_jobs[job] = now
+
     def finish_recovery(self, now: float, unconfirmed_s: float) -> None:
         """Starts scheduling after all records up to the takeover were folded.
 
--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -10,7 +10,6 @@
 )
 from acaciawing.jobs.disruptions import is_at_work
 from acaciawing.jobs.limits import (
-    CONFIRMATION_VALIDITY_S,
     GANG_START_TIMEOUT_S,
     RUN_NUMBERS_PER_FENCE,
     START_VALIDITY_S,
@@ -45,7 +44,7 @@
         A fenced worker stops answering this holder, so as long as all engaged
         workers answer, no later holder has started any.
         """
-        if now - self._confirmed_at < CONFIRMATION_VALIDITY_S:
+        if self._is_confirmed(now):
             return True
         return all(
             now - view.last_contact_at < CONTACT_TIMEOUT_S
@@ -72,12 +71,7 @@
                 continue
             if waiting_step.step.reserved.cpu > max_free_cpu[queue.service]:
                 continue
-            # Runs of an earlier holder may still exist, and only speculative
-            # subtasks may run twice.
-            if (
-                self._may_still_run(waiting_step.key[0])
-                and not waiting_step.step.speculative
-            ):
+            if self._may_run_elsewhere(waiting_step.key[0], waiting_step.step):
                 continue
             if not self._place_step(
                 waiting_step, queue, pools[queue.service], held_back, now
@@ -145,9 +139,9 @@
         if waiting_step is None or queue is None:
             return
         step = waiting_step.step
-        may_start = self._crashes_are_durable(subtask) and (
-            step.speculative or not self._may_still_run(subtask.job)
-        )
+        may_start = self._crashes_are_durable(
+            subtask
+        ) and not self._may_run_elsewhere(subtask.job, step)
         if step.gang:
             views = self._empty_workers(queue.service, now)
             if may_start:
@@ -243,9 +237,20 @@
         )
         return rank, waiting_step.key
 
-    def _may_still_run(self, job: str) -> bool:
-        """Whether a job may have runs that an earlier holder started."""
-        return bool(self._takeover.unconfirmed) and job in self._takeover.jobs
+    def _may_run_elsewhere(self, job: str, step: Step) -> bool:
+        """Whether a step must wait because another holder may have started it.
+
+        Runs of an earlier holder may still exist, beside which only speculative
+        subtasks may run. A later holder, of which this one does not know yet,
+        starts the jobs that were submitted since.
+        """
+        if job in self._unconfirmed_jobs:
+            return True
+        return (
+            not step.speculative
+            and bool(self._takeover.unconfirmed)
+            and job in self._takeover.jobs
+        )
 
     def _place_gang(
         self,
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -18,7 +18,10 @@
 )
 from acaciawing.jobs.fleet import Evacuation
 from acaciawing.jobs.lease_bounds import LeaseBounds
-from acaciawing.jobs.limits import CAPACITY_VALIDITY_S
+from acaciawing.jobs.limits import (
+    CAPACITY_VALIDITY_S,
+    CONFIRMATION_VALIDITY_S,
+)
 from acaciawing.jobs.model import (
     Configuration,
     Incarnation,
@@ -108,6 +111,8 @@
         self._pending_engagements: dict[int, Incarnation] = {}
         self._unix_ms = 0
         self._confirmed_at = float("-inf")
+        # When jobs were read that a later holder may run, in seconds.
+        self._unconfirmed_jobs: dict[str, float] = {}
         self._early_reports: dict[Incarnation, WorkerReport] = {}
         self._ended_incarnations: set[Incarnation] = set()
         # Runs of workers that were silent until their leases lapsed.
@@ -150,6 +155,15 @@
     def confirm_holder(self, confirmed_at: float) -> None:
         """Records a time, in seconds, at which no other holder existed."""
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
+        self._unconfirmed_jobs = {
+            job: read_at
+            for job, read_at in self._unconfirmed_jobs.items()
+            if not self._is_confirmed(read_at)
+        }
+
+    def _is_confirmed(self, now: float) -> bool:
+        """Whether no later holder can exist yet."""
+        return now - self._confirmed_at < CONFIRMATION_VALIDITY_S
 
     def state(self, job: str) -> str | None:
         """Returns the state to report to clients, or None for an unknown job.
--- a/acaciawing/jobs/tests/test_cell.py
+++ b/acaciawing/jobs/tests/test_cell.py
@@ -19,6 +19,7 @@
     WorkerUnreachable,
 )
 from acaciawing.jobs.fleet import Evacuation
+from acaciawing.jobs.limits import CONFIRMATION_VALIDITY_S
 from acaciawing.jobs.tests.builders import (
     LEASE_S,
     CellHarness,
@@ -207,22 +208,62 @@
         self,
     ) -> None:
         harness = CellHarness()
-        near, far = make_worker("near"), make_worker("far")
+        near, far = make_worker("near"), make_worker("far", cores=64)
         harness.update_workers(near, far)
-        harness.recover()
+        step = Step(1, Resources(1000))
+        later_step = Step(1, Resources(1000), depends_on=(0,))
+        harness.recover(JobSubmitted(make_job("j", step, later_step), 0))
         harness.report(near)
         harness.report(far)
         harness.settle()
+        assert [s.worker.worker for s in harness.starts] == ["near"]
         for _ in range(3):
             harness.wait(1.0, confirmed=False)
             harness.report(near)
+        # The job is known since before; its second step is ready only now.
+        harness.report(near, ended=(_make_done_row(harness.starts[0].run),))
+        harness.settle()
+        assert len(harness.starts) == 1
+        harness.report(far)
+        harness.settle()
+        assert len(harness.starts) == 2
+
+    def test_unconfirmed_holder_starts_no_job_that_a_later_one_may_run(
+        self,
+    ) -> None:
+        # A later holder holds back only the jobs of before its takeover.
+        harness = CellHarness()
+        worker = make_worker("w")
+        harness.update_workers(worker)
+        harness.recover()
+        harness.report(worker)
+        harness.settle()
+        harness.wait(CONFIRMATION_VALIDITY_S + 0.1, confirmed=False)
+        harness.report(worker)
         harness.submit(make_job("j"))
         harness.settle()
         assert not harness.starts
-        harness.report(far)
+        harness.wait(0.1)
+        harness.report(worker)
         harness.settle()
         assert len(harness.starts) == 1
 
+    def test_confirmation_from_before_a_job_was_read_starts_nothing(
+        self,
+    ) -> None:
+        harness = CellHarness()
+        worker = make_worker("w")
+        harness.update_workers(worker)
+        harness.recover()
+        harness.report(worker)
+        harness.settle()
+        harness.wait(2.0, confirmed=False)
+        harness.report(worker)
+        harness.submit(make_job("j"))
+        harness.cell.confirm_holder(harness.now - 1.0)
+        harness.settle()
+        assert not harness.starts
+
 
 class TestUnansweredStart:
     """Guards against a start that is carried out after it was abandoned."""
