--- a/acaciawing/jobserver/client_api.py
+++ b/acaciawing/jobserver/client_api.py
@@ -187,6 +187,8 @@
             answer = self._ask_other_holders(queue, job, answer)
         if not answer.holder:
             return Reply(503, {"error": "holder not reachable"})
+        if not answer.current:
+            return Reply(503, {"error": "holder is not confirmed"})
         if answer.state:
             return Reply(200, {"State": answer.state})
         if answer.age_s > self._max_state_age_s:
@@ -222,6 +224,7 @@
                 "cell": cell,
                 "state": answer.state,
                 "holder": answer.holder,
+                "current": answer.current,
                 "age_s": round(answer.age_s, 3),
             },
         )
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -49,6 +49,9 @@
 # Maximum number of messages handled before the actions are carried out.
 _MAX_MESSAGES_PER_STEP = 200
 
+# States of a job that no holder tells before their record is durable.
+_LASTING_STATES = ("completed", "failed")
+
 
 def _report_missing_advice_service(
     key: CellKey, request: AdviceRequest
@@ -338,7 +341,12 @@
         age_s = now - held.records_current_at
         if query.job:
             state = held.cell.state(query.job) or ""
-            return JobAnswer(True, state, 0, age_s)
+            # A later holder may have told a later state.
+            current = state in (
+                "",
+                *_LASTING_STATES,
+            ) or held.holding.excludes_others(now)
+            return JobAnswer(True, state, 0, age_s, current)
         waiting = held.cell.waiting_jobs(query.queue)
         return JobAnswer(True, "", waiting, age_s)
 
--- a/acaciawing/jobserver/holding.py
+++ b/acaciawing/jobserver/holding.py
@@ -8,6 +8,7 @@
 from acaciawing.jobserver.limits import (
     AUTHORITY_S,
     MAX_RETRY_PAUSE_S,
+    MEMBER_TTL_MS,
     RETRY_PAUSE_S,
 )
 from acaciawing.jobserver.messages import (
@@ -72,6 +73,13 @@
             and now - self._confirmed_at < AUTHORITY_S
         )
 
+    def excludes_others(self, now: float) -> bool:
+        """Returns whether no other instance can hold the cell yet."""
+        return (
+            self.is_valid(now)
+            and now - self._confirmed_at < MEMBER_TTL_MS / 1000
+        )
+
     def revoke(self) -> None:
         """Ends the right; may be called from any thread."""
         self._revoked.set()
--- a/acaciawing/jobserver/messages.py
+++ b/acaciawing/jobserver/messages.py
@@ -193,12 +193,14 @@
         state: State of the job; empty if unknown or not queried.
         waiting: Number of accepted jobs in the queue without a started run.
         age_s: Time since the holder's records were last current, in seconds.
+        current: Whether no later holder can have told a later state.
     """
 
     holder: bool
     state: str = ""
     waiting: int = 0
     age_s: float = 0.0
+    current: bool = True
 
 
 @dataclass(frozen=True)
--- a/acaciawing/jobserver/peers.py
+++ b/acaciawing/jobserver/peers.py
@@ -66,10 +66,10 @@
         """Returns the state of a job, or of a queue if `job` is empty."""
         request = JobStateRequest(cell, queue, job)
         answer = self.local_job_state(request)
-        if not answer.holder:
+        if not (answer.holder and answer.current):
             remote = self._post_to_holder(cell, JOBS_PATH, request, JobAnswer)
             answer = remote if remote is not None else answer
-        if not answer.holder:
+        if not (answer.holder and answer.current):
             self._holders.request_refresh()
         return answer
 
--- a/acaciawing/jobserver/tests/test_engine.py
+++ b/acaciawing/jobserver/tests/test_engine.py
@@ -1,6 +1,7 @@
 """Tests of how the engine holds cells, with an injected clock."""
 
 from collections.abc import Callable
+from concurrent.futures import Future
 from dataclasses import dataclass, field
 from typing import Any, cast
 
@@ -13,7 +14,7 @@
 from acaciawing.jobserver import membership as membership_module
 from acaciawing.jobserver.engine import Engine
 from acaciawing.jobserver.holding import Holding
-from acaciawing.jobserver.limits import AUTHORITY_S
+from acaciawing.jobserver.limits import AUTHORITY_S, MEMBER_TTL_MS
 from acaciawing.jobserver.membership import (
     MembershipTask,
     StoreContact,
@@ -25,6 +26,8 @@
     ConfigurationRead,
     HoldingInterrupted,
     HoldingVerified,
+    JobAnswer,
+    JobStateQuery,
     PartitionsAssigned,
 )
 from acaciawing.platform.store import (
@@ -55,6 +58,12 @@
         self.cell = self
         self.holding: Holding = args[2]
         self.closed = False
+        self.recovered = True
+        self.records_current_at = 30.0
+        self.states: dict[str, str] = {}
+
+    def state(self, job: str) -> str | None:
+        return self.states.get(job)
 
     def confirm(self, assignment: PartitionsAssigned) -> None:
         self.holding.confirm(assignment)
@@ -211,6 +220,36 @@
         assert not held.holding.is_valid(33.9 + AUTHORITY_S)
 
 
+class TestStatesOfJobs:
+    """Guards against a state that goes back after a takeover."""
+
+    def _ask(self, instance: _Instance, job: str) -> JobAnswer:
+        reply: Future[JobAnswer] = Future()
+        query = JobStateQuery(_CELL, "next-visit", job, reply)
+        instance.engine._receive(query, instance.clock.now)
+        return reply.result(0)
+
+    def test_holder_that_may_be_replaced_tells_final_states_only(
+        self, instance: _Instance
+    ) -> None:
+        held = instance.join(33.9, 14)
+        held.states = {"a": "running", "b": "completed", "c": "cancelled"}
+        assert self._ask(instance, "a").current
+        instance.clock.now += MEMBER_TTL_MS / 1000
+        assert not self._ask(instance, "a").current
+        assert self._ask(instance, "b").current
+        # A later holder may have completed it before it was cancelled.
+        assert not self._ask(instance, "c").current
+
+    def test_confirmed_holder_tells_all_states(
+        self, instance: _Instance
+    ) -> None:
+        held = instance.join(33.9, 14)
+        held.states = {"a": "running"}
+        instance.join(36.0, 14)
+        assert self._ask(instance, "a").current
+
+
 class TestChangeOfTheGroup:
     """Guards against a cell that went to another instance between two joins."""
 
