--- a/acaciawing/jobserver/fleet_task.py
+++ b/acaciawing/jobserver/fleet_task.py
@@ -254,7 +254,10 @@
         not_after: float,
     ) -> None:
         outcomes = self._order_executor.carry_out(
-            orders, tenure.fence, not_after
+            orders,
+            tenure.fence,
+            not_after,
+            lambda: self._tenure() == tenure,
         )
         workers = {m.id: m.worker for m in snapshot.machines}
         for order, outcome in zip(orders, outcomes, strict=True):
--- a/acaciawing/jobserver/machine_orders.py
+++ b/acaciawing/jobserver/machine_orders.py
@@ -1,6 +1,6 @@
 """Sends orders for machines to the platform, several concurrently."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from queue import SimpleQueue
 
@@ -31,7 +31,11 @@
         )
 
     def carry_out(
-        self, orders: Sequence[FleetOrder], fence: int, not_after: float
+        self,
+        orders: Sequence[FleetOrder],
+        fence: int,
+        not_after: float,
+        may_send: Callable[[], bool],
     ) -> list[MachineOrderOutcome]:
         """Sends orders for different machines.
 
@@ -40,22 +44,29 @@
             fence: Fencing token of the fleet's cell.
             not_after: Time in seconds after which no order is sent, because
                 its machine may have new runs.
+            may_send: Returns whether this instance still holds the fleet's
+                cell under the fencing token.
 
         Returns:
             The outcomes in the order of `orders`.
         """
         return list(
             self._executor.map(
-                lambda order: self._send(order, fence, not_after), orders
+                lambda order: self._send(order, fence, not_after, may_send),
+                orders,
             )
         )
 
     def _send(
-        self, order: FleetOrder, fence: int, not_after: float
+        self,
+        order: FleetOrder,
+        fence: int,
+        not_after: float,
+        may_send: Callable[[], bool],
     ) -> MachineOrderOutcome:
         client = self._clients.get()
         try:
-            if steady_s() > not_after:
+            if steady_s() > not_after or not may_send():
                 return MachineOrderOutcome.NOT_DONE
             if isinstance(order, Maintain):
                 return client.maintain(order.machine, order.wave, fence)
