--- a/acaciawing/jobserver/daemon.py
+++ b/acaciawing/jobserver/daemon.py
@@ -101,6 +101,7 @@
             settings.partitions,
             None if capable else self._holders,
         )
+        self._engine.set_rejoin_requester(self._membership.request_rejoin)
         self._peers = Peers(self._engine, self._holders, self._address)
         self._client_api = ClientApi(
             self._configuration_follower,
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -101,6 +101,10 @@
         self._workers_current_at = float("-inf")
         self._released = False
         self._fleet_holding: Holding | None = None
+        # Last fence of each partition, and when a cell was last dropped.
+        self._last_fences: dict[int, int] = {}
+        self._dropped_at = float("-inf")
+        self._request_rejoin: Callable[[], None] = lambda: None
         self._tenure: FleetTenure | None = None
         self._has_unconfirmed_runs = False
         self._request_advice: Callable[[CellKey, AdviceRequest], None] = (
@@ -113,6 +117,10 @@
         """Sets the function that requests advice; call before `start`."""
         self._request_advice = request_advice
 
+    def set_rejoin_requester(self, request_rejoin: Callable[[], None]) -> None:
+        """Sets the function that joins the group anew; call before `start`."""
+        self._request_rejoin = request_rejoin
+
     def start(self) -> None:
         """Starts the thread."""
         start_task("engine", self._run)
@@ -166,7 +174,7 @@
                         )
             for partition, held in list(self._cells.items()):
                 if held.cell.fenced:
-                    self._drop(partition, "fenced")
+                    self._drop(partition, "fenced", now)
                 elif held.holding.is_valid(now):
                     held.carry_out(held.cell.take_actions(now))
 
@@ -223,22 +231,24 @@
     @_receive.register
     def _(self, message: CellFenced, now: float) -> None:
         if self._find_cell(message.key) is not None:
-            self._drop(message.key.partition, "fenced")
+            self._drop(message.key.partition, "fenced", now)
 
     @_receive.register
     def _(self, message: PartitionsAssigned, now: float) -> None:
         for partition, held in list(self._cells.items()):
             if partition not in message.partitions:
-                self._drop(partition, "assigned to another instance")
+                self._drop(partition, "assigned to another instance", now)
             elif held.holding.was_interrupted(message):
-                self._drop(partition, "membership was interrupted")
+                self._drop(partition, "membership was interrupted", now)
             else:
                 held.confirm(message)
         self._update_fleet_tenure(message, now)
         if self._released or self._configuration is None:
             return
         for partition in message.partitions & self._cells_in_use():
-            if partition not in self._cells:
+            if partition not in self._cells and self._has_new_fence(
+                partition, message
+            ):
                 self._acquire(partition, message, now)
 
     @_receive.register
@@ -254,11 +264,12 @@
 
     @_receive.register
     def _(self, message: HoldingInterrupted, now: float) -> None:
-        del now
         if self._find_cell(message.key) is not None:
-            self._drop(message.key.partition, "held by another instance since")
+            self._drop(
+                message.key.partition, "held by another instance since", now
+            )
         if self._is_fleet_tenure(message.key):
-            self._end_fleet_tenure()
+            self._end_fleet_tenure(now)
 
     @_receive.register
     def _(self, message: ConfigurationRead, now: float) -> None:
@@ -309,9 +320,9 @@
     @_receive.register
     def _(self, message: ReleaseCells, now: float) -> None:
         self._released = True
-        self._end_fleet_tenure()
+        self._end_fleet_tenure(now)
         for partition in list(self._cells):
-            self._drop(partition, "instance is stopping")
+            self._drop(partition, "instance is stopping", now)
         message.reply.set_result(None)
 
     def _finish_recovery(self, held: HeldCell, now: float) -> None:
@@ -367,18 +378,33 @@
             partition not in assignment.partitions
             or holding.was_interrupted(assignment)
         ):
-            self._end_fleet_tenure()
+            self._end_fleet_tenure(now)
         elif holding is not None:
             holding.confirm(assignment)
         if (
             self._fleet_holding is None
             and partition in assignment.partitions
             and not self._released
+            and self._has_new_fence(partition, assignment)
         ):
             key = CellKey(partition, assignment.generation)
             self._fleet_holding = self._make_holding(key, assignment)
             self._tenure = FleetTenure(key.fence, now)
 
+    def _has_new_fence(
+        self, partition: int, assignment: PartitionsAssigned
+    ) -> bool:
+        """Whether a cell may be acquired in an assignment's generation.
+
+        Run numbers and late orders of an earlier holding have its fence. If the
+        group has not changed since, only a new membership gives a later one.
+        """
+        if assignment.generation > self._last_fences.get(partition, 0):
+            return True
+        if assignment.requested_at > self._dropped_at:
+            self._request_rejoin()
+        return False
+
     def _is_fleet_tenure(self, key: CellKey) -> bool:
         return (
             self._tenure is not None
@@ -386,15 +412,17 @@
             and key.fence == self._tenure.fence
         )
 
-    def _end_fleet_tenure(self) -> None:
+    def _end_fleet_tenure(self, now: float) -> None:
         if self._fleet_holding is not None:
             self._fleet_holding.revoke()
+            self._dropped_at = now
         self._fleet_holding = None
         self._tenure = None
 
     def _make_holding(
         self, key: CellKey, assignment: PartitionsAssigned
     ) -> Holding:
+        self._last_fences[key.partition] = key.fence
         return Holding(
             key,
             self._member,
@@ -439,9 +467,10 @@
             now,
         )
 
-    def _drop(self, partition: int, reason: str) -> None:
+    def _drop(self, partition: int, reason: str, now: float) -> None:
         held = self._cells.pop(partition)
         held.close()
+        self._dropped_at = now
         log_event(
             Event.CELL_LOST,
             {
--- a/acaciawing/jobserver/holding.py
+++ b/acaciawing/jobserver/holding.py
@@ -58,6 +58,11 @@
         self._requested_generation = key.fence
         self._revoked = threading.Event()
 
+    @property
+    def fence(self) -> int:
+        """Generation in which the cell was acquired."""
+        return self._key.fence
+
     @property
     def confirmed_at(self) -> float:
         """Time in seconds up to which no other instance held the cell."""
--- a/acaciawing/jobserver/membership.py
+++ b/acaciawing/jobserver/membership.py
@@ -122,12 +122,17 @@
         self._closed = threading.Event()
         self._ended = threading.Event()
         self._membership = Membership()
+        self._rejoin_requested = threading.Event()
         self._timeout_s = JOIN_TIMEOUT_S
 
     def start(self) -> None:
         """Starts the thread."""
         start_task("membership", self._run)
 
+    def request_rejoin(self) -> None:
+        """Requests that the instance leaves the group and joins it anew."""
+        self._rejoin_requested.set()
+
     def leave(self, timeout_s: float) -> None:
         """Leaves the group, so that others take over immediately."""
         self._closed.set()
@@ -151,6 +156,9 @@
                     self._begin_anew()
                 self._closed.wait(JOIN_INTERVAL_S)
                 continue
+            if self._rejoin_requested.is_set():
+                self._rejoin_requested.clear()
+                self._begin_anew()
             before = self._membership.partitions
             self._join()
             # The next join releases the cells assigned to other instances.
--- a/acaciawing/jobserver/tests/test_engine.py
+++ b/acaciawing/jobserver/tests/test_engine.py
@@ -22,6 +22,7 @@
     fleet_cell,
 )
 from acaciawing.jobserver.messages import (
+    CellFenced,
     CellKey,
     ConfigurationRead,
     HoldingInterrupted,
@@ -140,6 +141,7 @@
         lambda message: engine._receive(message, clock.now),
         _PARTITIONS,
     )
+    engine.set_rejoin_requester(task.request_rejoin)
     made = _Instance(engine, clock, task)
 
     class _FakeStore:
@@ -296,6 +298,31 @@
         assert after.holding.confirmed_at == 40.19
 
 
+class TestFencesAreNew:
+    """Guards against run numbers and orders that two holdings share."""
+
+    def test_cell_after_an_unanswered_leave_has_a_new_fence(
+        self, instance: _Instance
+    ) -> None:
+        before = instance.join(33.9, 14)
+        instance.join(34.05, 15, _CELL, _CELL)
+        assert before.closed
+        assert instance.join(34.2, 14) is None
+        assert instance.task._rejoin_requested.is_set()
+        assert instance.join(34.35, 17).key.fence == 17
+
+    def test_late_answer_after_a_later_holder_gives_no_cell(
+        self, instance: _Instance
+    ) -> None:
+        before = instance.join(33.9, 14)
+        fenced = CellFenced(before.key)
+        instance.engine._receive(fenced, 34.1)
+        assert before.closed
+        assert instance.join(34.05, 14) is None
+        assert not instance.task._rejoin_requested.is_set()
+        assert instance.join(34.2, 16).key.fence == 16
+
+
 class TestBadAnswers:
     """Guards against cells held on answers that can't be right."""
 
