--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -242,6 +242,8 @@
                 self._drop(partition, "membership was interrupted", now)
             else:
                 held.confirm(message)
+                if self._is_unverified(held.holding, message, now):
+                    self._drop(partition, "not verified in time", now)
         self._update_fleet_tenure(message, now)
         if self._released or self._configuration is None:
             return
@@ -381,6 +383,8 @@
             self._end_fleet_tenure(now)
         elif holding is not None:
             holding.confirm(assignment)
+            if self._is_unverified(holding, assignment, now):
+                self._end_fleet_tenure(now)
         if (
             self._fleet_holding is None
             and partition in assignment.partitions
@@ -391,6 +395,17 @@
             self._fleet_holding = self._make_holding(key, assignment)
             self._tenure = FleetTenure(key.fence, now)
 
+    def _is_unverified(
+        self, holding: Holding, assignment: PartitionsAssigned, now: float
+    ) -> bool:
+        """Whether no answer tells if a cell was held up to a later generation.
+
+        It has to be acquired anew, as no other instance gets it meanwhile.
+        """
+        return assignment.generation > holding.fence and not holding.is_valid(
+            now
+        )
+
     def _has_new_fence(
         self, partition: int, assignment: PartitionsAssigned
     ) -> bool:
--- a/acaciawing/jobserver/tests/test_engine.py
+++ b/acaciawing/jobserver/tests/test_engine.py
@@ -297,6 +297,20 @@
         assert instance.cell() is after
         assert after.holding.confirmed_at == 40.19
 
+    def test_cell_that_is_never_verified_is_acquired_anew(
+        self, instance: _Instance
+    ) -> None:
+        # Otherwise it would have no holder while its joins are answered.
+        before = instance.join(33.9, 14)
+        now = 33.9
+        while now < 34.1 + AUTHORITY_S:
+            now += 0.15
+            after = instance.join(now, 15)
+        assert before.closed
+        assert after.key.fence == 15
+        assert after.holding.is_valid(now)
+        assert instance.engine.tenure() is not None
+
 
 class TestFencesAreNew:
     """Guards against run numbers and orders that two holdings share."""
