--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -132,12 +132,13 @@
     def tenure(self) -> FleetTenure | None:
         """Returns the tenure of the fleet's cell.
 
-        None if the cell is not held or this instance has no authority.
+        None if the cell is not held, or if another instance may hold it: the
+        next holder orders machines soon after its takeover.
         """
         holding = self._fleet_holding
         return (
             self._tenure
-            if holding is not None and holding.is_valid(steady_s())
+            if holding is not None and holding.excludes_others(steady_s())
             else None
         )
 
--- a/acaciawing/jobserver/tests/test_engine.py
+++ b/acaciawing/jobserver/tests/test_engine.py
@@ -197,6 +197,16 @@
         assert (before.fence, after.fence) == (14, 24)
         assert after.since == 40.19
 
+    def test_unconfirmed_holder_gives_no_fleet_orders(
+        self, instance: _Instance
+    ) -> None:
+        # The next holder orders machines half a second after its takeover.
+        instance.join(33.9, 14)
+        instance.clock.now += MEMBER_TTL_MS / 1000
+        assert instance.engine.tenure() is None
+        instance.join(35.0, 14)
+        assert instance.engine.tenure() is not None
+
     def test_orders_of_the_holder_end_before_the_next_one_begins(
         self, instance: _Instance
     ) -> None:
