--- a/acaciawing/jobserver/sessions.py
+++ b/acaciawing/jobserver/sessions.py
@@ -196,10 +196,11 @@
         wait_ms = 0
         pause = RETRY_PAUSE_S
         while not self._closed.is_set():
+            # Leases count from before the check, in case of a pause after it.
+            sent_at = steady_s()
             if not self._has_authority():
                 self._closed.wait(RETRY_PAUSE_S)
                 continue
-            sent_at = steady_s()
             confirmed = client.is_confirmed
             grant = self._clock.grant(sent_at) if confirmed else None
             self._acknowledged_event.clear()
@@ -309,11 +310,7 @@
         """Returns why a start is not sent; None if it may be sent."""
         if self._is_withdrawn(order):
             return StartOutcome.REFUSED
-        refusal = self._confirm_connection(client)
-        # To confirm the connection may have taken until a poll timed out.
-        if refusal is None and self._is_withdrawn(order):
-            return StartOutcome.REFUSED
-        return refusal
+        return self._confirm_connection(client)
 
     def _is_withdrawn(self, order: StartRun) -> bool:
         return (
@@ -345,7 +342,12 @@
         return StartOutcome.REFUSED
 
     def _send_start(self, client: RunClient, order: StartRun) -> StartOutcome:
-        deadline_ms = self._clock.grant(steady_s())
+        # The lease counts from before the check, in case of a pause after it.
+        # To confirm the connection may have taken until a poll timed out.
+        decided_at = steady_s()
+        if self._is_withdrawn(order):
+            return StartOutcome.REFUSED
+        deadline_ms = self._clock.grant(decided_at)
         if deadline_ms is None:
             return StartOutcome.REFUSED
         result = client.start(order, deadline_ms, order.ticket)
--- a/acaciawing/jobserver/tests/test_sessions.py
+++ b/acaciawing/jobserver/tests/test_sessions.py
@@ -13,6 +13,7 @@
 )
 from acaciawing.jobserver import sessions
 from acaciawing.jobserver.clock import steady_s
+from acaciawing.jobserver.limits import AUTHORITY_S, LEASE_S
 from acaciawing.jobserver.messages import (
     CellFenced,
     CellKey,
@@ -122,6 +123,72 @@
         assert not _FakeClient.calls
 
 
+class TestPausedProcess:
+    """Guards against leases that outlast the right to order by a pause."""
+
+    def test_lease_of_a_start_counts_from_before_the_last_check(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        clock = [0.0]
+        deadlines: list[int] = []
+        monkeypatch.setattr(sessions, "RunClient", _FakeClient)
+        monkeypatch.setattr(sessions, "steady_s", lambda: clock[0])
+
+        def start(
+            client: _FakeClient, order: StartRun, deadline_ms: int, *_: object
+        ) -> StartResult:
+            del order
+            deadlines.append(deadline_ms)
+            return StartResult(StartOutcome.STARTED, client.clock_ms)
+
+        def may_order() -> bool:
+            allowed = clock[0] < AUTHORITY_S
+            # The process is suspended right after each check.
+            clock[0] += 4.0
+            return allowed
+
+        monkeypatch.setattr(_FakeClient, "start", start)
+        session = WorkerSession(
+            CellKey(1, 1), _INCARNATION, "192.0.2.1:80", print, may_order
+        )
+        session._clock.sample(0, 0.0)
+        session.order(StartRun(_INCARNATION, _SUBTASK, 1, "", ""))
+        session._orders.put(None)
+        session._carry_out()
+        assert len(deadlines) == 1
+        assert deadlines[0] <= 1000 * (AUTHORITY_S + LEASE_S)
+
+    def test_lease_of_a_poll_counts_from_before_the_last_check(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        clock = [0.0]
+        granted: list[int | None] = []
+        monkeypatch.setattr(sessions, "RunClient", _FakeClient)
+        monkeypatch.setattr(sessions, "steady_s", lambda: clock[0])
+
+        def may_order() -> bool:
+            clock[0] += 9.0
+            return True
+
+        session = WorkerSession(
+            CellKey(1, 1), _INCARNATION, "192.0.2.1:80", print, may_order
+        )
+
+        def poll(
+            _: _FakeClient, acknowledged: int, deadline_ms: int | None, *__: int
+        ) -> WorkerRuns:
+            del acknowledged
+            granted.append(deadline_ms)
+            session.close()
+            return WorkerRuns(1_000, _INCARNATION.born_ms, (), ())
+
+        monkeypatch.setattr(_FakeClient, "poll", poll, raising=False)
+        monkeypatch.setattr(_FakeClient, "is_confirmed", True)
+        session._clock.sample(0, 0.0)
+        session._poll_worker()
+        assert granted == [round(1000 * LEASE_S)]
+
+
 class TestNextIncarnation:
     """Guards against leases on a clock that has started anew.
 
