--- a/acaciawing/jobserver/fleet_task.py
+++ b/acaciawing/jobserver/fleet_task.py
@@ -109,6 +109,7 @@
                     self._plan_tenure = tenure
                     self._plan = FleetPlanner(_log_decision)
                     self._recently_ordered = None
+                    self._statuses.invalidate()
                 self._record_waves(steady_s())
                 if steady_s() - tenure.since > _TAKEOVER_DELAY_S:
                     self._run_round(tenure)
--- a/acaciawing/platform/fleet_records.py
+++ b/acaciawing/platform/fleet_records.py
@@ -79,6 +79,13 @@
         self._waves_read = frozenset(waves)
         return True
 
+    def invalidate(self) -> None:
+        """Makes the next `read` read everything; another holder may have written.
+
+        What was recorded and not stored yet is kept.
+        """
+        self._waves_read = None
+
     def completed(self, wave: int) -> bool:
         """Whether the operator was notified that a wave is completed."""
         return self._stored_states.get(wave) == "completed"
--- a/acaciawing/platform/tests/test_fleet_records.py
+++ b/acaciawing/platform/tests/test_fleet_records.py
@@ -37,3 +37,24 @@
             successor = WaveStatusStore(address)
             assert successor.read({1})
             assert successor.maintenance_started(1) == {"m1"}
+
+
+class TestReturningHolder:
+    """Guards against progress that a returning holder takes back."""
+
+    def test_progress_that_another_holder_stored_is_kept(self) -> None:
+        store = JobStore()
+        with serving(store.handle, threads=4) as address:
+            statuses = WaveStatusStore(address)
+            assert statuses.read({7})
+            statuses.write(7, completed=False)
+            statuses.record_maintenance_started(7, "m1")
+            other = WaveStatusStore(address)
+            assert other.read({7})
+            other.record_maintenance_started(7, "m2")
+            other.save_maintenance_started()
+            other.write(7, completed=True)
+            statuses.invalidate()
+            assert statuses.read({7})
+            assert statuses.completed(7)
+            assert statuses.maintenance_started(7) == {"m1", "m2"}
