--- a/acaciawing/jobs/run_placement.py
+++ b/acaciawing/jobs/run_placement.py
@@ -42,11 +42,12 @@
         Once the confirmation has expired, a later holder may exist. It starts
         subtasks of this cell only after it has fenced every engaged worker.
         A fenced worker stops answering this holder, so as long as all engaged
-        workers answer, no later holder has started any.
+        workers answer, no later holder has started any. One that was removed
+        since may have been fenced before.
         """
         if self._is_confirmed(now):
             return True
-        return all(
+        return self._is_confirmed(self._engaged_removed_at) and all(
             now - view.last_contact_at < CONTACT_TIMEOUT_S
             for view in self.views.values()
             if view.engaged
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -113,6 +113,8 @@
         self._confirmed_at = float("-inf")
         # When jobs were read that a later holder may run, in seconds.
         self._unconfirmed_jobs: dict[str, float] = {}
+        # When the last engaged worker was removed, in seconds.
+        self._engaged_removed_at = float("-inf")
         self._early_reports: dict[Incarnation, WorkerReport] = {}
         self._ended_incarnations: set[Incarnation] = set()
         # Runs of workers that were silent until their leases lapsed.
--- a/acaciawing/jobs/tests/test_cell.py
+++ b/acaciawing/jobs/tests/test_cell.py
@@ -228,6 +228,34 @@
         harness.settle()
         assert len(harness.starts) == 2
 
+    def test_unconfirmed_holder_restarts_no_run_of_a_worker_that_is_gone(
+        self,
+    ) -> None:
+        # A later holder may have noted the run's end before the worker went.
+        harness = CellHarness()
+        near, far = make_worker("near"), make_worker("far", cores=64)
+        harness.update_workers(near, far)
+        harness.recover(JobSubmitted(make_job("j"), 0))
+        harness.report(near)
+        harness.report(far)
+        harness.settle()
+        assert harness.starts[0].worker.worker == "near"
+        for _ in range(5):
+            harness.wait(0.6, confirmed=False)
+            harness.report(far)
+            harness.settle()
+        harness.cell.receive(
+            WorkerUnreachable(near.incarnation, harness.now), harness.now
+        )
+        harness.cell.update_machines({"far"}, harness.now, harness.now)
+        harness.report(far)
+        harness.settle()
+        assert len(harness.starts) == 1
+        harness.wait(0.1)
+        harness.report(far)
+        harness.settle()
+        assert len(harness.starts) == 2
+
     def test_unconfirmed_holder_starts_no_job_that_a_later_one_may_run(
         self,
     ) -> None:
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -265,6 +265,8 @@
         self._takeover.unconfirmed.pop(incarnation, None)
         view = self.views.pop(incarnation, None)
         if view is not None:
+            if view.engaged:
+                self._engaged_removed_at = now
             self._log_lost_runs(view, now)
             for subtask in list(view.runs):
                 self._remove_run(view, subtask, now)
