--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -140,6 +140,10 @@
         view.lease_until = max(view.lease_until, message.lease_until)
         if not view.contacted:
             view.contacted = True
+            # An earlier holder may have granted a lease until now.
+            view.lease_until = max(
+                view.lease_until, now + self._leases.intended_s
+            )
             self._engage_worker(view)
             self._resolve_absent_starts(
                 message.worker, {row.subtask for row in message.running}, now
--- a/acaciawing/jobs/tests/test_cell.py
+++ b/acaciawing/jobs/tests/test_cell.py
@@ -16,6 +16,7 @@
     StopRun,
     SubtaskId,
     WorkerEngaged,
+    WorkerReport,
     WorkerUnreachable,
 )
 from acaciawing.jobs.fleet import Evacuation
@@ -26,6 +27,7 @@
     make_job,
     make_worker,
 )
+from acaciawing.jobs.workers import CONTACT_TIMEOUT_S
 
 
 def _first_subtask(job: str = "j") -> SubtaskId:
@@ -176,6 +178,33 @@
         harness.settle()
         assert len(harness.starts) == 1
 
+    def test_lease_of_an_earlier_holder_outlasts_the_first_contact(
+        self,
+    ) -> None:
+        # A first poll grants no lease, and a second one may not be answered.
+        worker, other = make_worker("w"), make_worker("other")
+        harness = CellHarness(fence=2)
+        harness.update_workers(worker, other)
+        harness.recover(
+            JobSubmitted(make_job("j"), 0),
+            WorkerEngaged(*worker.incarnation, worker.address, 0),
+        )
+        harness.report(other)
+        row = RunningRow(_first_subtask(), 100_001, "", 10, 0)
+        harness.cell.receive(
+            WorkerReport(worker.incarnation, harness.now, 0.0, (row,), ()),
+            harness.now,
+        )
+        harness.settle()
+        harness.wait(CONTACT_TIMEOUT_S + 0.1)
+        harness.report(other)
+        harness.settle()
+        assert not harness.starts
+        harness.wait(LEASE_S)
+        harness.report(other)
+        harness.settle()
+        assert len(harness.starts) == 1
+
 
 class TestIsolation:
     """Guards against an isolated holder that acts on outdated knowledge."""
