--- a/acaciawing/jobs/tests/test_cell.py
+++ b/acaciawing/jobs/tests/test_cell.py
@@ -9,6 +9,7 @@
     JobSubmitted,
     Resources,
     RunningRow,
+    SaveRecord,
     StartOrderResult,
     StartOutcome,
     Step,
@@ -16,6 +17,7 @@
     StopRun,
     SubtaskId,
     WorkerEngaged,
+    WorkerReleased,
     WorkerReport,
     WorkerUnreachable,
 )
@@ -205,6 +207,36 @@
         harness.settle()
         assert len(harness.starts) == 1
 
+    def test_worker_listed_again_is_engaged_again(self) -> None:
+        # Otherwise the next holder would not wait for its runs.
+        worker, other = make_worker("w"), make_worker("other")
+        harness = CellHarness()
+        harness.update_workers(worker)
+        harness.recover()
+        harness.report(worker)
+        engaged = harness.step(save=False)
+        harness.update_workers(other)
+        harness.wait(CONTACT_TIMEOUT_S + LEASE_S + 1.0)
+        harness.step(save=False)
+        assert worker.incarnation not in harness.cell.views
+        harness.update_workers(worker, other)
+        harness.report(worker)
+        harness.step(save=False)
+        assert [
+            type(record)
+            for record in harness.log
+            if isinstance(record, WorkerEngaged | WorkerReleased)
+            and record.worker == worker.incarnation.worker
+        ] == [
+            WorkerEngaged,
+            WorkerReleased,
+            WorkerEngaged,
+        ]
+        # The first record alone does not make it engaged.
+        numbers = [a.number for a in engaged if isinstance(a, SaveRecord)]
+        harness.cell.records_saved(numbers[-1], harness.now)
+        assert not harness.cell.views[worker.incarnation].engaged
+
 
 class TestIsolation:
     """Guards against an isolated holder that acts on outdated knowledge."""
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -275,6 +275,11 @@
             record = WorkerReleased(*incarnation)
             self.table.apply(record)
             self._save_record(record)
+            self._pending_engagements = {
+                number: engaged
+                for number, engaged in self._pending_engagements.items()
+                if engaged != incarnation
+            }
         self._log(
             "WORKER_GONE",
             worker=incarnation.worker,
