Take a full list of ends for no proof that a run is absent

Cause: a worker lists at most 500 ends that are not acknowledged. A run in neither list counted as gone, and the first answer of a worker settled its part of a takeover, whether or not the list was full.

Change: a report says whether it has all ends (WorkerRuns, WorkerReport); the limit stays in the adapter. A report without all ends - leaves a run that is over in the new phase ENDED: it is not started again, nor stopped, copied, called stalled or counted in a crash, until its end or a report with all ends comes. A long-running subtask starts again at once, since it must however its run has ended; - settles no takeover, no start of an earlier holder that may be a crash's, and no machine as evacuated. A worker that answers so is not given up after the time for unreached ones, nor by the list of machines, before it is silent; - stops new starts there. Other workers list their ends at once. AW3207 tells of it. An end of an earlier holder's run settles the record of its start; a start that ended was recorded as a crash's before, if it was on a worker's next life.

Ruled out: going on with starts on such a worker (it would fill up with work that is lost with it); remembering the ends in the session (they are not sent).

--- a/acaciawing/jobs/actions.py
+++ b/acaciawing/jobs/actions.py
@@ -178,6 +178,9 @@
             seconds.
         running: Runs that are running on the worker.
         ended: Ends that were not acknowledged yet, by number.
+        ends_complete: Whether these are all such ends. If not, the worker may
+            have later ones, so that a run in neither list may have ended in
+            any way.
     """
 
     worker: Incarnation
@@ -185,6 +188,7 @@
     lease_until: float
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
+    ends_complete: bool = True
 
 
 class WorkerUnreachable(msgspec.Struct, frozen=True):
--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -26,7 +26,6 @@
 from acaciawing.jobs.model import (
     Incarnation,
     Resources,
-    SubtaskId,
     Worker,
 )
 from acaciawing.jobs.records import (
@@ -134,7 +133,6 @@
         view = self.views.get(message.worker)
         if view is None:
             return
-        self._takeover.unconfirmed.pop(message.worker, None)
         view.last_contact_at = message.sent_at
         # A predecessor's orders may have granted longer leases.
         view.lease_until = max(view.lease_until, message.lease_until)
@@ -145,9 +143,6 @@
                 view.lease_until, now + self._leases.intended_s
             )
             self._engage_worker(view)
-            self._resolve_absent_starts(
-                message.worker, {row.subtask for row in message.running}, now
-            )
             self._log(
                 "WORKER_CONTACTED",
                 worker=view.incarnation.worker,
@@ -157,14 +152,13 @@
             )
         view.reachable = True
         self._silent_runs.pop(message.worker, None)
-        ended: set[SubtaskId] = set()
-        for row in message.ended:
-            ended.add(row.subtask)
-            if row.number > view.newest_end:
-                view.newest_end = row.number
-                self._end_run(view, row, now)
-        self._acknowledge(view)
+        self._process_ends(view, message, now)
         running = {row.subtask for row in message.running}
+        if not view.ends_known:
+            self._resolve_absent_starts(view, running, now)
+        if view.ends_complete:
+            view.ends_known = True
+            self._takeover.unconfirmed.pop(message.worker, None)
         for running_row in message.running:
             self._process_running(view, running_row, now)
         for run in list(view.runs.values()):
@@ -242,9 +236,7 @@
         self._unix_ms = unix_ms
         if not self.recovered:
             return
-        for incarnation, worker in list(self._takeover.unconfirmed.items()):
-            if self._confirmed_at >= worker.until:
-                self._remove_worker(incarnation, WorkerEnd.LAPSED, now)
+        self._settle_takeover(now)
         for view in list(self.views.values()):
             self._check_worker(view, now)
         for progress in self.table.jobs.values():
--- a/acaciawing/jobs/crash_tracking.py
+++ b/acaciawing/jobs/crash_tracking.py
@@ -208,21 +208,25 @@
 
     def _resolve_absent_starts(
         self,
-        incarnation: Incarnation,
+        view: WorkerView,
         running: Collection[SubtaskId],
         now: float,
     ) -> None:
-        """Handles starts of an earlier holder that a worker does not report."""
-        for run in self._unseen_runs(incarnation):
+        """Handles starts of an earlier holder that a worker does not report.
+
+        A start that may have reached the worker's crashed predecessor instead
+        was a cause of that crash, unless the worker lists its end.
+        """
+        for run in self._unseen_runs(view.incarnation):
             if run.subtask in running:
                 continue
             crashed_born_ms = self.table.started[run.subtask].crashed_born_ms
-            if crashed_born_ms:
-                crashed = Incarnation(incarnation.worker, crashed_born_ms)
+            if not crashed_born_ms:
+                self._settle_start(run.subtask, run.number)
+            elif view.ends_complete:
+                crashed = Incarnation(view.incarnation.worker, crashed_born_ms)
                 self._record_crash(crashed, run._replace(survived_s=0.0))
                 self._give_up_deadly((run.subtask,), now)
-            else:
-                self._settle_start(run.subtask, run.number)
 
     def _clear_proven_suspects(self, now: float) -> None:
         for subtask in list(self.table.suspects):
--- a/acaciawing/jobs/crashes.py
+++ b/acaciawing/jobs/crashes.py
@@ -213,7 +213,8 @@
 def lost_runs(view: WorkerView, now: float) -> tuple[LostRun, ...]:
     """Returns the runs on a worker that may have crashed it.
 
-    A start that was not answered was probably sent after the crash.
+    A start that was not answered was probably sent after the crash. A run that
+    had ended before it is not the cause.
     """
     return tuple(
         LostRun(
@@ -223,7 +224,9 @@
             _survived_s(view, run),
         )
         for run in view.runs.values()
-        if run.confirmed and not _is_innocent(view, run, now)
+        if run.confirmed
+        and run.phase is not Phase.ENDED
+        and not _is_innocent(view, run, now)
     )
 
 
--- a/acaciawing/jobs/fleet.py
+++ b/acaciawing/jobs/fleet.py
@@ -16,8 +16,9 @@
         lasting: Number of long-running ones among them.
         cpu: Cpu reserved for them, in thousandths of a core.
         silent: Whether it has answered before and does not answer now.
-        contacted: Whether it has answered this holder. Until then, runs that
-            an earlier holder has started there are missing from the counts.
+        contacted: Whether it has listed all its runs and ends to this holder.
+            Until then, runs that an earlier holder has started there are
+            missing from the counts.
     """
 
     runs: int
--- a/acaciawing/jobs/load_report.py
+++ b/acaciawing/jobs/load_report.py
@@ -120,7 +120,7 @@
 def _worker_load(view: WorkerView) -> WorkerLoad:
     silent = view.contacted and not view.reachable
     return WorkerLoad(
-        len(view.runs), view.lasting, view.used.cpu, silent, view.contacted
+        len(view.runs), view.lasting, view.used.cpu, silent, view.ends_known
     )
 
 
--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -5,6 +5,7 @@
     EndKind,
     RunningRow,
     StartOutcome,
+    WorkerReport,
 )
 from acaciawing.jobs.crashes import Suspicion
 from acaciawing.jobs.disruptions import DisruptionBudgets, is_at_work
@@ -99,7 +100,7 @@
             run.confirmed, run.reported_at = True, view.last_contact_at
             self.table.jobs[row.subtask.job].started = True
             self._unconfirmed_crashes.pop((row.subtask, row.run), None)
-            if run.phase in (Phase.ORDERED, Phase.UNCONFIRMED):
+            if run.phase in (Phase.ORDERED, Phase.UNCONFIRMED, Phase.ENDED):
                 run.enter(Phase.RUNNING, now, now)
             if run.phase is Phase.RUNNING and self._is_superfluous(run):
                 self._stop_run(view, run, StopReason.NOT_NEEDED, now)
@@ -188,13 +189,19 @@
         """Handles a known run that is missing from a worker's report.
 
         The report proves nothing if it was requested before the last order for
-        the run was answered.
+        the run was answered. If it lacks ends of the worker, it only proves that
+        the run is over.
         """
         if run.answered_at is None or run.answered_at >= requested_at:
             return
         if run.phase is Phase.UNCONFIRMED:
             self._stop_run(view, run, StopReason.UNCONFIRMED, now)
             return
+        # A long-running subtask starts again however its run has ended.
+        if not view.ends_complete and not run.step.lasting:
+            if run.phase is not Phase.ENDED:
+                run.enter(Phase.ENDED, now, run.answered_at)
+            return
         self._log(
             "RUN_ABSENT",
             subtask=str(run.subtask),
@@ -204,6 +211,24 @@
         )
         self._remove_run(view, run.subtask, now)
 
+    def _process_ends(
+        self, view: WorkerView, report: WorkerReport, now: float
+    ) -> None:
+        """Handles the ends in a report that were not received before."""
+        for row in report.ended:
+            if row.number > view.newest_end:
+                view.newest_end = row.number
+                self._end_run(view, row, now)
+        self._acknowledge(view)
+        if view.ends_complete and not report.ends_complete:
+            self._log(
+                "ENDS_INCOMPLETE",
+                worker=view.incarnation.worker,
+                newest_end=view.newest_end,
+                runs=len(view.runs),
+            )
+        view.ends_complete = report.ends_complete
+
     def _end_run(self, view: WorkerView, row: EndedRow, now: float) -> None:
         previous_number = self._last_record_number
         self._record_end(row, now)
@@ -218,6 +243,7 @@
         view.unacknowledged.append((row.number, record_number))
         run = view.runs.get(row.subtask)
         if run is None or run.number != row.run:
+            self._settle_start(row.subtask, row.run)
             return
         if row.kind is EndKind.FAILED:
             view.failure_times.append(now)
--- a/acaciawing/jobs/speculation.py
+++ b/acaciawing/jobs/speculation.py
@@ -108,7 +108,7 @@
     def _needs_copy(self, run: Run) -> bool:
         """Whether a run is the only one of a subtask that is still needed."""
         return (
-            run.phase not in (Phase.CLOSING, Phase.STOPPING)
+            run.phase not in (Phase.CLOSING, Phase.STOPPING, Phase.ENDED)
             and not self._runs.has_copy(run.subtask)
             and run.subtask not in self.table.suspects
             and self._still_needed(run.subtask)
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -59,7 +59,7 @@
     """Runs of earlier holders that may still exist after a takeover.
 
     Attributes:
-        unconfirmed: Engaged workers that were not reached yet.
+        unconfirmed: Engaged workers that have not listed all their ends yet.
         jobs: Jobs that existed at the takeover.
     """
 
@@ -253,6 +253,8 @@
     def _stop_run(
         self, view: WorkerView, run: Run, reason: StopReason, now: float
     ) -> None:
+        if run.phase is Phase.ENDED:
+            return
         closing = run.phase is Phase.CLOSING or reason is StopReason.UNCONFIRMED
         run.enter(Phase.CLOSING if closing else Phase.STOPPING, now, None)
         run.may_be_stopping = True
--- a/acaciawing/jobs/tests/builders.py
+++ b/acaciawing/jobs/tests/builders.py
@@ -94,6 +94,8 @@
         worker: Worker,
         running: tuple[RunningRow, ...] | None = None,
         ended: tuple[EndedRow, ...] = (),
+        *,
+        ends_complete: bool = True,
     ) -> None:
         """Sends a worker's report; by default with all its expected runs."""
         if running is None:
@@ -111,6 +113,7 @@
                 self.now + LEASE_S,
                 running,
                 ended,
+                ends_complete,
             ),
             self.now,
         )
--- a/acaciawing/jobs/worker_tracking.py
+++ b/acaciawing/jobs/worker_tracking.py
@@ -107,8 +107,10 @@
             now: Current time in seconds.
         """
         for incarnation, worker in list(self._takeover.unconfirmed.items()):
+            view = self.views.get(incarnation)
             if (
-                worker.started_before < requested_at
+                (view is None or not view.contacted)
+                and worker.started_before < requested_at
                 and incarnation.worker not in workers
             ):
                 self._end_incarnation(incarnation, WorkerEnd.NO_MACHINE, now)
@@ -186,9 +188,9 @@
         """
         unconfirmed = self._takeover.unconfirmed.pop(incarnation, None)
         old, new = self.views.get(incarnation), self.views.get(successor)
-        # Such a start may be an earlier holder's, so the successor must answer
-        # as well before its runs are known.
-        if unconfirmed is not None and (new is None or not new.contacted):
+        # Such a start may be an earlier holder's, so the successor must list all
+        # its ends as well before its runs are known.
+        if unconfirmed is not None and (new is None or not new.ends_known):
             self._takeover.unconfirmed[successor] = UnconfirmedWorker(
                 unconfirmed.until + self._leases.excess_s,
                 now if new is None else _is_listed_by(new),
@@ -299,14 +301,31 @@
                 beside=len(view.runs) - 1,
             )
 
-    def _check_worker(self, view: WorkerView, now: float) -> None:
-        # A later holder may have renewed the leases of a worker that only this
-        # holder can't reach. The leases are treated as lapsed only when this
-        # holder was confirmed after their end.
-        lapsed = (
+    def _settle_takeover(self, now: float) -> None:
+        """Gives up unconfirmed workers whose leases have lapsed."""
+        for incarnation, worker in list(self._takeover.unconfirmed.items()):
+            if self._confirmed_at < worker.until:
+                continue
+            view = self.views.get(incarnation)
+            if view is None or not view.contacted:
+                self._remove_worker(incarnation, WorkerEnd.LAPSED, now)
+            elif self._leases_lapsed(view, now):
+                del self._takeover.unconfirmed[incarnation]
+
+    def _leases_lapsed(self, view: WorkerView, now: float) -> bool:
+        """Whether all leases of a silent worker have lapsed.
+
+        A later holder may have renewed the leases of a worker that only this
+        holder can't reach. They are treated as lapsed only when this holder was
+        confirmed after their end.
+        """
+        return (
             now - view.last_contact_at > CONTACT_TIMEOUT_S
             and self._confirmed_at >= view.lease_until
         )
+
+    def _check_worker(self, view: WorkerView, now: float) -> None:
+        lapsed = self._leases_lapsed(view, now)
         if lapsed and view.runs:
             self._log(
                 "LEASES_LAPSED",
--- a/acaciawing/jobs/workers.py
+++ b/acaciawing/jobs/workers.py
@@ -26,6 +26,8 @@
             not report, so that a start that arrives late is rejected.
         RUNNING: The worker has confirmed or reported the run.
         STOPPING: A stop was ordered for the run.
+        ENDED: The worker does not run it any more, and has not listed its end
+            yet, because it has more ends than it lists at a time.
     """
 
     ORDERED = "ordered"
@@ -33,6 +35,7 @@
     CLOSING = "closing"
     RUNNING = "running"
     STOPPING = "stopping"
+    ENDED = "ended"
 
 
 class StopReason(Enum):
@@ -140,6 +143,8 @@
         present: Whether the platform lists it.
         known_since: When this holder learned of it, in seconds.
         contacted: Whether it has answered under this holder's fence.
+        ends_known: Whether it has listed all its ends to this holder since.
+        ends_complete: Whether its last report had all its ends.
         reachable: Whether it has answered the last lease renewal.
         engaged: Whether its `WorkerEngaged` record is durable.
         last_contact_at: When the last answered renewal was sent, in seconds.
@@ -170,6 +175,8 @@
         "best_effort_pace",
         "capacity_valid_until",
         "contacted",
+        "ends_complete",
+        "ends_known",
         "engaged",
         "evacuating",
         "evacuating_since",
@@ -201,6 +208,8 @@
         self.incarnation: Incarnation = worker.incarnation
         self.present = True
         self.contacted = False
+        self.ends_known = False
+        self.ends_complete = True
         self.reachable = False
         self.engaged = False
         self.last_contact_at = 0.0
@@ -271,6 +280,9 @@
             self.present
             and self.contacted
             and self.engaged
+            # What ends there is not known before earlier ends are durable, and
+            # it uses capacity until then.
+            and self.ends_complete
             and not self.registration.draining
             and not self.evacuating
             and now - self.last_contact_at < CONTACT_TIMEOUT_S
--- a/acaciawing/jobserver/sessions.py
+++ b/acaciawing/jobserver/sessions.py
@@ -259,12 +259,18 @@
                 self._clock.lease_until,
                 answer.running,
                 answer.ended,
+                answer.ends_complete,
             )
         )
         if answer.ended:
             newest = answer.ended[-1].number
             if self._acknowledged < newest:
-                self._acknowledged_event.wait(_MAX_ACKNOWLEDGE_WAIT_S)
+                self._acknowledged_event.wait(
+                    _MAX_ACKNOWLEDGE_WAIT_S
+                    if answer.ends_complete
+                    # No later end can be listed before that.
+                    else POLL_WAIT_MS / 1000
+                )
             if self._acknowledged < newest:
                 return 0
         return 0 if without_lease else POLL_WAIT_MS
--- a/acaciawing/jobserver/tests/test_sessions.py
+++ b/acaciawing/jobserver/tests/test_sessions.py
@@ -1,8 +1,12 @@
 """Tests of the session with a worker."""
 
+import threading
+
 import pytest
 
 from acaciawing.jobs import (
+    EndedRow,
+    EndKind,
     Incarnation,
     StartOrderResult,
     StartOutcome,
@@ -10,10 +14,11 @@
     StopOrderResult,
     StopRun,
     SubtaskId,
+    WorkerReport,
 )
 from acaciawing.jobserver import sessions
 from acaciawing.jobserver.clock import steady_s
-from acaciawing.jobserver.limits import AUTHORITY_S, LEASE_S
+from acaciawing.jobserver.limits import AUTHORITY_S, LEASE_S, POLL_WAIT_MS
 from acaciawing.jobserver.messages import (
     CellFenced,
     CellKey,
@@ -252,3 +257,58 @@
         monkeypatch.setattr(_FakeClient, "is_confirmed", False)
         session._poll_worker()
         assert granted == [False, False, True, False]
+
+
+class TestUnlistedEnds:
+    """Guards against a cell that is not told of ends beyond those listed."""
+
+    def test_a_report_tells_whether_it_has_all_ends(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(sessions, "RunClient", _FakeClient)
+        sent: list[WorkerMessageReceived | CellFenced] = []
+        session = WorkerSession(
+            CellKey(1, 1),
+            _INCARNATION,
+            "192.0.2.1:80",
+            sent.append,
+            lambda: True,
+        )
+        answers = iter([True, False, True])
+
+        def poll(*_: object) -> WorkerRuns:
+            complete = next(answers)
+            if len(sent) == 2:
+                session.close()
+            return WorkerRuns(1_000, _INCARNATION.born_ms, (), (), complete)
+
+        monkeypatch.setattr(_FakeClient, "poll", poll, raising=False)
+        session._poll_worker()
+        reports = [
+            m.message.ends_complete
+            for m in sent
+            if isinstance(m, WorkerMessageReceived)
+            and isinstance(m.message, WorkerReport)
+        ]
+        assert reports == [True, False]
+
+    def test_a_full_list_is_not_read_again_before_it_can_change(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # While the store is away, every poll has the same 500 ends.
+        waits: list[float] = []
+
+        class _NeverSet(threading.Event):
+            def wait(self, timeout: float | None = None) -> bool:
+                waits.append(timeout or 0.0)
+                return False
+
+        session = WorkerSession(
+            CellKey(1, 1), _INCARNATION, "192.0.2.1:80", print, lambda: True
+        )
+        session._acknowledged_event = _NeverSet()
+        ends = (EndedRow(1, _SUBTASK, 1, EndKind.DONE, ""),)
+        for complete in (True, False):
+            answer = WorkerRuns(1_000, 1, (), ends, complete)
+            assert session._handle_poll(answer, 0.0, False) == 0
+        assert waits == [sessions._MAX_ACKNOWLEDGE_WAIT_S, POLL_WAIT_MS / 1000]
--- a/acaciawing/platform/runs.py
+++ b/acaciawing/platform/runs.py
@@ -33,6 +33,10 @@
 # observed until a poll that received no response has timed out.
 POLL_TIMEOUT_MARGIN_S = 0.3
 
+# A worker lists at most this many ends in a response; the others follow once
+# these were acknowledged.
+MAX_LISTED_ENDS = 500
+
 _END_KINDS = {kind.value: kind for kind in EndKind}
 
 _CONFLICT_OUTCOMES = {
@@ -55,13 +59,15 @@
         born_ms: Start time of the incarnation that responded; None if the
             response doesn't contain it.
         running: Active runs.
-        ended: Ended runs that were not yet acknowledged.
+        ended: Ended runs that were not yet acknowledged, the oldest first.
+        ends_complete: Whether `ended` certainly has all of them.
     """
 
     clock_ms: int
     born_ms: int | None
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
+    ends_complete: bool = True
 
 
 @dataclass(frozen=True)
@@ -302,7 +308,11 @@
         # Skipping a malformed row would make its run look ended.
         return CallFailure("malformed run lists")
     return WorkerRuns(
-        clock_ms, to_whole_number(values.get("born")), running, ended
+        clock_ms,
+        to_whole_number(values.get("born")),
+        running,
+        ended,
+        ends_complete=len(ended) < MAX_LISTED_ENDS,
     )
 
 
--- a/acaciawing/platform/tests/test_runs.py
+++ b/acaciawing/platform/tests/test_runs.py
@@ -3,7 +3,11 @@
 import time
 
 from acaciawing.jobs import Incarnation, StartOutcome, StartRun, SubtaskId
-from acaciawing.platform.runs import RunClient, WorkerRuns
+from acaciawing.platform.runs import (
+    MAX_LISTED_ENDS,
+    RunClient,
+    WorkerRuns,
+)
 from standins.job_worker import JobWorker
 from standins.server import serving
 
@@ -32,3 +36,24 @@
             assert isinstance(second, WorkerRuns)
             assert not second.ended
             client.close()
+
+    def test_a_full_list_of_ends_does_not_pass_for_all_ends(self) -> None:
+        # Runs whose ends were not listed yet were taken for absent.
+        with serving(JobWorker(run_s=0.0).handle) as address:
+            client = RunClient(address, "w", 1)
+            assert isinstance(client.poll(0, None, 0), WorkerRuns)
+            for index in range(MAX_LISTED_ENDS + 1):
+                subtask = _SUBTASK._replace(index=index)
+                order = StartRun(Incarnation("w", 1), subtask, 1, "", "")
+                client.start(order, _FAR_DEADLINE_MS)
+            first = client.poll(0, None, 0)
+            assert isinstance(first, WorkerRuns)
+            assert len(first.ended) == MAX_LISTED_ENDS
+            assert not first.ends_complete
+            second = client.poll(first.ended[-1].number, None, 0)
+            assert isinstance(second, WorkerRuns)
+            assert [row.subtask.index for row in second.ended] == [
+                MAX_LISTED_ENDS
+            ]
+            assert second.ends_complete
+            client.close()
--- a/acaciawing/telemetry/events.py
+++ b/acaciawing/telemetry/events.py
@@ -40,6 +40,7 @@
     LEASES_LAPSED = ("AW3204", "leases lapsed")
     WORKER_SUSPECTED = ("AW3205", "worker suspected")
     OTHER_INCARNATION = ("AW3206", "another incarnation answered an order")
+    ENDS_INCOMPLETE = ("AW3207", "worker has more ends than it lists")
     RUN_PLACED = ("AW3301", "run placed")
     START_REFUSED = ("AW3302", "start refused")
     RUN_ADOPTED = ("AW3303", "run adopted")
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -13,6 +13,9 @@
 # Longest lease that is granted, in ms; the platform's bound `HoldMaxMs`.
 MAX_LEASE_MS = 10_000
 
+# Ends that are listed at a time.
+MAX_LISTED_ENDS = 500
+
 # Payload of a job whose first subtask crashes each worker that starts it.
 DEADLY_PAYLOAD = "deadly"
 
@@ -287,6 +290,8 @@
                         for name, run in self._running.items()
                     ]
                     return self._respond(
-                        200, Running=running, Ended=list(self._reported_ends)
+                        200,
+                        Running=running,
+                        Ended=self._reported_ends[:MAX_LISTED_ENDS],
                     )
             time.sleep(_POLL_INTERVAL_S)
