Bound the appends of a cell's holder by bytes

Cause: CellWriter bounded a batch by records only. By the same cause the summary of a job with some 10,000 done subtasks is one record larger than RecordBytes, which no batch can take.

Change: an append has at most 256 KiB (or CallBytes, if less), or one record. One of 2 MB would take 3.4 s over a link of 5 Mbit/s, and a call is repeated after 1 s. Summaries are split into parts that add up; only the last one tells that older records are replaced. An append that the store refuses with 400 or 413 is reported once and repeated. RecordBytes and CallBytes are read from the settings.

Looked at without a change: submissions and cancellations are single records; a queue's home grows by a service name for each service that it had; order notes are under 100 bytes a machine, and a wave's progress one id a machine, so the limits would take thousands of them in one round, and a refusal sends no order.

Ruled out: halving or dropping what is refused with 4xx (an odd answer would then lose the record of an end that is acknowledged).

Tests: in test_cell_log.py, test_retention.py, test_wire.py and, for the 400, test_job_lifecycle.py.

--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -7,6 +7,7 @@
 carry out. It does no input or output of its own.
 """
 
+import sys
 from collections.abc import Iterable
 from functools import singledispatchmethod
 
@@ -247,13 +248,19 @@
         self._clear_proven_suspects(now)
         self._release_isolated_workers(now)
 
-    def retain(self, retention_ms: int, state_retention_ms: int) -> None:
+    def retain(
+        self,
+        retention_ms: int,
+        state_retention_ms: int,
+        max_record_bytes: int = sys.maxsize,
+    ) -> None:
         """Rewrites records that expire soon, and drops old finished jobs.
 
         Args:
             retention_ms: How long the store keeps a record.
             state_retention_ms: How long the state of a finished job can be
                 queried.
+            max_record_bytes: Largest record that the store accepts, in bytes.
         """
         if not self.recovered:
             return
@@ -273,7 +280,9 @@
                 for subtask in [s for s in by_subtask if s.job == job]:
                     by_subtask.pop(subtask)
         expiring = list(
-            records_to_rewrite(self.table, retention_ms, self._unix_ms)
+            records_to_rewrite(
+                self.table, retention_ms, self._unix_ms, max_record_bytes
+            )
         )
         for record in expiring:
             self.table.apply(record)
--- a/acaciawing/jobs/progress.py
+++ b/acaciawing/jobs/progress.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Iterator
 
+import msgspec
+
 from acaciawing.jobs.model import (
     Incarnation,
     Job,
@@ -25,6 +27,7 @@
     SuspicionCleared,
     WorkerEngaged,
     WorkerReleased,
+    encode_record,
 )
 from acaciawing.jobs.urgency import critical_paths_ms
 
@@ -447,6 +450,39 @@
     )
 
 
+def split_summary(summary: JobSummary, max_bytes: int) -> Iterator[JobSummary]:
+    """Yields records of at most a size that together replace a summary.
+
+    Only the last one says when the older records of the job were replaced. A
+    record with a single subtask is not split.
+
+    Args:
+        summary: The summary.
+        max_bytes: Largest record that the store accepts, in bytes.
+    """
+    done, failed_runs = summary.done, list(summary.failed_runs.items())
+    if (
+        len(done) + len(failed_runs) < 2
+        or len(encode_record(summary)) <= max_bytes
+    ):
+        yield summary
+        return
+    half = len(done) // 2, len(failed_runs) // 2
+    first = msgspec.structs.replace(
+        summary,
+        done=done[: half[0]],
+        failed_runs=dict(failed_runs[: half[1]]),
+        carried_ms=0,
+    )
+    second = msgspec.structs.replace(
+        summary,
+        done=done[half[0] :],
+        failed_runs=dict(failed_runs[half[1] :]),
+    )
+    yield from split_summary(first, max_bytes)
+    yield from split_summary(second, max_bytes)
+
+
 def crash_records(
     table: JobTable, progress: JobProgress
 ) -> Iterator[RunCrashed | RunStarted | SubtaskGivenUp]:
--- a/acaciawing/jobs/retention.py
+++ b/acaciawing/jobs/retention.py
@@ -4,11 +4,13 @@
 engaged workers that are needed for longer is written again before that.
 """
 
+import sys
 from collections.abc import Iterator
 
 from acaciawing.jobs.progress import (
     JobTable,
     crash_records,
+    split_summary,
     summarize_job,
 )
 from acaciawing.jobs.records import Record, WorkerEngaged
@@ -18,8 +20,25 @@
 REWRITE_SHARE = 0.4
 
 
+# Share of a record that a submitted job may take; the rest is for the progress
+# in its summaries.
+MAX_JOB_SHARE = 0.875
+
+
+def max_submission_bytes(max_record_bytes: int) -> int:
+    """Returns the size of the largest `JobSubmitted` that is accepted.
+
+    Args:
+        max_record_bytes: Largest record that the store accepts, in bytes.
+    """
+    return int(MAX_JOB_SHARE * max_record_bytes)
+
+
 def records_to_rewrite(
-    table: JobTable, retention_ms: int, unix_ms: int
+    table: JobTable,
+    retention_ms: int,
+    unix_ms: int,
+    max_record_bytes: int = sys.maxsize,
 ) -> Iterator[Record]:
     """Yields records that replace those that expire soon.
 
@@ -27,11 +46,13 @@
         table: Jobs and engaged workers of a cell.
         retention_ms: How long the store keeps a record.
         unix_ms: Current Unix time in milliseconds.
+        max_record_bytes: Largest record that the store accepts, in bytes.
     """
     oldest_ms = unix_ms - REWRITE_SHARE * retention_ms
     for progress in table.jobs.values():
         if progress.oldest_record_ms < oldest_ms:
-            yield summarize_job(progress, unix_ms)
+            summary = summarize_job(progress, unix_ms)
+            yield from split_summary(summary, max_record_bytes)
             yield from crash_records(table, progress)
     for record in table.engaged.values():
         if record.at_ms < oldest_ms:
--- a/acaciawing/jobs/tests/test_retention.py
+++ b/acaciawing/jobs/tests/test_retention.py
@@ -1,14 +1,30 @@
 """Tests of rewriting records before the store deletes them."""
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from acaciawing.jobs import (
     Incarnation,
+    Job,
     JobSubmitted,
     JobSummary,
     JobTable,
+    Record,
+    Resources,
+    RunFailed,
+    Step,
     SubtaskDone,
+    SubtaskId,
     WorkerEngaged,
+    encode_record,
+    summarize_job,
+)
+from acaciawing.jobs.progress import JobProgress
+from acaciawing.jobs.retention import (
+    expired_jobs,
+    max_submission_bytes,
+    records_to_rewrite,
 )
-from acaciawing.jobs.retention import expired_jobs, records_to_rewrite
 from acaciawing.jobs.tests.builders import CellHarness, make_job
 
 _RETENTION_MS = 300_000
@@ -50,3 +66,75 @@
         harness.cell.tick(harness.now, 121_001)
         harness.cell.retain(_RETENTION_MS, 120_000)
         assert harness.cell.state("j") is None
+
+
+class TestLargeJobs:
+    """Guards against a job whose summary is larger than the store accepts."""
+
+    _max_record_bytes = 262_144
+
+    def _fold(self, records: list[Record]) -> JobProgress:
+        table = JobTable()
+        for record in records:
+            table.apply(record)
+        return table.jobs["5c0e7a21d94b36f8"]
+
+    def _rewrite(
+        self, records: list[Record], max_record_bytes: int
+    ) -> list[Record]:
+        table = JobTable()
+        for record in records:
+            table.apply(record)
+        return list(
+            records_to_rewrite(table, _RETENTION_MS, 130_000, max_record_bytes)
+        )
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(
+        st.lists(st.tuples(st.integers(0, 49), st.booleans()), max_size=60),
+        st.integers(300, 3_000),
+    )
+    def test_parts_of_a_summary_replace_all_records(
+        self, ends: list[tuple[int, bool]], max_record_bytes: int
+    ) -> None:
+        job = make_job("5c0e7a21d94b36f8", Step(50, Resources(1000)))
+        records: list[Record] = [JobSubmitted(job, 0)]
+        for index, done in ends:
+            name = str(SubtaskId(job.id, 0, 0, index))
+            records.append(
+                SubtaskDone(name, 1) if done else RunFailed(name, index)
+            )
+        parts = self._rewrite(records, max_record_bytes)
+        expected = summarize_job(self._fold(records), 130_000)
+        assert summarize_job(self._fold(parts), 130_000) == expected
+        for part in parts:
+            assert isinstance(part, JobSummary)
+            few = len(part.done) + len(part.failed_runs) < 2
+            assert few or len(encode_record(part)) <= max_record_bytes
+
+    def test_every_record_of_the_largest_job_fits(self) -> None:
+        count, payload = 30_000, "x" * 4_000
+        step = Step(count, Resources(1000), image="i" * 200_000)
+        job = Job("5c0e7a21d94b36f8", "q", payload, (step,))
+        submitted = JobSubmitted(job, 0)
+        size = len(encode_record(submitted))
+        assert size < max_submission_bytes(self._max_record_bytes)
+        ids = (str(SubtaskId(job.id, 0, 0, i)) for i in range(count))
+        records: list[Record] = [submitted, *(SubtaskDone(i, 1) for i in ids)]
+        parts = self._rewrite(records, self._max_record_bytes)
+        assert max(len(encode_record(p)) for p in parts) <= (
+            self._max_record_bytes
+        )
+        assert self._fold(parts).completed
+
+    def test_some_parts_alone_do_not_pass_for_all(self) -> None:
+        # The holder may end between the appends of two parts.
+        job = make_job("5c0e7a21d94b36f8", Step(50, Resources(1000)))
+        ids = [str(SubtaskId(job.id, 0, 0, i)) for i in range(40)]
+        records: list[Record] = [JobSubmitted(job, 0)]
+        records += [SubtaskDone(i, 1) for i in ids]
+        parts = self._rewrite(records, 500)
+        assert len(parts) > 2
+        for stored in range(1, len(parts)):
+            assert self._rewrite([*records, *parts[:stored]], 500) == parts
+        assert not self._rewrite([*records, *parts], 500)
--- a/acaciawing/jobserver/cell_log.py
+++ b/acaciawing/jobserver/cell_log.py
@@ -35,13 +35,16 @@
 )
 from acaciawing.jobserver.tasks import start_task
 from acaciawing.platform.store import (
+    RECORD_LENGTH_BYTES,
     NewestRecords,
+    NotStored,
     OffsetExpired,
     OutOfSequence,
     Producer,
     RecordBatch,
     Store,
     Stored,
+    StoreLimits,
     Superseded,
 )
 from acaciawing.telemetry import Event, log_event
@@ -59,7 +62,10 @@
 # Producer name of a cell's holder; the producer epoch is the holder's fence.
 _PRODUCER_NAME = "holder"
 
+# Largest append of a holder. One of 256 KiB takes 0.42 s over a link of 5 Mbit/s,
+# the narrowest of a machine; a call that takes longer than 1 s is repeated.
 _MAX_BATCH_RECORDS = 500
+_MAX_BATCH_BYTES = 262_144
 
 
 def jobs_topic(job: str) -> str:
@@ -286,22 +292,40 @@
     return isinstance(record, CancelRequested)
 
 
+class _EncodedRecord(NamedTuple):
+    """A record with its number; without a payload if it is left out."""
+
+    number: int
+    payload: bytes
+
+
 class CellWriter:
     """Appends the holder's records in order and in batches.
 
+    A record that is larger than the store accepts is left out, so that the
+    other records of the cell are stored. Only the summary of a job can be: the
+    job was accepted by a version that did not limit its size.
+
     Args:
         key: The cell.
         address: ``ip:port`` of the store.
+        limits: How much the store accepts.
         send: Adds a message to the engine's inbox.
     """
 
     def __init__(
-        self, key: CellKey, address: str, send: Callable[[Message], None]
+        self,
+        key: CellKey,
+        address: str,
+        limits: StoreLimits,
+        send: Callable[[Message], None],
     ) -> None:
         """Stores the arguments; `start` starts the thread."""
         self._key = key
         self._send = send
         self._store = Store(address)
+        self._max_record_bytes = limits.record_bytes
+        self._max_batch_bytes = min(limits.call_bytes, _MAX_BATCH_BYTES)
         self._queue: SimpleQueue[SaveRecord | None] = SimpleQueue()
         self._closed = threading.Event()
         self._sequence = 1
@@ -320,28 +344,66 @@
         self._queue.put(action)
 
     def _run(self) -> None:
-        while (first := self._queue.get()) is not None:
-            batch = [first]
-            while len(batch) < _MAX_BATCH_RECORDS:
-                try:
-                    following = self._queue.get_nowait()
-                except Empty:
-                    break
-                if following is None:
+        first: _EncodedRecord | None = None
+        while not self._closed.is_set():
+            if first is None:
+                action = self._queue.get()
+                if action is None:
                     return
-                batch.append(following)
-            if not self._append(batch):
+                first = self._encode(action)
+            batch, first = self._take_batch(first)
+            payloads = [record.payload for record in batch if record.payload]
+            if payloads and not self._append(payloads):
                 return
             self._send(RecordsSaved(self._key, batch[-1].number))
 
-    def _append(self, batch: list[SaveRecord]) -> bool:
-        """Appends a batch, retrying until the store accepts or fences it.
+    def _take_batch(
+        self, first: _EncodedRecord
+    ) -> tuple[list[_EncodedRecord], _EncodedRecord | None]:
+        """Takes records from the queue as long as they fit into one append.
+
+        Returns:
+            The batch, which begins with `first`, and the record after it if one
+            was taken that does not fit.
+        """
+        batch, size = [first], _size_of(first)
+        while len(batch) < _MAX_BATCH_RECORDS:
+            try:
+                action = self._queue.get_nowait()
+            except Empty:
+                break
+            if action is None:
+                # The writer was closed; the append is not begun.
+                break
+            record = self._encode(action)
+            size += _size_of(record)
+            if size > self._max_batch_bytes:
+                return batch, record
+            batch.append(record)
+        return batch, None
+
+    def _encode(self, action: SaveRecord) -> _EncodedRecord:
+        payload = encode_record(action.record)
+        if len(payload) > self._max_record_bytes:
+            self._log_finding(
+                f"{type(action.record).__name__} of {len(payload)} bytes is "
+                f"left out, at most {self._max_record_bytes}: {payload[:80]!r}"
+            )
+            payload = b""
+        return _EncodedRecord(action.number, payload)
+
+    def _log_finding(self, fault: str) -> None:
+        place = f"{PROGRESS_TOPIC}/{self._key.partition}"
+        log_event(Event.FINDING, {"place": place, "fault": fault})
+
+    def _append(self, payloads: list[bytes]) -> bool:
+        """Appends records, retrying until the store accepts or fences them.
 
         Returns:
             False if a later holder has fenced this one, or after `close`.
         """
-        payloads = [encode_record(action.record) for action in batch]
         pause = RETRY_PAUSE_S
+        reported = False
         while not self._closed.is_set():
             producer = Producer(_PRODUCER_NAME, self._key.fence, self._sequence)
             result = self._store.append(
@@ -356,6 +418,18 @@
             if isinstance(result, OutOfSequence):
                 self._sequence = result.expected
                 continue
+            if isinstance(result, NotStored) and result.invalid:
+                if not reported:
+                    self._log_finding(
+                        f"{len(payloads)} records of {sum(map(len, payloads))} "
+                        f"bytes are refused: {result.detail}"
+                    )
+                reported = True
             self._closed.wait(pause)
             pause = min(2 * pause, MAX_RETRY_PAUSE_S)
         return False
+
+
+def _size_of(record: _EncodedRecord) -> int:
+    """Returns the bytes that a record adds to an append."""
+    return RECORD_LENGTH_BYTES + len(record.payload)
--- a/acaciawing/jobserver/client_api.py
+++ b/acaciawing/jobserver/client_api.py
@@ -86,6 +86,7 @@
         max_state_age_s: Maximum age at which a holder's records are
             considered current, in seconds.
         jitter: Spreads the retries of several instances over time.
+        max_job_bytes: Largest record of a submission that is accepted.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         partitions: int,
         max_state_age_s: float,
         jitter: random.Random,
+        max_job_bytes: int,
     ) -> None:
         """Stores the arguments."""
         self._configuration_follower = configuration_follower
@@ -108,6 +110,7 @@
         self._partitions = partitions
         self._max_state_age_s = max_state_age_s
         self._jitter = jitter
+        self._max_job_bytes = max_job_bytes
         self._pause = threading.Event()
 
     def __call__(
@@ -235,15 +238,15 @@
     ) -> Reply:
         job = decode_job(body, job_id, queue.name)
         if isinstance(job, Finding):
-            log_event(
-                Event.JOB_REFUSED,
-                {"job": job_id, "place": job.place, "reason": job.fault},
-            )
-            return Reply(400, {"error": job.fault, "place": job.place})
-        if self._is_known_elsewhere(queue, job_id):
-            return Reply(200, {})
+            return _refuse_job(job_id, job)
         job = msgspec.structs.replace(job, accepted_by=queue)
         record = JobSubmitted(job, unix_ms())
+        size = len(encode_record(record))
+        if size > self._max_job_bytes:
+            fault = f"takes {size} bytes, at most {self._max_job_bytes}"
+            return _refuse_job(job_id, Finding("body", fault))
+        if self._is_known_elsewhere(queue, job_id):
+            return Reply(200, {})
         result = self._append(queue, job_id, record, deadline)
         if isinstance(result, Stored):
             log_event(
@@ -368,6 +371,15 @@
         return None if home is None else home.partition
 
 
+def _refuse_job(job: str, finding: Finding) -> Reply:
+    """Returns the refusal of a job that can never be accepted."""
+    log_event(
+        Event.JOB_REFUSED,
+        {"job": job, "place": finding.place, "reason": finding.fault},
+    )
+    return Reply(400, {"error": finding.fault, "place": finding.place})
+
+
 def _read_body(environ: dict[str, Any]) -> bytes:
     if environ.get("CONTENT_LENGTH") or environ.get("HTTP_TRANSFER_ENCODING"):
         body: bytes = environ["wsgi.input"].read()
--- a/acaciawing/jobserver/daemon.py
+++ b/acaciawing/jobserver/daemon.py
@@ -9,6 +9,7 @@
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 
+from acaciawing.jobs.retention import max_submission_bytes
 from acaciawing.jobserver.advice_task import AdviceTask
 from acaciawing.jobserver.appender import Appender
 from acaciawing.jobserver.client_api import ClientApi
@@ -85,6 +86,7 @@
             settings.retention_s,
             settings.state_retention_s,
             settings.max_lease_ms / 1000,
+            settings.store_limits,
         )
         self._configuration_follower = ConfigurationFollower(
             store, self._engine.send, self._contact
@@ -112,6 +114,7 @@
             settings.partitions,
             settings.max_state_age_ms / 1000,
             random.Random(settings.name),
+            max_submission_bytes(settings.store_limits.record_bytes),
         )
         self._fleet_task = FleetTask(
             settings,
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -44,6 +44,7 @@
 )
 from acaciawing.jobserver.sessions import lease_bounds
 from acaciawing.jobserver.tasks import start_task
+from acaciawing.platform.store import StoreLimits
 from acaciawing.telemetry import Event, log_event
 
 # Maximum number of messages handled before the actions are carried out.
@@ -76,6 +77,7 @@
         state_retention_s: How long states of finished jobs are reported, in
             seconds.
         max_lease_s: Longest lease that workers grant, in seconds.
+        limits: How much the store accepts.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         retention_s: int,
         state_retention_s: int,
         max_lease_s: float,
+        limits: StoreLimits,
     ) -> None:
         """Stores the arguments; `start` starts the thread."""
         self._store = store
@@ -94,6 +97,7 @@
         self._retention_ms = 1000 * retention_s
         self._state_retention_ms = 1000 * state_retention_s
         self._leases = lease_bounds(max_lease_s)
+        self._limits = limits
         self._inbox: SimpleQueue[Message] = SimpleQueue()
         self._cells: dict[int, HeldCell] = {}
         self._configuration: Configuration | None = None
@@ -171,7 +175,9 @@
                 for held in self._cells.values():
                     if held.holding.is_valid(now):
                         held.cell.retain(
-                            self._retention_ms, self._state_retention_ms
+                            self._retention_ms,
+                            self._state_retention_ms,
+                            self._limits.record_bytes,
                         )
             for partition, held in list(self._cells.items()):
                 if held.cell.fenced:
@@ -454,6 +460,7 @@
         held = HeldCell(
             key,
             self._store,
+            self._limits,
             self.send,
             self._make_holding(key, assignment),
             self._request_advice,
--- a/acaciawing/jobserver/held_cell.py
+++ b/acaciawing/jobserver/held_cell.py
@@ -35,6 +35,7 @@
 )
 from acaciawing.jobserver.metrics import METRICS
 from acaciawing.jobserver.sessions import WorkerSession
+from acaciawing.platform.store import StoreLimits
 from acaciawing.telemetry import Event, log_event
 
 
@@ -44,6 +45,7 @@
     Args:
         key: The cell.
         store: ``ip:port`` of the store.
+        limits: How much the store accepts.
         send: Adds a message to the engine's inbox.
         holding: Right to give orders for the cell.
         request_advice: Sends a request to the advice service.
@@ -56,6 +58,7 @@
         self,
         key: CellKey,
         store: str,
+        limits: StoreLimits,
         send: Callable[[Message], None],
         holding: Holding,
         request_advice: Callable[[CellKey, AdviceRequest], None],
@@ -74,7 +77,7 @@
         self._request_advice = request_advice
         self._sessions: dict[Incarnation, WorkerSession] = {}
         self._reader = CellReader(key, store, self._report, is_own)
-        self._writer = CellWriter(key, store, self._report)
+        self._writer = CellWriter(key, store, limits, self._report)
         self.cell.confirm_holder(holding.confirmed_at)
         self._reader.start()
         self._writer.start()
--- a/acaciawing/jobserver/tests/test_cell_log.py
+++ b/acaciawing/jobserver/tests/test_cell_log.py
@@ -1,16 +1,33 @@
 """Tests of the topics that submissions are appended to."""
 
 import random
+import threading
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from queue import SimpleQueue
 
-from acaciawing.jobs import JobSubmitted, SubtaskDone, encode_record
-from acaciawing.jobs.tests.builders import make_job
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from acaciawing.jobs import (
+    Job,
+    JobSubmitted,
+    JobSummary,
+    Record,
+    SaveRecord,
+    Step,
+    SubtaskDone,
+    decode_record,
+    encode_record,
+)
+from acaciawing.jobs.tests.builders import QUEUE, make_job
+from acaciawing.jobserver import cell_log
 from acaciawing.jobserver.cell_log import (
     JOBS_TOPIC,
     PROGRESS_TOPIC,
     CellReader,
+    CellWriter,
     jobs_topic,
 )
 from acaciawing.jobserver.home_records import HOMES_TOPIC
@@ -19,8 +36,10 @@
     Message,
     RecordsCaughtUp,
     RecordsRead,
+    RecordsSaved,
 )
-from standins.job_store import JobStore
+from acaciawing.platform.store import RecordBatch, Store, StoreLimits
+from standins.job_store import CALL_BYTES, RECORD_BYTES, JobStore
 from standins.server import serving
 
 # Duration of an append at a slow store, which makes the appends to a partition
@@ -77,6 +96,97 @@
         )
 
 
+class TestRecordSizes:
+    """Guards against records that the store refuses for their size, for good.
+
+    Jobs that were due to be written again were put into one append larger than
+    the store accepts. It was repeated unchanged, and the cell's records expired.
+    """
+
+    _limits = StoreLimits(RECORD_BYTES, CALL_BYTES)
+
+    def _summary(self, number: int, payload_bytes: int) -> JobSummary:
+        job = Job(f"{number:016x}", QUEUE, "x" * payload_bytes, (Step(2),))
+        return JobSummary(job, 0, (), {}, False, False, 1)
+
+    def _save(
+        self, records: list[Record], limits: StoreLimits
+    ) -> tuple[list[Record | None], list[dict[str, object]]]:
+        """Saves records; returns those that are stored, and all findings."""
+        store = JobStore()
+        findings: list[dict[str, object]] = []
+        reported = threading.Event()
+
+        def log(_: object, values: dict[str, object]) -> None:
+            findings.append(values)
+            reported.set()
+
+        saved: SimpleQueue[Message] = SimpleQueue()
+        with (
+            pytest.MonkeyPatch.context() as patch,
+            serving(store.handle) as address,
+        ):
+            patch.setattr(cell_log, "log_event", log)
+            writer = CellWriter(CellKey(3, 7), address, limits, saved.put)
+            for number, record in enumerate(records, 1):
+                writer.save(SaveRecord(number, record))
+            writer.start()
+            if limits is self._limits:
+                last = RecordsSaved(CellKey(3, 7), len(records))
+                while saved.get(timeout=10) != last:
+                    pass
+            else:
+                assert reported.wait(10)
+            writer.close()
+            batch = Store(address).read(PROGRESS_TOPIC, 3, 0, 0)
+        assert isinstance(batch, RecordBatch)
+        return [decode_record(r) for r in batch.records], findings
+
+    def test_records_larger_than_a_call_are_stored_in_several(self) -> None:
+        records: list[Record] = [self._summary(n, 4_500) for n in range(800)]
+        assert sum(len(encode_record(r)) for r in records[:500]) > CALL_BYTES
+        stored, findings = self._save(records, self._limits)
+        assert stored == records
+        assert not findings
+
+    @settings(max_examples=10, deadline=None, derandomize=True)
+    @given(
+        st.lists(
+            st.sampled_from((1, 4_000, 100_000, 131_000, 262_000)), max_size=30
+        )
+    )
+    def test_records_of_any_size_are_stored_in_order(
+        self, sizes: list[int]
+    ) -> None:
+        records: list[Record] = [
+            *(self._summary(n, size) for n, size in enumerate(sizes)),
+            SubtaskDone("j.0.0.0", 1),
+        ]
+        stored, findings = self._save(records, self._limits)
+        assert stored == records
+        assert not findings
+
+    def test_a_record_that_the_store_can_not_take_holds_up_no_other(
+        self,
+    ) -> None:
+        done = SubtaskDone("j.0.0.0", 1)
+        records: list[Record] = [done, self._summary(1, RECORD_BYTES), done]
+        stored, findings = self._save(records, self._limits)
+        assert stored == [done, done]
+        assert [f["place"] for f in findings] == [f"{PROGRESS_TOPIC}/3"]
+        assert "JobSummary" in str(findings[0]["fault"])
+
+    def test_an_append_that_is_refused_for_its_size_is_reported(self) -> None:
+        # The settings promise more than the store takes.
+        promised = StoreLimits(2 * RECORD_BYTES, CALL_BYTES)
+        stored, findings = self._save(
+            [self._summary(1, RECORD_BYTES)], promised
+        )
+        assert not stored
+        assert "413" in str(findings[0]["fault"])
+        assert len(findings) == 1
+
+
 class TestJobsTopic:
     """Guards against submissions that queue up in one slow partition."""
 
--- a/acaciawing/jobserver/tests/test_engine.py
+++ b/acaciawing/jobserver/tests/test_engine.py
@@ -35,6 +35,7 @@
     Committed,
     GroupMembership,
     NotOwned,
+    StoreLimits,
     StoreUnavailable,
 )
 
@@ -57,7 +58,7 @@
     def __init__(self, key: CellKey, *args: Any) -> None:
         self.key = key
         self.cell = self
-        self.holding: Holding = args[2]
+        self.holding = next(a for a in args if isinstance(a, Holding))
         self.closed = False
         self.recovered = True
         self.records_current_at = 30.0
@@ -133,7 +134,7 @@
     for module in (engine_module, membership_module):
         monkeypatch.setattr(module, "steady_s", clock)
     monkeypatch.setattr(engine_module, "HeldCell", _FakeHeldCell)
-    engine = Engine("store:1", "me", _PARTITIONS, 20, 120, 10.0)
+    engine = Engine("store:1", "me", _PARTITIONS, 20, 120, 10.0, StoreLimits())
     task = MembershipTask(
         "store:1",
         "me",
--- a/acaciawing/jobserver/tests/test_job_lifecycle.py
+++ b/acaciawing/jobserver/tests/test_job_lifecycle.py
@@ -65,6 +65,9 @@
         assert harness.call(2, "GET", "/none/")[0] == 404
         status, body = harness.call(2, "POST", PREFIX + _job(2), {"Steps": 1})
         assert (status, body["place"]) == (400, "body")
+        # A record of the store does not hold it; it would be refused for good.
+        assert harness.submit(2, _job(3), *_STEPS[:1] * 9_000) == 400
+        assert harness.call(2, "GET", PREFIX + _job(3))[0] == 410
 
     def test_jobs_complete_after_every_instance_was_killed(
         self, harness: PlatformHarness
--- a/acaciawing/platform/node.py
+++ b/acaciawing/platform/node.py
@@ -6,10 +6,14 @@
 from pathlib import Path
 from typing import Any
 
+from acaciawing.platform.store import StoreLimits
 from acaciawing.platform.wire import Finding
 
 SETTINGS_PATH_VARIABLE = "ACACIAWING_NODE_FILE"
 
+# Limits of a store whose settings lack them.
+_LIMITS = StoreLimits()
+
 
 @dataclass(frozen=True)
 class NodeSettings:
@@ -29,6 +33,7 @@
         advice_address: ``ip:port`` of the advice service; empty if there is
             none.
         partitions: Number of partitions of each topic.
+        store_limits: How much the store accepts.
         retention_s: Time for which the store retains a record.
         max_lease_ms: Longest lease that workers grant.
         min_member_ttl_ms: Shortest time to live of a group member.
@@ -59,6 +64,7 @@
     machines_address: str
     advice_address: str
     partitions: int
+    store_limits: StoreLimits
     retention_s: int
     max_lease_ms: int
     min_member_ttl_ms: int
@@ -152,6 +158,10 @@
         machines_address=reader.text("Cloud.Address", ""),
         advice_address=reader.text("Advice", ""),
         partitions=int(reader.number("platform.parts", 32)),
+        store_limits=StoreLimits(
+            int(reader.number("platform.RecordBytes", _LIMITS.record_bytes)),
+            int(reader.number("platform.CallBytes", _LIMITS.call_bytes)),
+        ),
         retention_s=int(reader.number("platform.keep_s", 300)),
         max_lease_ms=int(reader.number("Bounds.HoldMaxMs", 10_000)),
         min_member_ttl_ms=int(reader.number("platform.TtlMinMs", 1000)),
--- a/acaciawing/platform/store.py
+++ b/acaciawing/platform/store.py
@@ -25,13 +25,30 @@
 # Raised when a row or item of a response has an unexpected shape.
 _MALFORMED_ERRORS = (KeyError, TypeError, ValueError, IndexError)
 
+# Statuses that refuse an append for what it contains.
+_INVALID_STATUSES = (400, 413)
+
 # Precedes each record.
 _RECORD_LENGTH = struct.Struct(">I")
+RECORD_LENGTH_BYTES = _RECORD_LENGTH.size
 
 # End offset and first offset of the partition; precedes the records of a batch.
 _BATCH_HEADER = struct.Struct(">QQ")
 
 
+@dataclass(frozen=True)
+class StoreLimits:
+    """How much the store accepts.
+
+    Attributes:
+        record_bytes: Largest record, in bytes.
+        call_bytes: Largest sum of the records of one append, in bytes.
+    """
+
+    record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
+
+
 @dataclass(frozen=True)
 class Stored:
     """The records are durable.
@@ -47,9 +64,16 @@
 
 @dataclass(frozen=True)
 class NotStored:
-    """The append has certainly not taken effect."""
+    """The append has certainly not taken effect.
+
+    Attributes:
+        detail: Description of the error.
+        invalid: Whether the store refused what was sent, so that it will
+            refuse a repetition as well.
+    """
 
     detail: str
+    invalid: bool = False
 
 
 @dataclass(frozen=True)
@@ -464,7 +488,10 @@
             if key != "Reason" and (n := to_whole_number(value)) is not None
         ]
         return OutOfSequence(expected[0] if expected else 0)
-    return NotStored(f"status {response.status}")
+    return NotStored(
+        f"status {response.status}",
+        invalid=response.status in _INVALID_STATUSES,
+    )
 
 
 def _parse_batch(body: bytes, offset: int) -> RecordBatch | StoreUnavailable:
--- a/acaciawing/platform/tests/test_wire.py
+++ b/acaciawing/platform/tests/test_wire.py
@@ -20,6 +20,7 @@
 )
 from acaciawing.platform.store import (
     KeyedRecord,
+    StoreLimits,
     _parse_batch,
     parse_keyed_record,
 )
@@ -121,6 +122,22 @@
         assert worker.incarnation == Incarnation("w", 5)
         assert worker.rack == "r1-1"
 
+    def test_limits_of_the_store_are_those_of_the_settings(self) -> None:
+        text = """
+            Node = "n"
+            Ip = "192.0.2.1"
+            Zone = "z"
+            InternalPorts = [7060]
+            [Listen]
+            Front = "192.0.2.1:80"
+            Ready = "192.0.2.1:81"
+            [platform]
+            Address = "192.0.2.2:80"
+        """
+        assert parse_node_settings(text).store_limits == StoreLimits()
+        limited = parse_node_settings(f"{text}RecordBytes = 5\nCallBytes = 9")
+        assert limited.store_limits == StoreLimits(5, 9)
+
     def test_settings_error_has_all_findings(self) -> None:
         try:
             parse_node_settings('Node = 5\nIp = "192.0.2.1"')
--- a/standins/job_store.py
+++ b/standins/job_store.py
@@ -15,6 +15,10 @@
 
 from standins.server import Response, json_response
 
+# Largest record, and largest sum of the records of one append, in bytes.
+RECORD_BYTES = 262_144
+CALL_BYTES = 2_097_152
+
 _RECORD_LENGTH = struct.Struct(">I")
 _READ_BOUNDS = struct.Struct(">QQ")
 
@@ -152,6 +156,9 @@
             (size,) = _RECORD_LENGTH.unpack_from(body, position)
             records.append(body[position + 4 : position + 4 + size])
             position += 4 + size
+        sizes = [len(record) for record in records]
+        if sum(sizes) > CALL_BYTES or max(sizes, default=0) > RECORD_BYTES:
+            return json_response(413, {})
         if "Producer" not in query:
             with self._changed:
                 end = len(self._logs.get((topic, partition), ()))
