--- a/standins/job_store.py
+++ b/standins/job_store.py
@@ -1,18 +1,18 @@
 """Stand-in for the users' log store, implementing its published protocol.
 
 All data is in memory. In topics whose names begin with ``keyed.``, only the
-newest record of each key counts. A group assigns partitions evenly to its
-members; a partition changes hands when its previous owner joins again and
-thereby releases it.
+newest record of each key counts.
 """
 
 import base64
+import errno
 import json
 import struct
 import threading
 import time
 from typing import Any
 
+from standins.consumer_group import ConsumerGroup
 from standins.server import Response, json_response
 
 # Largest record, and largest sum of the records of one append, in bytes.
@@ -23,65 +23,6 @@
 _READ_BOUNDS = struct.Struct(">QQ")
 
 
-class _Group:
-    def __init__(self, partitions: int) -> None:
-        self.partitions = partitions
-        self.generation = 0
-        self.last_join_at: dict[str, float] = {}
-        self.ttl_s: dict[str, float] = {}
-        self.owners: dict[int, str] = {}
-        self.targets: dict[int, str] = {}
-        self.owned_since: dict[int, int] = {}
-
-    def expire(self, now: float) -> None:
-        expired = [
-            m for m, at in self.last_join_at.items() if now - at > self.ttl_s[m]
-        ]
-        for member in expired:
-            self.remove(member)
-
-    def remove(self, member: str) -> None:
-        self.last_join_at.pop(member, None)
-        self.owners = {p: m for p, m in self.owners.items() if m != member}
-        self._assign()
-
-    def join(self, member: str, ttl_s: float, now: float) -> list[int]:
-        is_member = member in self.last_join_at
-        self.last_join_at[member] = now
-        self.ttl_s[member] = ttl_s
-        if not is_member:
-            self._assign()
-        # A member that joins again releases partitions assigned to others.
-        for partition, owner in list(self.owners.items()):
-            if owner == member and self.targets.get(partition) != member:
-                del self.owners[partition]
-        for partition, target in self.targets.items():
-            if target == member and partition not in self.owners:
-                self.owners[partition] = member
-                self.owned_since[partition] = self.generation
-        return sorted(
-            p
-            for p, owner in self.owners.items()
-            if owner == member and self.targets.get(p) == member
-        )
-
-    def commit(self, member: str, partition: int, generation: int) -> bool:
-        """Returns whether a member has owned a partition since a generation."""
-        return (
-            self.owners.get(partition) == member
-            and generation >= self.owned_since[partition]
-        )
-
-    def _assign(self) -> None:
-        self.generation += 1
-        members = sorted(self.last_join_at)
-        self.targets = {
-            p: members[p % len(members)]
-            for p in range(self.partitions)
-            if members
-        }
-
-
 class JobStore:
     """State of the store; `handle` serves its requests.
 
@@ -90,6 +31,11 @@
 
     Attributes:
         unavailable: Whether every request is answered with 503.
+        refused_members: Members whose joins are answered with 503, without
+            effect.
+        lost_members: Members whose joins take effect without an answer.
+        late_answers_s: Delay of the answers to joins that have taken effect, in
+            seconds, by member.
         calls: Path and topic of each request, in order of arrival.
     """
 
@@ -99,8 +45,11 @@
         self._changed = threading.Condition()
         self._logs: dict[tuple[str, int], list[bytes]] = {}
         self._producers: dict[tuple[str, int, str], tuple[int, int, Any]] = {}
-        self._groups: dict[str, _Group] = {}
+        self._groups: dict[str, ConsumerGroup] = {}
         self.unavailable = False
+        self.refused_members: set[str] = set()
+        self.lost_members: set[str] = set()
+        self.late_answers_s: dict[str, float] = {}
         self.calls: list[str] = []
 
     def put(self, topic: str, key: str, value: object) -> None:
@@ -134,12 +83,19 @@
             return self._serve_newest(query)
         if path == "/v1/log-owners":
             return self._serve_owners(query)
+        if path == "/v1/log-join":
+            return self._serve_join(json.loads(body))
+        if path == "/v1/log-leave":
+            return self._serve_leave(json.loads(body))
         if path == "/v1/log-commit":
             return self._serve_commit(json.loads(body))
-        if path in ("/v1/log-join", "/v1/log-leave"):
-            return self._serve_member(path, json.loads(body))
         return json_response(404, {})
 
+    def rebalance(self, group: str) -> None:
+        """Deals all partitions of a group anew, as the store does at times."""
+        with self._changed:
+            self._group(group).rebalance(time.monotonic())
+
     def append(self, topic: str, partition: int, records: list[bytes]) -> int:
         """Appends records; returns the offset of the first."""
         with self._changed:
@@ -222,30 +178,54 @@
     def _serve_owners(self, query: dict[str, str]) -> Response:
         with self._changed:
             group = self._group(query["group"])
-            rows = [["jobs", p, m, 0] for p, m in group.owners.items()]
+            rows = [
+                ["jobs", partition, owner.member, group.offset(partition)]
+                for partition, owner in group.owners(time.monotonic()).items()
+            ]
         return json_response(200, {"parts": rows})
 
-    def _serve_commit(self, body: dict[str, Any]) -> Response:
+    def _serve_join(self, body: dict[str, Any]) -> Response:
+        member = body["Member"]
+        if member in self.refused_members:
+            return json_response(503, {})
         with self._changed:
-            kept = self._group(body["group"]).commit(
-                body["Member"], body["part"], body["Generation"]
+            group = self._group(body["group"])
+            answer = group.join(
+                member,
+                body["Generation"],
+                body["TtlMs"] / 1000,
+                time.monotonic(),
             )
-        return json_response(200 if kept else 409, {})
+            rows = [
+                [body["Topics"][0], partition, group.offset(partition)]
+                for partition in answer.partitions
+            ]
+        if member in self.lost_members:
+            # The server closes the connection without an answer.
+            raise ConnectionResetError(errno.ECONNRESET, "the answer is lost")
+        time.sleep(self.late_answers_s.get(member, 0.0))
+        return json_response(
+            200, {"Generation": answer.generation, "parts": rows}
+        )
 
-    def _serve_member(self, path: str, body: dict[str, Any]) -> Response:
-        now = time.monotonic()
+    def _serve_leave(self, body: dict[str, Any]) -> Response:
         with self._changed:
             group = self._group(body["group"])
-            if path.endswith("leave"):
-                group.remove(body["Member"])
-                return json_response(200, {})
-            assigned = group.join(body["Member"], body["TtlMs"] / 1000, now)
-            rows = [[body["Topics"][0], p, 0] for p in assigned]
-            return json_response(
-                200, {"Generation": group.generation, "parts": rows}
+            group.leave(body["Member"], time.monotonic())
+        return json_response(200, {})
+
+    def _serve_commit(self, body: dict[str, Any]) -> Response:
+        with self._changed:
+            held = self._group(body["group"]).commit(
+                body["Member"],
+                body["Generation"],
+                body["part"],
+                body["Offset"],
+                time.monotonic(),
             )
+        return json_response(200 if held else 409, {})
 
-    def _group(self, group_name: str) -> _Group:
-        group = self._groups.setdefault(group_name, _Group(self._partitions))
-        group.expire(time.monotonic())
-        return group
+    def _group(self, group_name: str) -> ConsumerGroup:
+        return self._groups.setdefault(
+            group_name, ConsumerGroup(self._partitions)
+        )
