--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -55,7 +55,7 @@
         self._unix_ms = unix_ms
         for record in records:
             if isinstance(record, JobSubmitted):
-                self._note_unconfirmed_job(record.job.id, now)
+                self._note_job(record.job.id, now)
             progress = self.table.apply(record)
             if progress is None or not self.recovered:
                 continue
@@ -65,13 +65,19 @@
             else:
                 self._queue_ready_steps(progress, now)
 
-    def _note_unconfirmed_job(self, job: str, now: float) -> None:
-        """Notes a job that was submitted after a takeover by a later holder.
+    def _note_job(self, job: str, now: float) -> None:
+        """Notes whether another holder may start a job that was read.
 
-        That holder starts it at once, unlike jobs from before its takeover.
+        A later holder holds back only the jobs that this one may have read
+        before its last confirmation expired; this one holds back those that an
+        earlier holder may have read.
         """
-        if job not in self.table.jobs and not self._is_confirmed(now):
+        if job in self.table.jobs:
+            return
+        if not self._is_job_confirmed(now):
             self._unconfirmed_jobs[job] = now
+        if self._records_current_at < self._earlier_holder_reads_until:
+            self._takeover.jobs.add(job)
 
     def finish_recovery(self, now: float, unconfirmed_s: float) -> None:
         """Starts scheduling after all records up to the takeover were folded.
@@ -89,7 +95,7 @@
             self.table.engaged,
             UnconfirmedWorker(now + unconfirmed_s, float("-inf")),
         )
-        self._takeover = Takeover(unconfirmed, frozenset(self.table.jobs))
+        self._takeover = Takeover(unconfirmed, set(self.table.jobs))
         for incarnation in self._ended_incarnations & unconfirmed.keys():
             self._end_engaged_incarnation(incarnation, now)
         for incarnation, record in self.table.engaged.items():
--- a/acaciawing/jobs/limits.py
+++ b/acaciawing/jobs/limits.py
@@ -50,6 +50,12 @@
 # the cell to another instance.
 CONFIRMATION_VALIDITY_S = 0.8
 
+# A job is started if it was read within this time after a confirmation: longer
+# than the 0.15 s between two joins. The group may assign the cell to another
+# instance right after a confirmation, so a new holder holds back the jobs that were
+# submitted within this time after it was assigned.
+JOB_CONFIRMATION_VALIDITY_S = 0.4
+
 # Percent that a worker reports for a long-running run at full speed.
 FULL_SPEED_PERCENT = 100
 
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -21,6 +21,7 @@
 from acaciawing.jobs.limits import (
     CAPACITY_VALIDITY_S,
     CONFIRMATION_VALIDITY_S,
+    JOB_CONFIRMATION_VALIDITY_S,
 )
 from acaciawing.jobs.model import (
     Configuration,
@@ -60,11 +61,11 @@
 
     Attributes:
         unconfirmed: Engaged workers that have not listed all their ends yet.
-        jobs: Jobs that existed at the takeover.
+        jobs: Jobs that an earlier holder may have read.
     """
 
     unconfirmed: dict[Incarnation, UnconfirmedWorker]
-    jobs: frozenset[str]
+    jobs: set[str]
 
 
 class CellState:
@@ -97,7 +98,7 @@
         # When the list of workers was last known to be current, in seconds.
         self._workers_current_at = float("-inf")
         self._actions: list[Action] = []
-        self._takeover = Takeover({}, frozenset())
+        self._takeover = Takeover({}, set())
         self._waiting = WaitingWork()
         self._runs = RunTable()
         self._run_times_s: dict[StepKey, list[float]] = {}
@@ -113,6 +114,10 @@
         self._confirmed_at = float("-inf")
         # When jobs were read that a later holder may run, in seconds.
         self._unconfirmed_jobs: dict[str, float] = {}
+        # Until when an earlier holder may have read jobs, in seconds.
+        self._earlier_holder_reads_until = float("-inf")
+        # Time up to which all records of the cell were read, in seconds.
+        self._records_current_at = float("-inf")
         # When the last engaged worker was removed, in seconds.
         self._engaged_removed_at = float("-inf")
         self._early_reports: dict[Incarnation, WorkerReport] = {}
@@ -160,9 +165,23 @@
         self._unconfirmed_jobs = {
             job: read_at
             for job, read_at in self._unconfirmed_jobs.items()
-            if not self._is_confirmed(read_at)
+            if not self._is_job_confirmed(read_at)
         }
 
+    def begin_takeover(self, assigned_at: float) -> None:
+        """Records when this holder was assigned the cell, in seconds."""
+        self._earlier_holder_reads_until = (
+            assigned_at + JOB_CONFIRMATION_VALIDITY_S
+        )
+
+    def confirm_records(self, current_at: float) -> None:
+        """Records a time, in seconds, up to which all records were read."""
+        self._records_current_at = max(self._records_current_at, current_at)
+
+    def _is_job_confirmed(self, read_at: float) -> bool:
+        """Whether a later holder would hold back a job that was read then."""
+        return read_at - self._confirmed_at < JOB_CONFIRMATION_VALIDITY_S
+
     def _is_confirmed(self, now: float) -> bool:
         """Whether no later holder can exist yet."""
         return now - self._confirmed_at < CONFIRMATION_VALIDITY_S
--- a/acaciawing/jobs/tests/test_cell.py
+++ b/acaciawing/jobs/tests/test_cell.py
@@ -22,7 +22,10 @@
     WorkerUnreachable,
 )
 from acaciawing.jobs.fleet import Evacuation
-from acaciawing.jobs.limits import CONFIRMATION_VALIDITY_S
+from acaciawing.jobs.limits import (
+    CONFIRMATION_VALIDITY_S,
+    JOB_CONFIRMATION_VALIDITY_S,
+)
 from acaciawing.jobs.tests.builders import (
     LEASE_S,
     CellHarness,
@@ -96,6 +99,24 @@
             harness.settle()
         assert [s.subtask.job for s in harness.starts] == ["new", "j"]
 
+    def test_jobs_that_an_earlier_holder_may_have_read_wait(self) -> None:
+        # The group may deal the cell anew right after a confirmation.
+        harness = CellHarness(fence=2)
+        worker = make_worker("w")
+        harness.update_workers(worker)
+        harness.cell.begin_takeover(harness.now)
+        harness.recover(WorkerEngaged("gone", 1, "192.0.2.9:80"))
+        harness.cell.confirm_records(harness.now)
+        harness.report(worker)
+        harness.wait(JOB_CONFIRMATION_VALIDITY_S)
+        harness.submit(make_job("early"))
+        harness.settle()
+        assert not harness.starts
+        harness.cell.confirm_records(harness.now)
+        harness.submit(make_job("late"))
+        harness.settle()
+        assert [s.subtask.job for s in harness.starts] == ["late"]
+
     def test_runs_of_a_silent_unregistered_worker_are_not_doubled(
         self,
     ) -> None:
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -221,6 +221,7 @@
         if held is None:
             return
         held.records_current_at = message.requested_at
+        held.cell.confirm_records(message.requested_at)
         self._finish_recovery(held, now)
 
     @_receive.register
--- a/acaciawing/jobserver/held_cell.py
+++ b/acaciawing/jobserver/held_cell.py
@@ -79,6 +79,7 @@
         self._reader = CellReader(key, store, self._report, is_own)
         self._writer = CellWriter(key, store, limits, self._report)
         self.cell.confirm_holder(holding.confirmed_at)
+        self.cell.begin_takeover(now)
         self._reader.start()
         self._writer.start()
 
