--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -214,20 +214,45 @@
     def _process_ends(
         self, view: WorkerView, report: WorkerReport, now: float
     ) -> None:
-        """Handles the ends in a report that were not received before."""
+        """Handles the ends in a report that were not received before.
+
+        An end of a job that may not be read yet, and those after it, wait for a
+        later report: once acknowledged, it would be forgotten without a record.
+        """
+        complete = report.ends_complete
         for row in report.ended:
-            if row.number > view.newest_end:
-                view.newest_end = row.number
-                self._end_run(view, row, now)
+            if row.number <= view.newest_end:
+                continue
+            if self._may_be_unread(view, row, report, now):
+                complete = False
+                break
+            view.newest_end = row.number
+            self._end_run(view, row, now)
         self._acknowledge(view)
-        if view.ends_complete and not report.ends_complete:
+        if view.ends_complete and not complete:
             self._log(
                 "ENDS_INCOMPLETE",
                 worker=view.incarnation.worker,
                 newest_end=view.newest_end,
                 runs=len(view.runs),
             )
-        view.ends_complete = report.ends_complete
+        view.ends_complete = complete
+
+    def _may_be_unread(
+        self, view: WorkerView, row: EndedRow, report: WorkerReport, now: float
+    ) -> bool:
+        """Whether an end is of a job that an earlier holder may have read.
+
+        That job was submitted before its run ended. So it is unknown for good
+        once all records were read of the time at which the end was listed.
+        """
+        if row.subtask.job in self.table.jobs:
+            return False
+        number, listed_at = view.listed_ends
+        if row.number <= number:
+            return self._records_current_at < listed_at
+        view.listed_ends = (report.ended[-1].number, now)
+        return True
 
     def _end_run(self, view: WorkerView, row: EndedRow, now: float) -> None:
         previous_number = self._last_record_number
--- a/acaciawing/jobs/tests/test_cell.py
+++ b/acaciawing/jobs/tests/test_cell.py
@@ -442,6 +442,50 @@
         actions = harness.step()
         assert [a.end_number for a in actions if isinstance(a, Acknowledge)]
 
+    def test_end_of_a_job_that_is_read_later_is_not_lost(self) -> None:
+        # An earlier holder has started it; its submission is read after the end.
+        harness = CellHarness(fence=2)
+        worker = make_worker("w")
+        harness.update_workers(worker)
+        harness.recover()
+        row = _make_done_row(100_001)
+        harness.report(worker, ended=(row,))
+        harness.settle()
+        assert not self._acknowledged(harness)
+        harness.submit(make_job("j"))
+        harness.cell.confirm_records(harness.now)
+        harness.report(worker, ended=(row,))
+        harness.settle()
+        assert not harness.starts
+        assert harness.cell.state("j") == "completed"
+        assert self._acknowledged(harness) == [1]
+
+    def test_end_of_an_unknown_job_is_acknowledged_once_all_is_read(
+        self,
+    ) -> None:
+        harness = CellHarness(fence=2)
+        worker = make_worker("w")
+        harness.update_workers(worker)
+        harness.recover()
+        rows = (_make_done_row(100_001), _make_done_row(100_002, 2, "k"))
+        harness.report(worker, ended=rows[:1])
+        harness.cell.confirm_records(harness.now)
+        harness.wait(0.1)
+        harness.report(worker, ended=rows)
+        harness.settle()
+        assert self._acknowledged(harness) == [1]
+        harness.cell.confirm_records(harness.now)
+        harness.report(worker, ended=rows)
+        harness.settle()
+        assert self._acknowledged(harness) == [1, 2]
+
+    def _acknowledged(self, harness: CellHarness) -> list[int]:
+        return [
+            action.end_number
+            for action in harness.actions
+            if isinstance(action, Acknowledge)
+        ]
+
     def test_job_fails_after_its_last_attempt(self) -> None:
         harness = CellHarness(max_attempts=2)
         worker = make_worker("w")
--- a/acaciawing/jobs/workers.py
+++ b/acaciawing/jobs/workers.py
@@ -144,7 +144,9 @@
         known_since: When this holder learned of it, in seconds.
         contacted: Whether it has answered under this holder's fence.
         ends_known: Whether it has listed all its ends to this holder since.
-        ends_complete: Whether its last report had all its ends.
+        ends_complete: Whether all its ends up to its last report were handled.
+        listed_ends: Highest number of an end that was listed when one of an
+            unknown job was found, and that time in seconds.
         reachable: Whether it has answered the last lease renewal.
         engaged: Whether its `WorkerEngaged` record is durable.
         last_contact_at: When the last answered renewal was sent, in seconds.
@@ -187,6 +189,7 @@
         "last_contact_at",
         "lasting",
         "lease_until",
+        "listed_ends",
         "maintenance_pending",
         "newest_end",
         "paced_at",
@@ -210,6 +213,7 @@
         self.contacted = False
         self.ends_known = False
         self.ends_complete = True
+        self.listed_ends = (0, float("-inf"))
         self.reachable = False
         self.engaged = False
         self.last_contact_at = 0.0
