Keep the right to hold cells in modules of its own

Refactoring without a change of behaviour: Holding decides on an answered join whether a cell is held on, Holdings gives each cell a new fence, and FleetHolding keeps the fleet's tenure, which needs no records or workers. HeldCell answers questions about its jobs.

--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -13,7 +13,7 @@
 from acaciawing.jobs.fleet import CellReport
 from acaciawing.jobserver.clock import steady_s, unix_ms
 from acaciawing.jobserver.held_cell import HeldCell
-from acaciawing.jobserver.holding import Holding
+from acaciawing.jobserver.holdings import FleetHolding, Holdings
 from acaciawing.jobserver.limits import (
     RETAIN_INTERVAL_S,
     TICK_INTERVAL_S,
@@ -50,9 +50,6 @@
 # Maximum number of messages handled before the actions are carried out.
 _MAX_MESSAGES_PER_STEP = 200
 
-# States of a job that no holder tells before their record is durable.
-_LASTING_STATES = ("completed", "failed")
-
 
 def _report_missing_advice_service(
     key: CellKey, request: AdviceRequest
@@ -104,12 +101,8 @@
         self._workers: tuple[Worker, ...] | None = None
         self._workers_current_at = float("-inf")
         self._released = False
-        self._fleet_holding: Holding | None = None
-        # Last fence of each partition, and when a cell was last dropped.
-        self._last_fences: dict[int, int] = {}
-        self._dropped_at = float("-inf")
-        self._request_rejoin: Callable[[], None] = lambda: None
-        self._tenure: FleetTenure | None = None
+        self._holdings = Holdings(member, store, self.send)
+        self._fleet = FleetHolding(fleet_cell(partitions), self._holdings)
         self._has_unconfirmed_runs = False
         self._request_advice: Callable[[CellKey, AdviceRequest], None] = (
             _report_missing_advice_service
@@ -123,7 +116,7 @@
 
     def set_rejoin_requester(self, request_rejoin: Callable[[], None]) -> None:
         """Sets the function that joins the group anew; call before `start`."""
-        self._request_rejoin = request_rejoin
+        self._holdings.set_rejoin_requester(request_rejoin)
 
     def start(self) -> None:
         """Starts the thread."""
@@ -134,17 +127,8 @@
         self._inbox.put(message)
 
     def tenure(self) -> FleetTenure | None:
-        """Returns the tenure of the fleet's cell.
-
-        None if the cell is not held, or if another instance may hold it: the
-        next holder orders machines soon after its takeover.
-        """
-        holding = self._fleet_holding
-        return (
-            self._tenure
-            if holding is not None and holding.excludes_others(steady_s())
-            else None
-        )
+        """Returns the tenure of the fleet's cell, or None if it has none."""
+        return self._fleet.tenure(steady_s())
 
     def holds_cells(self) -> bool:
         """Returns whether this instance holds any cell."""
@@ -244,21 +228,14 @@
     @_receive.register
     def _(self, message: PartitionsAssigned, now: float) -> None:
         for partition, held in list(self._cells.items()):
-            if partition not in message.partitions:
-                self._drop(partition, "assigned to another instance", now)
-            elif held.holding.was_interrupted(message):
-                self._drop(partition, "membership was interrupted", now)
-            else:
-                held.confirm(message)
-                if self._is_unverified(held.holding, message, now):
-                    self._drop(partition, "not verified in time", now)
-        self._update_fleet_tenure(message, now)
-        if self._released or self._configuration is None:
+            reason = held.update(message, now)
+            if reason is not None:
+                self._drop(partition, reason, now)
+        if self._released:
             return
+        self._fleet.update(message, now)
         for partition in message.partitions & self._cells_in_use():
-            if partition not in self._cells and self._has_new_fence(
-                partition, message
-            ):
+            if partition not in self._cells:
                 self._acquire(partition, message, now)
 
     @_receive.register
@@ -267,10 +244,7 @@
         held = self._find_cell(message.key)
         if held is not None:
             held.accept(message)
-        if self._fleet_holding is not None and self._is_fleet_tenure(
-            message.key
-        ):
-            self._fleet_holding.accept(message)
+        self._fleet.accept(message)
 
     @_receive.register
     def _(self, message: HoldingInterrupted, now: float) -> None:
@@ -278,8 +252,7 @@
             self._drop(
                 message.key.partition, "held by another instance since", now
             )
-        if self._is_fleet_tenure(message.key):
-            self._end_fleet_tenure(now)
+        self._fleet.interrupt(message.key, now)
 
     @_receive.register
     def _(self, message: ConfigurationRead, now: float) -> None:
@@ -311,7 +284,12 @@
 
     @_receive.register
     def _(self, message: JobStateQuery, now: float) -> None:
-        message.reply.set_result(self._answer(message, now))
+        held = self._cells.get(message.partition)
+        message.reply.set_result(
+            held.answer(message, now)
+            if held is not None and held.cell.recovered
+            else JobAnswer(False)
+        )
 
     @_receive.register
     def _(self, message: CellReportQuery, now: float) -> None:
@@ -330,7 +308,7 @@
     @_receive.register
     def _(self, message: ReleaseCells, now: float) -> None:
         self._released = True
-        self._end_fleet_tenure(now)
+        self._fleet.release(now)
         for partition in list(self._cells):
             self._drop(partition, "instance is stopping", now)
         message.reply.set_result(None)
@@ -355,22 +333,6 @@
             },
         )
 
-    def _answer(self, query: JobStateQuery, now: float) -> JobAnswer:
-        held = self._cells.get(query.partition)
-        if held is None or not held.cell.recovered:
-            return JobAnswer(False)
-        age_s = now - held.records_current_at
-        if query.job:
-            state = held.cell.state(query.job) or ""
-            # A later holder may have told a later state.
-            current = state in (
-                "",
-                *_LASTING_STATES,
-            ) or held.holding.excludes_others(now)
-            return JobAnswer(True, state, 0, age_s, current)
-        waiting = held.cell.waiting_jobs(query.queue)
-        return JobAnswer(True, "", waiting, age_s)
-
     def _cells_in_use(self) -> frozenset[int]:
         if self._configuration is None:
             return frozenset()
@@ -379,104 +341,31 @@
             for service in self._configuration.pools
         )
 
-    def _update_fleet_tenure(
-        self, assignment: PartitionsAssigned, now: float
-    ) -> None:
-        partition = fleet_cell(self._partitions)
-        holding = self._fleet_holding
-        if holding is not None and (
-            partition not in assignment.partitions
-            or holding.was_interrupted(assignment)
-        ):
-            self._end_fleet_tenure(now)
-        elif holding is not None:
-            holding.confirm(assignment)
-            if self._is_unverified(holding, assignment, now):
-                self._end_fleet_tenure(now)
-        if (
-            self._fleet_holding is None
-            and partition in assignment.partitions
-            and not self._released
-            and self._has_new_fence(partition, assignment)
-        ):
-            key = CellKey(partition, assignment.generation)
-            self._fleet_holding = self._make_holding(key, assignment)
-            self._tenure = FleetTenure(key.fence, now)
-
-    def _is_unverified(
-        self, holding: Holding, assignment: PartitionsAssigned, now: float
-    ) -> bool:
-        """Whether no answer tells if a cell was held up to a later generation.
-
-        It has to be acquired anew, as no other instance gets it meanwhile.
-        """
-        return assignment.generation > holding.fence and not holding.is_valid(
-            now
-        )
-
-    def _has_new_fence(
-        self, partition: int, assignment: PartitionsAssigned
-    ) -> bool:
-        """Whether a cell may be acquired in an assignment's generation.
-
-        Run numbers and late orders of an earlier holding have its fence. If the
-        group has not changed since, only a new membership gives a later one.
-        """
-        if assignment.generation > self._last_fences.get(partition, 0):
-            return True
-        if assignment.requested_at > self._dropped_at:
-            self._request_rejoin()
-        return False
-
-    def _is_fleet_tenure(self, key: CellKey) -> bool:
-        return (
-            self._tenure is not None
-            and key.partition == fleet_cell(self._partitions)
-            and key.fence == self._tenure.fence
-        )
-
-    def _end_fleet_tenure(self, now: float) -> None:
-        if self._fleet_holding is not None:
-            self._fleet_holding.revoke()
-            self._dropped_at = now
-        self._fleet_holding = None
-        self._tenure = None
-
-    def _make_holding(
-        self, key: CellKey, assignment: PartitionsAssigned
-    ) -> Holding:
-        self._last_fences[key.partition] = key.fence
-        return Holding(
-            key,
-            self._member,
-            self._store,
-            self.send,
-            assignment.requested_at,
-        )
-
     def _acquire(
         self, partition: int, assignment: PartitionsAssigned, now: float
     ) -> None:
-        key = CellKey(partition, assignment.generation)
+        holding = self._holdings.acquire(partition, assignment)
+        if holding is None:
+            return
         held = HeldCell(
-            key,
+            holding.key,
             self._store,
             self._limits,
             self.send,
-            self._make_holding(key, assignment),
+            holding,
             self._request_advice,
             self._leases,
-            lambda service: cell_of(service, self._partitions) == key.partition,
+            lambda service: cell_of(service, self._partitions) == partition,
             now,
         )
-        self._cells[key.partition] = held
+        self._cells[partition] = held
         if self._configuration is not None:
             held.cell.configure(self._configuration)
         held.cell.confirm_workers(self._workers_current_at)
         self._update_workers(held, now)
         log_event(
             Event.CELL_ACQUIRED,
-            {"cell": key.partition, "fence": key.fence},
+            {"cell": partition, "fence": holding.key.fence},
         )
 
     def _update_workers(self, held: HeldCell, now: float) -> None:
@@ -494,7 +383,7 @@
     def _drop(self, partition: int, reason: str, now: float) -> None:
         held = self._cells.pop(partition)
         held.close()
-        self._dropped_at = now
+        self._holdings.end(held.holding, now)
         log_event(
             Event.CELL_LOST,
             {
--- a/acaciawing/jobserver/held_cell.py
+++ b/acaciawing/jobserver/held_cell.py
@@ -29,6 +29,8 @@
     CellFenced,
     CellKey,
     HoldingVerified,
+    JobAnswer,
+    JobStateQuery,
     Message,
     PartitionsAssigned,
     WorkerMessageReceived,
@@ -38,6 +40,9 @@
 from acaciawing.platform.store import StoreLimits
 from acaciawing.telemetry import Event, log_event
 
+# States of a job that no holder tells before their record is durable.
+_LASTING_STATES = ("completed", "failed")
+
 
 class HeldCell:
     """A held cell with its reader, its writer and its worker sessions.
@@ -92,16 +97,31 @@
             session.close()
         self._sessions.clear()
 
-    def confirm(self, assignment: PartitionsAssigned) -> None:
-        """Handles a join that has assigned the cell again."""
-        self.holding.confirm(assignment)
+    def update(self, assignment: PartitionsAssigned, now: float) -> str | None:
+        """Handles an answered join; returns why the cell ends, or None."""
+        reason = self.holding.update(assignment, now)
         self.cell.confirm_holder(self.holding.confirmed_at)
+        return reason
 
     def accept(self, verified: HoldingVerified) -> None:
         """Handles that the cell was held up to a later generation."""
         self.holding.accept(verified)
         self.cell.confirm_holder(self.holding.confirmed_at)
 
+    def answer(self, query: JobStateQuery, now: float) -> JobAnswer:
+        """Returns the state of a job, or the number of a queue's jobs."""
+        age_s = now - self.records_current_at
+        if not query.job:
+            waiting = self.cell.waiting_jobs(query.queue)
+            return JobAnswer(True, "", waiting, age_s)
+        state = self.cell.state(query.job) or ""
+        # A later holder may have told a later state.
+        current = state in (
+            "",
+            *_LASTING_STATES,
+        ) or self.holding.excludes_others(now)
+        return JobAnswer(True, state, 0, age_s, current)
+
     def tick(self, now: float) -> None:
         """Advances the cell's time and ends an outdated evacuation."""
         if now - self.evacuation_received_at > EVACUATION_RETENTION_S:
--- a/acaciawing/jobserver/holding.py
+++ b/acaciawing/jobserver/holding.py
@@ -59,9 +59,9 @@
         self._revoked = threading.Event()
 
     @property
-    def fence(self) -> int:
-        """Generation in which the cell was acquired."""
-        return self._key.fence
+    def key(self) -> CellKey:
+        """The cell; its fence is the generation in which it was acquired."""
+        return self._key
 
     @property
     def confirmed_at(self) -> float:
@@ -89,15 +89,35 @@
         """Ends the right; may be called from any thread."""
         self._revoked.set()
 
-    def was_interrupted(self, assignment: PartitionsAssigned) -> bool:
-        """Returns whether it was acquired under an earlier membership."""
-        return self._key.fence < assignment.first_generation
+    def update(self, assignment: PartitionsAssigned, now: float) -> str | None:
+        """Prolongs the right after an answered join, or tells why it ends.
 
-    def confirm(self, assignment: PartitionsAssigned) -> None:
-        """Prolongs the right after a join that has assigned the cell again.
+        Args:
+            assignment: The answer.
+            now: Current time in seconds.
 
-        A new generation has to be verified first.
+        Returns:
+            Why the cell must be given up, or acquired anew; None if it is held.
         """
+        if self._key.partition not in assignment.partitions:
+            return "assigned to another instance"
+        if self._key.fence < assignment.first_generation:
+            return "membership was interrupted"
+        self._confirm(assignment)
+        if assignment.generation > self._key.fence and not self.is_valid(now):
+            # No other instance gets the cell while the joins are answered.
+            return "not verified in time"
+        return None
+
+    def accept(self, verified: HoldingVerified) -> None:
+        """Prolongs the right after the cell was held up to a generation."""
+        self._verified_generation = max(
+            self._verified_generation, verified.generation
+        )
+        self._prolong(verified.requested_at)
+
+    def _confirm(self, assignment: PartitionsAssigned) -> None:
+        """Prolongs the right; a new generation has to be verified first."""
         if assignment.generation == self._verified_generation:
             self._prolong(assignment.requested_at)
         elif assignment.generation != self._requested_generation:
@@ -109,13 +129,6 @@
                 ),
             )
 
-    def accept(self, verified: HoldingVerified) -> None:
-        """Prolongs the right after the cell was held up to a generation."""
-        self._verified_generation = max(
-            self._verified_generation, verified.generation
-        )
-        self._prolong(verified.requested_at)
-
     def _prolong(self, confirmed_at: float) -> None:
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
--- a/acaciawing/jobserver/tests/test_engine.py
+++ b/acaciawing/jobserver/tests/test_engine.py
@@ -13,6 +13,7 @@
 from acaciawing.jobserver import holding as holding_module
 from acaciawing.jobserver import membership as membership_module
 from acaciawing.jobserver.engine import Engine
+from acaciawing.jobserver.held_cell import HeldCell
 from acaciawing.jobserver.holding import Holding
 from acaciawing.jobserver.limits import AUTHORITY_S, MEMBER_TTL_MS
 from acaciawing.jobserver.membership import (
@@ -67,8 +68,12 @@
     def state(self, job: str) -> str | None:
         return self.states.get(job)
 
-    def confirm(self, assignment: PartitionsAssigned) -> None:
-        self.holding.confirm(assignment)
+    def update(self, assignment: PartitionsAssigned, now: float) -> str | None:
+        return self.holding.update(assignment, now)
+
+    def answer(self, query: JobStateQuery, now: float) -> JobAnswer:
+        held: Any = self
+        return HeldCell.answer(held, query, now)
 
     def accept(self, verified: HoldingVerified) -> None:
         self.holding.accept(verified)
