Stand-ins: links of its own for each instance, and a view of the store

Cutting an instance off from some of the workers wasn't possible: all instances read the same address of a worker, so they shared one proxy to it. A cell came back to a member only after its next holder had released it, which the users' store does not promise.

Change: with own_links, the harness serves the store to each instance through a view, which puts the route of that instance into the workers' records, and which may refuse joins alone. The stand-in store may reassign all cells at once. The harness tells a cell's holder, keeps the clients' connections open, and killing, stopping or pausing an instance that is not running does nothing (two threads of the soak may choose the same one).

Limits: an address in a worker's engagement is that of the holder that engaged it, so a session with an incarnation that is no longer listed goes over that holder's link. Instances reach each other at all times.

--- a/standins/consumer_group.py
+++ b/standins/consumer_group.py
@@ -74,10 +74,15 @@
 
     Args:
         partitions: Number of partitions.
+
+    Attributes:
+        reassigns_at_once: Whether each change of the members also passes on the
+            partitions of those who have not joined since.
     """
 
     def __init__(self, partitions: int) -> None:
         """Starts without members."""
+        self.reassigns_at_once = False
         self._partitions = [_Partition() for _ in range(partitions)]
         self._members: dict[str, _Member] = {}
         self._generation = 0
@@ -195,7 +200,7 @@
             if target != partition.target:
                 partition.target = target
                 partition.assigned_in = self._generation
-            if not partition.owner:
+            if not partition.owner or self.reassigns_at_once:
                 self._pass_on(partition)
 
     def _release(self, member: str, generation: int) -> None:
--- a/standins/job_store.py
+++ b/standins/job_store.py
@@ -36,6 +36,8 @@
         lost_members: Members whose joins take effect without an answer.
         late_answers_s: Delay of the answers to joins that have taken effect, in
             seconds, by member.
+        reassigns_at_once: Whether a change of a group's members reassigns all
+            partitions without waiting for those who hold them.
         calls: Path and topic of each request, in order of arrival.
     """
 
@@ -50,6 +52,7 @@
         self.refused_members: set[str] = set()
         self.lost_members: set[str] = set()
         self.late_answers_s: dict[str, float] = {}
+        self.reassigns_at_once = False
         self.calls: list[str] = []
 
     def put(self, topic: str, key: str, value: object) -> None:
@@ -61,6 +64,12 @@
         body = b"" if value is None else json.dumps(value).encode()
         self.append(topic, 0, [bytes([len(encoded_key)]) + encoded_key + body])
 
+    def owner(self, group: str, partition: int) -> str:
+        """Returns the member that holds a partition; empty if none does."""
+        with self._changed:
+            owners = self._group(group).owners(time.monotonic())
+        return owners[partition].member if partition in owners else ""
+
     def handle(
         self,
         method: str,
@@ -226,6 +235,8 @@
         return json_response(200 if held else 409, {})
 
     def _group(self, group_name: str) -> ConsumerGroup:
-        return self._groups.setdefault(
+        group = self._groups.setdefault(
             group_name, ConsumerGroup(self._partitions)
         )
+        group.reassigns_at_once = self.reassigns_at_once
+        return group
--- a/standins/platform_harness.py
+++ b/standins/platform_harness.py
@@ -19,6 +19,7 @@
 from standins.job_store import JobStore
 from standins.job_worker import JobWorker
 from standins.server import Handler, json_response, make_server
+from standins.store_view import StoreView
 
 PARTITIONS = 8
 SERVICE = "visits"
@@ -45,6 +46,17 @@
 _STORE_PORT, _WORKER_PORT, _MACHINES_PORT = 7800, 7900, 7700
 _FRONT_PORT, _READY_PORT, _PEER_PORT = 8624, 8622, 7060
 
+# Group in which the instances are members.
+_GROUP = "cells"
+
+# Number of threads of a stand-in, and of the store's view of one instance, which
+# serves many late requests when a silent link passes them on.
+_THREADS = 24
+_VIEW_THREADS = 48
+
+# Number of connections to one instance that clients keep open.
+_CLIENT_CONNECTIONS = 16
+
 
 def wait_for(condition: Callable[[], Any], description: str) -> Any:
     """Waits until a condition is true and returns its value."""
@@ -71,8 +83,12 @@
         route: Returns the address at which an instance reaches a stand-in,
             given the number of the instance (0 for all instances) and the
             address of the stand-in.
+        own_links: Whether each instance reaches each worker at an address of
+            its own: the `route` of the one that all instances share.
 
     Attributes:
+        views: The store as an instance sees it, by instance number; only with
+            `own_links`.
         reset_worker: Resets all connections to a worker when a subtask has
             crashed it; given its index.
     """
@@ -86,6 +102,7 @@
         *,
         guarded: bool = True,
         services: tuple[str, ...] = (SERVICE,),
+        own_links: bool = False,
     ):
         """Starts the stand-ins."""
         self._folder = folder
@@ -97,6 +114,12 @@
         self._servers: list[wsgi.Server] = []
         self._processes: dict[int, subprocess.Popen[bytes]] = {}
         self.store = JobStore(PARTITIONS)
+        self._own_links = own_links
+        self.views: dict[int, StoreView] = {}
+        # Clients keep their connections to an instance until it is gone.
+        self._http = urllib3.PoolManager(
+            maxsize=_CLIENT_CONNECTIONS, retries=False
+        )
         self._guarded = guarded
         self._services = services
         self._version = 0
@@ -124,6 +147,7 @@
         for process in self._processes.values():
             process.kill()
             process.wait()
+        self._http.clear()
         for server in self._servers:
             server.stop()
 
@@ -140,15 +164,24 @@
         )
         log.close()
 
-    def kill_instance(self, number: int) -> None:
-        """Kills an instance with SIGKILL."""
-        process = self._processes.pop(number)
+    def kill_instance(self, number: int) -> bool:
+        """Kills an instance with SIGKILL; returns whether it was running."""
+        process = self._processes.pop(number, None)
+        if process is None:
+            return False
         process.kill()
         process.wait()
+        return True
 
-    def pause_instance(self, number: int) -> Callable[[], None]:
-        """Suspends an instance; returns a function that resumes it."""
-        process = self._processes[number]
+    def pause_instance(self, number: int) -> Callable[[], None] | None:
+        """Suspends an instance.
+
+        Returns:
+            A function that resumes it; None if it isn't running.
+        """
+        process = self._processes.get(number)
+        if process is None:
+            return None
         process.send_signal(signal.SIGSTOP)
         return lambda: process.send_signal(signal.SIGCONT)
 
@@ -185,12 +218,17 @@
         """Numbers of the instances that were started and not yet ended."""
         return sorted(self._processes)
 
-    def signal_instance(self, number: int, signal_number: int) -> int:
+    def signal_instance(self, number: int, signal_number: int) -> int | None:
         """Sends a signal and waits for the exit status of the process.
 
         A process that has not ended in time, such as a paused one, is killed.
+
+        Returns:
+            The exit status; None if the instance isn't running.
         """
-        process = self._processes.pop(number)
+        process = self._processes.pop(number, None)
+        if process is None:
+            return None
         process.send_signal(signal_number)
         try:
             return process.wait(_STOP_GRACE_S)
@@ -203,12 +241,11 @@
     ) -> tuple[int, dict[str, Any]]:
         """Sends a client request to an instance; status 0 means no answer."""
         try:
-            answer = urllib3.request(
+            answer = self._http.request(
                 method,
                 f"http://{self._network}.{number}:{_FRONT_PORT}{path}",
                 body=None if body is None else json.dumps(body).encode(),
                 headers={"Host": HOST, "Time-Budget": "3000"},
-                retries=False,
                 timeout=5.0,
             )
         except (urllib3.exceptions.HTTPError, OSError):
@@ -238,8 +275,16 @@
         body = {"TaskSpec": payload, "Steps": list(steps)}
         return self.call(number, "POST", PREFIX + job, body)[0]
 
-    def _serve(self, host: int, port: int, handler: Handler) -> None:
-        server = make_server(f"{self._network}.{host}", port, handler, 24)
+    def holder(self, cell: int) -> int | None:
+        """Returns the instance that the store names as a cell's holder."""
+        member = self.store.owner(_GROUP, cell)
+        ip = member.partition(":")[0]
+        return int(ip.rpartition(".")[2]) if ip else None
+
+    def _serve(
+        self, host: int, port: int, handler: Handler, threads: int = _THREADS
+    ) -> None:
+        server = make_server(f"{self._network}.{host}", port, handler, threads)
         server.shutdown_timeout = 1
         server.prepare()
         threading.Thread(target=server.serve, daemon=True).start()
@@ -308,9 +353,19 @@
     def _service(self, worker: int) -> str:
         return self._services[worker % len(self._services)]
 
+    def _store_address_of(self, number: int) -> str:
+        if not self._own_links:
+            return self.store_address
+        port = _STORE_PORT + number
+        if number not in self.views:
+            view = StoreView(self.store, partial(self._route, number))
+            self.views[number] = view
+            self._serve(1, port, view.handle, _VIEW_THREADS)
+        return f"{self._network}.1:{port}"
+
     def _settings(self, number: int) -> str:
         ip = f"{self._network}.{number}"
-        store = self._route(number, self.store_address)
+        store = self._route(number, self._store_address_of(number))
         return "\n".join(
             [
                 f'Node = "entry-{number}"',
