--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -33,6 +33,7 @@
     workers: int = 4,
     clients: int = 3,
     moves_queue: bool = False,
+    parts_store: bool = False,
 ) -> int:
     """Runs seeds and checks the guarantees given to callers.
 
@@ -44,8 +45,17 @@
         workers: Number of stand-in workers.
         clients: Number of concurrent callers.
         moves_queue: Whether the queue moves between two services.
+        parts_store: Whether instances are parted from the store and from
+            workers for seconds.
     """
-    size = Size(instances, workers, clients, seconds, moves_queue=moves_queue)
+    size = Size(
+        instances,
+        workers,
+        clients,
+        seconds,
+        moves_queue=moves_queue,
+        parts_store=parts_store,
+    )
     chosen = list(seed or [])
     if not chosen and not seeds:
         cases = tomllib.loads(_REGRESSIONS_PATH.read_text("utf-8"))
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,6 +10,9 @@
 # Tolerance for the delay between the clock readings of two stand-ins.
 _CLOCK_TOLERANCE_S = 0.02
 
+# Time after a job was shown as completed from which no subtask may start.
+_SHOWN_TOLERANCE_S = 1.0
+
 # Crashes after which a subtask may be given up, and after which it must be: it
 # may be started twice more after it has crashed three workers.
 MIN_CRASHES = 2
@@ -29,12 +32,39 @@
         last_submission_at: Monotonic time at which its last submission
             ended, in seconds.
         deadly: Whether its first subtask crashes its workers.
+        subtasks: Number of its subtasks; 0 if it isn't known.
+        completed_at: Monotonic time at which it was first shown as completed,
+            in seconds.
     """
 
     statuses: list[int] = field(default_factory=list)
     states: list[str] = field(default_factory=list)
     last_submission_at: float = 0.0
     deadly: bool = False
+    subtasks: int = 0
+    completed_at: float = float("inf")
+    _ended_at: float = float("inf")
+
+    def record_state(
+        self, state: str, requested_at: float, answered_at: float
+    ) -> None:
+        """Records a state that was returned.
+
+        An answer to a request that was sent before the job was shown as ended
+        may be older than that and may arrive later.
+
+        Args:
+            state: The state; ``gone`` if the job was unknown.
+            requested_at: Monotonic time of the request, in seconds.
+            answered_at: Monotonic time of the answer, in seconds.
+        """
+        if requested_at < self._ended_at and answered_at > self._ended_at:
+            return
+        self.states.append(state)
+        if state in FINAL_STATES:
+            self._ended_at = min(self._ended_at, answered_at)
+        if state == "completed":
+            self.completed_at = min(self.completed_at, answered_at)
 
     @property
     def accepted(self) -> bool:
@@ -90,6 +120,8 @@
     if "gone" in observed.states:
         violations.append(f"{job}: accepted, and later not known")
     violations += _outcome_violations(job, observed, subtasks)
+    if "completed" in observed.states:
+        violations += _completion_violations(job, observed, subtasks)
     for state in FINAL_STATES & set(observed.states[:-1]):
         after = observed.states[observed.states.index(state) :]
         if set(after) != {state}:
@@ -97,6 +129,26 @@
     return violations
 
 
+def _completion_violations(
+    job: str, observed: JobObservations, subtasks: Sequence[list[EndedRun]]
+) -> list[str]:
+    """Compares the runs with when the job was shown as completed."""
+    done = sum(
+        any(run.end_reason == "done" for run in runs) for runs in subtasks
+    )
+    violations = []
+    if done < observed.subtasks:
+        violations.append(
+            f"{job}: completed, and {observed.subtasks - done} never done"
+        )
+    latest_start = max(
+        (run.started_at for runs in subtasks for run in runs), default=0.0
+    )
+    if latest_start > observed.completed_at + _SHOWN_TOLERANCE_S:
+        violations.append(f"{job}: started after it was shown as completed")
+    return violations
+
+
 def _outcome_violations(
     job: str, observed: JobObservations, subtasks: Sequence[list[EndedRun]]
 ) -> list[str]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -24,6 +24,7 @@
         stores: Proxy to the store, by instance number.
         workers: Proxies to the workers.
         seed: Determines kinds, targets and times of the faults.
+        max_pause_s: Maximum pause between two faults, in seconds.
 
     Attributes:
         injected: Time and description of each fault, in order.
@@ -35,12 +36,14 @@
         stores: dict[int, Proxy],
         workers: list[Proxy],
         seed: int,
+        max_pause_s: float = MAX_PAUSE_S,
     ) -> None:
         """Prepares the thread; `start` starts it."""
         self._harness = harness
         self._stores = stores
         self._workers = workers
         self._random = random.Random(seed)
+        self._max_pause_s = max_pause_s
         self._stopped = Event()
         self._pending_undos: list[tuple[float, Undo]] = []
         self._thread = Thread(target=self._run, daemon=True)
@@ -73,7 +76,9 @@
             self._worker_resize,
             self._reset_connections,
         ]
-        while not self._stopped.wait(self._random.uniform(0.05, MAX_PAUSE_S)):
+        while not self._stopped.wait(
+            self._random.uniform(0.05, self._max_pause_s)
+        ):
             now = time.monotonic()
             for entry in [e for e in self._pending_undos if e[0] <= now]:
                 self._pending_undos.remove(entry)
@@ -84,7 +89,8 @@
                 duration_s = self._random.uniform(0.2, MAX_FAULT_DURATION_S)
                 self._pending_undos.append((now + duration_s, undo))
 
-    def _record(self, text: str) -> None:
+    def record(self, text: str) -> None:
+        """Records the present time and a description of a fault."""
         self.injected.append(f"{time.monotonic():.2f} {text}")
 
     def _choose_instance(self) -> int | None:
@@ -95,24 +101,25 @@
         number = self._choose_instance()
         if number is None:
             return None
-        self._record(f"kill {number}")
-        self._harness.kill_instance(number)
+        self.record(f"kill {number}")
+        if not self._harness.kill_instance(number):
+            return None
         return lambda: self._harness.start_instance(number)
 
     def _terminate(self) -> Undo | None:
         number = self._choose_instance()
         if number is None:
             return None
-        self._record(f"SIGTERM {number}")
-        self._harness.signal_instance(number, signal.SIGTERM)
-        self._harness.start_instance(number)
+        self.record(f"SIGTERM {number}")
+        if self._harness.signal_instance(number, signal.SIGTERM) is not None:
+            self._harness.start_instance(number)
         return None
 
     def _pause(self) -> Undo | None:
         number = self._choose_instance()
         if number is None:
             return None
-        self._record(f"pause {number}")
+        self.record(f"pause {number}")
         return self._harness.pause_instance(number)
 
     def _store_fault(self) -> Undo:
@@ -133,7 +140,7 @@
         )
         proxy.delay_s = self._random.uniform(0.02, 0.4)
         proxy.fault = fault
-        self._record(f"{fault.value} {place}")
+        self.record(f"{fault.value} {place}")
 
         def undo() -> None:
             proxy.fault = Fault.NONE
@@ -141,7 +148,7 @@
         return undo
 
     def _store_outage(self) -> Undo:
-        self._record("store away")
+        self.record("store away")
         self._harness.store.unavailable = True
 
         def undo() -> None:
@@ -151,18 +158,18 @@
 
     def _worker_crash(self) -> None:
         number = self._random.randrange(len(self._workers))
-        self._record(f"crash of worker {number}")
+        self.record(f"crash of worker {number}")
         self._harness.restart_worker(number, self._workers[number].reset)
 
     def _worker_resize(self) -> None:
         number = self._random.randrange(len(self._workers))
         runs = self._random.randint(1, FULL_RUNS)
-        self._record(f"worker {number} has room for {runs}")
+        self.record(f"worker {number} has room for {runs}")
         # Not undone: a larger capacity counts for longer than a fault lasts.
         self._harness.resize_worker(number, runs)
 
     def _reset_connections(self) -> None:
-        self._record("resets")
+        self.record("resets")
         for proxy in (*self._stores.values(), *self._workers):
             if self._random.random() < 0.5:
                 proxy.reset()
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -12,12 +12,24 @@
 
 
 class Fault(Enum):
-    """Fault that a proxy applies to the data of its connections."""
+    """Fault that a proxy applies to the data of its connections.
+
+    Attributes:
+        NONE: All data passes.
+        DELAY: Each chunk is delayed.
+        SILENT: Nothing passes until the fault ends; connections are opened.
+        ANSWERS_LOST: Requests pass, and no answer does.
+        HELD: No connection is opened and nothing passes until the fault ends;
+            orders of callers that have given up are then passed on late.
+        CUT: Nothing passes, and what was sent meanwhile is lost for good.
+    """
 
     NONE = "none"
     DELAY = "delay"
     SILENT = "silent"
     ANSWERS_LOST = "answers lost"
+    HELD = "held"
+    CUT = "cut"
 
 
 class Proxy:
@@ -63,6 +75,14 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         host, _, port = self._target.rpartition(":")
+        held = False
+        while self.fault is Fault.HELD:
+            held = True
+            await asyncio.sleep(_SILENCE_POLL_S)
+        if self.fault is Fault.CUT:
+            await _discard(reader)
+            writer.transport.abort()
+            return
         try:
             upstream = await asyncio.open_connection(host, int(port))
         except OSError:
@@ -72,7 +92,7 @@
         self._writers |= writers
         try:
             await asyncio.gather(
-                self._forward(reader, upstream[1], answers=False),
+                self._forward(reader, upstream[1], answers=False, held=held),
                 self._forward(upstream[0], writer, answers=True),
             )
         except OSError:
@@ -89,21 +109,36 @@
         writer: asyncio.StreamWriter,
         *,
         answers: bool,
+        held: bool = False,
     ) -> None:
         while data := await reader.read(_CHUNK_BYTES):
+            held = held or self.fault is Fault.HELD
             if self.fault is Fault.DELAY:
                 await asyncio.sleep(self.delay_s)
             if answers and self.fault is Fault.ANSWERS_LOST:
                 # Withholds this and all further answers of the connection.
-                await asyncio.Event().wait()
-            while self.fault is Fault.SILENT:
+                await _discard(reader)
+                raise ConnectionResetError
+            if self.fault is Fault.CUT:
+                await _discard(reader)
+                raise ConnectionResetError
+            while self.fault in (Fault.SILENT, Fault.HELD):
                 await asyncio.sleep(_SILENCE_POLL_S)
+            if held and reader.at_eof() and data.startswith(b"GET "):
+                # A late read changes nothing, and its caller has given up.
+                raise ConnectionResetError
             writer.write(data)
             await writer.drain()
         with contextlib.suppress(OSError):
             writer.write_eof()
 
 
+async def _discard(reader: asyncio.StreamReader) -> None:
+    with contextlib.suppress(OSError):
+        while await reader.read(_CHUNK_BYTES):
+            pass
+
+
 class ProxyHost:
     """Runs the event loop of all proxies in a thread."""
 
