Stand-in worker: a poll that waited through a crash acknowledges nothing

Cause, as far as it is shown: a poll that was read from the network before the crash, and waited for the stand-in's lock, took the next incarnation for its own, and discarded that one's ends up to its LastSeen for 0.6 s. On a real worker, a connection ends with the incarnation that it was opened to.

Change: a poll belongs to the incarnation at which it arrived. The new test fails before (200 instead of 503).

--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -125,6 +125,7 @@
     ) -> Response:
         """Handles one HTTP request."""
         del method, query, environ
+        born = self.born
         if self.down:
             return 503, {}, b""
         request = json.loads(body)
@@ -139,7 +140,7 @@
             if path == "/v1/run-stop":
                 self._stop(request)
                 return self._respond(200)
-        return self._poll(request)
+        return self._poll(request, born)
 
     @property
     def running(self) -> int:
@@ -264,9 +265,8 @@
         last_ended = self._last_ended_runs.get(name, 0)
         self._last_ended_runs[name] = max(last_ended, number)
 
-    def _poll(self, request: dict[str, Any]) -> Response:
+    def _poll(self, request: dict[str, Any], born: int) -> Response:
         until = time.monotonic() + request.get("WaitMs", 0) / 1000
-        born = self.born
         while True:
             with self._lock:
                 self._end_due_runs()
--- a/standins/tests/test_job_worker.py
+++ b/standins/tests/test_job_worker.py
@@ -62,3 +62,51 @@
         clock.now += 0.2
         assert worker.running == 0
         assert worker.ended_runs[-1].end_reason == "lapsed"
+
+
+class _CrashingLock:
+    """Lock of a worker that crashes while the next request waits for it."""
+
+    def __init__(self, worker: JobWorker) -> None:
+        self._worker = worker
+        self._lock = worker._lock
+        self._armed = True
+
+    def __enter__(self) -> None:
+        if self._armed:
+            self._armed = False
+            self._worker.crash()
+        self._lock.acquire()
+
+    def __exit__(self, *_: object) -> None:
+        self._lock.release()
+
+
+class TestCrash:
+    """Guards against ends that a poll of the last incarnation acknowledges."""
+
+    def test_poll_that_waited_through_a_crash_acknowledges_nothing(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        clock = _Clock()
+        monkeypatch.setattr(job_worker, "time", clock)
+        worker = JobWorker(run_s=0.1)
+        monkeypatch.setattr(worker, "_lock", _CrashingLock(worker))
+        monkeypatch.setattr(
+            clock,
+            "sleep",
+            lambda _: self._run_one(worker, clock),
+            raising=False,
+        )
+        answer = worker.handle(
+            "POST", "/v1/hold", {}, b'{"LastSeen": 7, "WaitMs": 600}', {}
+        )
+        assert answer[0] == 503
+        self._run_one(worker, clock)
+        ended = _call(worker, "/v1/hold", LastSeen=0)["Ended"]
+        assert [row[0] for row in ended] == [1]
+
+    def _run_one(self, worker: JobWorker, clock: _Clock) -> None:
+        order = {"Task": _SUBTASK, "Run": 1, "TaskSpec": "", "DeadlineMs": 9000}
+        _call(worker, "/v1/run-start", **order)
+        clock.now += 1.0
