Rewrite expiring records at once after a recovery

Cause: the engine checked all cells for expiring records every 2 s, whenever they were recovered. After an outage the group changes several times in 2 s, so a holder could recover a cell and lose it again without writing anything, while its records went on to expire.

Change: the interval counts for each cell, and its first check follows the recovery, or the first confirmation after it, at once.

Ruled out: summaries that are applied to the table before they are durable. The next holder fences first and reads what is stored; it takes a job as rewritten only by a record that it has read.

The two tests fail with the common interval.

--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -142,7 +142,7 @@
         return self._has_unconfirmed_runs
 
     def _run(self) -> None:
-        ticked_at = retained_at = steady_s()
+        ticked_at = steady_s()
         while True:
             self._receive_messages()
             now = steady_s()
@@ -154,21 +154,32 @@
                     held.cell.recovered and held.cell.has_unconfirmed_runs()
                     for held in self._cells.values()
                 )
-            if now - retained_at >= RETAIN_INTERVAL_S:
-                retained_at = now
-                for held in self._cells.values():
-                    if held.holding.is_valid(now):
-                        held.cell.retain(
-                            self._retention_ms,
-                            self._state_retention_ms,
-                            self._limits.record_bytes,
-                        )
+            self._retain_cells(now)
             for partition, held in list(self._cells.items()):
                 if held.cell.fenced:
                     self._drop(partition, "fenced", now)
                 elif held.holding.is_valid(now):
                     held.carry_out(held.cell.take_actions(now))
 
+    def _retain_cells(self, now: float) -> None:
+        """Rewrites records that expire soon.
+
+        A cell's first check follows its recovery at once, since its records may
+        have had no holder for long.
+        """
+        for held in self._cells.values():
+            if (
+                held.cell.recovered
+                and now - held.retained_at >= RETAIN_INTERVAL_S
+                and held.holding.is_valid(now)
+            ):
+                held.retained_at = now
+                held.cell.retain(
+                    self._retention_ms,
+                    self._state_retention_ms,
+                    self._limits.record_bytes,
+                )
+
     def _receive_messages(self) -> None:
         try:
             message = self._inbox.get(timeout=TICK_INTERVAL_S)
--- a/acaciawing/jobserver/held_cell.py
+++ b/acaciawing/jobserver/held_cell.py
@@ -78,6 +78,8 @@
         self.acquired_at = now
         self.records_current_at = float("-inf")
         self.evacuation_received_at = now
+        # When records that expire soon were last rewritten, in seconds.
+        self.retained_at = float("-inf")
         self._send = send
         self._request_advice = request_advice
         self._sessions: dict[Incarnation, WorkerSession] = {}
--- a/acaciawing/jobserver/tests/test_engine.py
+++ b/acaciawing/jobserver/tests/test_engine.py
@@ -63,6 +63,8 @@
         self.closed = False
         self.recovered = True
         self.records_current_at = 30.0
+        self.retained_at = float("-inf")
+        self.retained: list[tuple[int, ...]] = []
         self.states: dict[str, str] = {}
 
     def state(self, job: str) -> str | None:
@@ -78,6 +80,9 @@
     def accept(self, verified: HoldingVerified) -> None:
         self.holding.accept(verified)
 
+    def retain(self, *limits: int) -> None:
+        self.retained.append(limits)
+
     def close(self) -> None:
         self.holding.revoke()
         self.closed = True
@@ -268,6 +273,36 @@
         assert self._ask(instance, "a").current
 
 
+class TestExpiringRecords:
+    """Guards against records that expire before a holder rewrites them."""
+
+    def test_recovered_cell_is_retained_without_a_wait(
+        self, instance: _Instance
+    ) -> None:
+        # The next holder, 1.4 s later, had lost 148 of 784 jobs.
+        cell = instance.join(30.0, 1)
+        cell.recovered = False
+        for now in (30.0, 30.1):
+            instance.engine._retain_cells(now)
+        assert not cell.retained
+        cell.recovered = True
+        instance.engine._retain_cells(30.2)
+        assert len(cell.retained) == 1
+        instance.engine._retain_cells(30.25)
+        assert len(cell.retained) == 1
+
+    def test_cell_without_confirmation_is_retained_once_it_has_one(
+        self, instance: _Instance
+    ) -> None:
+        cell = instance.join(30.0, 1)
+        late = 30.0 + AUTHORITY_S
+        instance.engine._retain_cells(late)
+        assert not cell.retained
+        assert instance.join(late + 0.1, 1) is cell
+        instance.engine._retain_cells(late + 0.1)
+        assert len(cell.retained) == 1
+
+
 class TestChangeOfTheGroup:
     """Guards against a cell that went to another instance between two joins."""
 
