Rewrite records earlier when the store's history is short

After 10 s without job servers a holder found that jobs had expired before anyone could read them.

Cause: with 20 s of history a record was written again at an age of 8 to 10 s (0.4 of it, checked each 2 s).

Change: records outlast 15 s without a holder if the history allows it; a fifth of it passes at least before a record is written again. The interval of the checks is at most a fortieth of the history. With 300 s of history both are as before (120 s, 2 s); with 20 s they are 5 s and 0.5 s.

The tests of 20 s of history and of half a history fail with the former figures.

Ruled out: reads that skip records after OffsetExpired. A reader goes on at the first offset that is left, and all before it has expired. Not mended: the age of a submission follows the clock of the instance that accepted it; if that clock is ahead, the job is written again later by as much.

--- a/acaciawing/jobs/retention.py
+++ b/acaciawing/jobs/retention.py
@@ -19,6 +19,17 @@
 # an outage of half the retention time loses no state.
 REWRITE_SHARE = 0.4
 
+# All instances may be lost at the same time. Records outlast this time without a
+# holder, from the loss to the first append, if the retention time allows it: at
+# least the smaller share passes before a record is rewritten.
+OUTAGE_MS = 15_000
+MIN_REWRITE_SHARE = 0.2
+
+# Longest interval between two checks for records that expire soon, and its
+# largest share of the retention time.
+MAX_CHECK_INTERVAL_MS = 2_000
+CHECK_INTERVAL_SHARE = 0.025
+
 
 # Share of a record that a submitted job may take; the rest is for the progress
 # in its summaries.
@@ -34,6 +45,33 @@
     return int(MAX_JOB_SHARE * max_record_bytes)
 
 
+def rewrite_age_ms(retention_ms: int) -> float:
+    """Returns the age at which a record is rewritten, in milliseconds.
+
+    Args:
+        retention_ms: How long the store keeps a record.
+
+    >>> rewrite_age_ms(300_000), rewrite_age_ms(20_000)
+    (120000.0, 5000)
+    """
+    return max(
+        MIN_REWRITE_SHARE * retention_ms,
+        min(REWRITE_SHARE * retention_ms, retention_ms - OUTAGE_MS),
+    )
+
+
+def check_interval_ms(retention_ms: int) -> float:
+    """Returns the interval between two checks for records that expire soon.
+
+    Args:
+        retention_ms: How long the store keeps a record.
+
+    Returns:
+        The interval in milliseconds.
+    """
+    return min(MAX_CHECK_INTERVAL_MS, CHECK_INTERVAL_SHARE * retention_ms)
+
+
 def records_to_rewrite(
     table: JobTable,
     retention_ms: int,
@@ -48,7 +86,7 @@
         unix_ms: Current Unix time in milliseconds.
         max_record_bytes: Largest record that the store accepts, in bytes.
     """
-    oldest_ms = unix_ms - REWRITE_SHARE * retention_ms
+    oldest_ms = unix_ms - rewrite_age_ms(retention_ms)
     for progress in table.jobs.values():
         if progress.oldest_record_ms < oldest_ms:
             summary = summarize_job(progress, unix_ms)
--- a/acaciawing/jobs/tests/test_retention.py
+++ b/acaciawing/jobs/tests/test_retention.py
@@ -21,6 +21,7 @@
 )
 from acaciawing.jobs.progress import JobProgress
 from acaciawing.jobs.retention import (
+    check_interval_ms,
     expired_jobs,
     max_submission_bytes,
     records_to_rewrite,
@@ -68,6 +69,50 @@
         assert harness.cell.state("j") is None
 
 
+class TestOutage:
+    """Guards against records that expire while there is no holder."""
+
+    _step_ms = 50
+    # All job servers are lost for 9.5 s, start within 1.5 s and hold the cell
+    # after two more changes of the group.
+    _outage_ms = 12_500
+
+    def _oldest_at_any_time(self, retention_ms: int) -> int:
+        """Returns the highest age of a record at which no holder replaced it."""
+        table = JobTable()
+        oldest = checked_ms = 0
+        for now_ms in range(0, 4 * retention_ms, self._step_ms):
+            if now_ms < 2 * retention_ms:
+                table.apply(JobSubmitted(make_job(f"j{now_ms}"), now_ms))
+            if now_ms - checked_ms >= check_interval_ms(retention_ms):
+                checked_ms = now_ms
+                for record in list(
+                    records_to_rewrite(table, retention_ms, now_ms)
+                ):
+                    table.apply(record)
+            oldest = max(
+                oldest,
+                *(now_ms - p.oldest_record_ms for p in table.jobs.values()),
+                0,
+            )
+        return oldest
+
+    def test_short_history_outlasts_the_loss_of_all_instances(self) -> None:
+        # With 20 s of history jobs were lost after 10 s without job servers.
+        assert self._oldest_at_any_time(20_000) + self._outage_ms < 20_000
+
+    def test_half_of_any_history_may_pass_without_a_holder(self) -> None:
+        for retention_ms in (5_000, 20_000, 40_000):
+            assert self._oldest_at_any_time(retention_ms) < retention_ms // 2
+
+    def test_long_history_costs_no_more_records(self) -> None:
+        table = JobTable()
+        table.apply(JobSubmitted(make_job("j"), 0))
+        assert not list(records_to_rewrite(table, _RETENTION_MS, 120_000))
+        assert list(records_to_rewrite(table, _RETENTION_MS, 120_001))
+        assert check_interval_ms(_RETENTION_MS) == 2_000
+
+
 class TestLargeJobs:
     """Guards against a job whose summary is larger than the store accepts."""
 
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -11,11 +11,11 @@
     Worker,
 )
 from acaciawing.jobs.fleet import CellReport
+from acaciawing.jobs.retention import check_interval_ms
 from acaciawing.jobserver.clock import steady_s, unix_ms
 from acaciawing.jobserver.held_cell import HeldCell
 from acaciawing.jobserver.holdings import FleetHolding, Holdings
 from acaciawing.jobserver.limits import (
-    RETAIN_INTERVAL_S,
     TICK_INTERVAL_S,
     UNCONFIRMED_RUNS_S,
 )
@@ -167,10 +167,11 @@
         A cell's first check follows its recovery at once, since its records may
         have had no holder for long.
         """
+        interval_s = check_interval_ms(self._retention_ms) / 1000
         for held in self._cells.values():
             if (
                 held.cell.recovered
-                and now - held.retained_at >= RETAIN_INTERVAL_S
+                and now - held.retained_at >= interval_s
                 and held.holding.is_valid(now)
             ):
                 held.retained_at = now
--- a/acaciawing/jobserver/limits.py
+++ b/acaciawing/jobserver/limits.py
@@ -83,6 +83,3 @@
 # Number of threads for clients and number of threads for other instances.
 CLIENT_THREADS = 16
 PEER_THREADS = 6
-
-# Interval between two checks for records that are about to expire.
-RETAIN_INTERVAL_S = 2.0
