Rewrite the oldest records first

After an outage all jobs of a cell may be due at once. With payloads of 4,000 bytes 800 of them are 13 appends of 256 KiB, and the holder wrote them lane by lane, in the order in which it had read them: a job that expires in a moment could wait behind all others.

Change: jobs are written again by the age of their oldest record, and the short records of engaged workers come before them. A worker whose record expires is unknown to the next holder, which then would not wait for its runs.

Both tests fail with the order of the table.

--- a/acaciawing/jobs/retention.py
+++ b/acaciawing/jobs/retention.py
@@ -78,7 +78,9 @@
     unix_ms: int,
     max_record_bytes: int = sys.maxsize,
 ) -> Iterator[Record]:
-    """Yields records that replace those that expire soon.
+    """Yields records that replace those that expire soon, the oldest first.
+
+    The short records of engaged workers precede those of all jobs.
 
     Args:
         table: Jobs and engaged workers of a cell.
@@ -87,16 +89,20 @@
         max_record_bytes: Largest record that the store accepts, in bytes.
     """
     oldest_ms = unix_ms - rewrite_age_ms(retention_ms)
-    for progress in table.jobs.values():
-        if progress.oldest_record_ms < oldest_ms:
-            summary = summarize_job(progress, unix_ms)
-            yield from split_summary(summary, max_record_bytes)
-            yield from crash_records(table, progress)
     for record in table.engaged.values():
         if record.at_ms < oldest_ms:
             yield WorkerEngaged(
                 record.worker, record.born_ms, record.address, unix_ms
             )
+    expiring = [
+        progress
+        for progress in table.jobs.values()
+        if progress.oldest_record_ms < oldest_ms
+    ]
+    for progress in sorted(expiring, key=lambda p: p.oldest_record_ms):
+        summary = summarize_job(progress, unix_ms)
+        yield from split_summary(summary, max_record_bytes)
+        yield from crash_records(table, progress)
 
 
 def expired_jobs(
--- a/acaciawing/jobs/tests/test_retention.py
+++ b/acaciawing/jobs/tests/test_retention.py
@@ -113,6 +113,25 @@
         assert check_interval_ms(_RETENTION_MS) == 2_000
 
 
+class TestOrder:
+    """Guards against records that expire behind others that have time."""
+
+    def test_the_oldest_records_are_replaced_first(self) -> None:
+        table = JobTable()
+        for name, at_ms in (("b", 50), ("c", 90), ("a", 10), ("d", 70)):
+            table.apply(JobSubmitted(make_job(name), at_ms))
+        records = list(records_to_rewrite(table, _RETENTION_MS, 130_000))
+        names = [r.job.id for r in records if isinstance(r, JobSummary)]
+        assert names == ["a", "b", "d", "c"]
+
+    def test_engaged_workers_do_not_wait_for_large_jobs(self) -> None:
+        table = JobTable()
+        table.apply(JobSubmitted(make_job("j"), 0))
+        table.apply(WorkerEngaged("w", 1, "192.0.2.1:80", 10))
+        first = next(records_to_rewrite(table, _RETENTION_MS, 130_000))
+        assert isinstance(first, WorkerEngaged)
+
+
 class TestLargeJobs:
     """Guards against a job whose summary is larger than the store accepts."""
 
