--- a/acaciawing/jobs/retention.py
+++ b/acaciawing/jobs/retention.py
@@ -7,7 +7,10 @@
 import sys
 from collections.abc import Iterator
 
+import msgspec
+
 from acaciawing.jobs.progress import (
+    JobProgress,
     JobTable,
     crash_records,
     split_summary,
@@ -100,9 +103,29 @@
         if progress.oldest_record_ms < oldest_ms
     ]
     for progress in sorted(expiring, key=lambda p: p.oldest_record_ms):
-        summary = summarize_job(progress, unix_ms)
-        yield from split_summary(summary, max_record_bytes)
-        yield from crash_records(table, progress)
+        yield from _rewrite_job(table, progress, unix_ms, max_record_bytes)
+
+
+def _rewrite_job(
+    table: JobTable,
+    progress: JobProgress,
+    unix_ms: int,
+    max_record_bytes: int,
+) -> Iterator[Record]:
+    """Yields records that replace all records of a job.
+
+    Only the last one says when they were replaced: the holder may end between
+    two appends.
+    """
+    summary = summarize_job(progress, unix_ms)
+    crashes = tuple(crash_records(table, progress))
+    if crashes:
+        # Crashes are folded only after their job.
+        first = msgspec.structs.replace(summary, carried_ms=0)
+        yield from split_summary(first, max_record_bytes)
+        yield from crashes
+        summary = msgspec.structs.replace(summary, done=(), failed_runs={})
+    yield from split_summary(summary, max_record_bytes)
 
 
 def expired_jobs(
--- a/acaciawing/jobs/tests/test_crashes.py
+++ b/acaciawing/jobs/tests/test_crashes.py
@@ -14,6 +14,7 @@
     Record,
     Resources,
     RunCrashed,
+    RunStarted,
     Step,
     SubtaskGivenUp,
     SubtaskId,
@@ -401,6 +402,32 @@
             table.apply(record)
         assert table.explained == source.explained != {}
 
+    def test_job_without_its_crashes_does_not_pass_for_rewritten(
+        self,
+    ) -> None:
+        # The holder may end between two appends.
+        emulator = CrashEmulator(
+            deadly=_is_first_of_deadly_job, crash_after_s=2.0
+        )
+        emulator.submit(*_make_jobs("deadly", 1))
+        emulator.run(4.0)
+        source = emulator.harness.cell.table
+        rewritten_ms = 1_000_000
+        records = list(records_to_rewrite(source, 20_000, rewritten_ms))
+        last = max(
+            index
+            for index, record in enumerate(records)
+            if isinstance(record, RunCrashed | RunStarted)
+        )
+        for stored in range(last + 1):
+            table = JobTable()
+            for record in (*emulator.records, *records[:stored]):
+                table.apply(record)
+            assert table.jobs["deadly0"].oldest_record_ms < rewritten_ms
+        for record in records:
+            table.apply(record)
+        assert table.jobs["deadly0"].oldest_record_ms == rewritten_ms
+
     def test_records_survive_encoding(self) -> None:
         emulator = CrashEmulator(deadly=_is_first_of_deadly_job)
         emulator.submit(*_make_jobs("deadly", 1))
