--- a/acaciawing/jobs/cell.py
+++ b/acaciawing/jobs/cell.py
@@ -277,6 +277,7 @@
                 continue
             self.table.forget(job)
             self._job_record_numbers.pop(job, None)
+            self._final_record_numbers.pop(job, None)
             self._tickets.forget(job)
             for by_subtask in (
                 self._checkpoints,
--- a/acaciawing/jobs/progress.py
+++ b/acaciawing/jobs/progress.py
@@ -59,7 +59,7 @@
         critical_paths_ms: Length of the remaining critical path from each step
             on; see `urgency.critical_paths_ms`.
         cancelled: Whether its cancellation was requested.
-        failed: Whether a subtask has used up its attempts.
+        failed: Whether a subtask has used up its attempts or was given up.
         started: Whether any subtask is known to have started.
         completed: Whether all subtasks are done.
         occurrences: Occurrences that are due or have progress.
@@ -107,18 +107,25 @@
 
     @property
     def finished(self) -> bool:
-        """Whether no more runs of it may start."""
-        return self.cancelled or self.failed or self.completed
+        """Whether no more runs of it may start.
+
+        The long-running subtasks of a failed job run until it is cancelled.
+        """
+        return (
+            self.cancelled
+            or self.completed
+            or (self.failed and not any(s.lasting for s in self.job.steps))
+        )
 
     @property
     def state(self) -> str:
-        """State to report to clients."""
+        """State to report to clients; a failed job stays so if cancelled."""
         if self.completed:
             return "completed"
-        if self.cancelled:
-            return "cancelled"
         if self.failed:
             return "failed"
+        if self.cancelled:
+            return "cancelled"
         return "running" if self.started else "pending"
 
     @property
@@ -146,6 +153,22 @@
         found = self.occurrences.get(subtask.occurrence)
         return found is not None and subtask.index in found.done[subtask.step]
 
+    def is_needed(self, subtask: SubtaskId) -> bool:
+        """Whether a subtask has to run, now or when its turn comes."""
+        step = self.job.steps[subtask.step]
+        return not (
+            self.finished
+            or (self.failed and not step.lasting)
+            or self.is_done(subtask)
+            or self._is_given_up(subtask)
+        )
+
+    def _is_given_up(self, subtask: SubtaskId) -> bool:
+        """Whether a subtask, or a member of its gang, was given up."""
+        if not self.job.steps[subtask.step].gang:
+            return subtask in self.given_up
+        return any(other[:3] == subtask[:3] for other in self.given_up)
+
     def step_done(self, number: int, step: int) -> bool:
         """Whether all subtasks of a step are done."""
         found = self.occurrences.get(number)
@@ -342,7 +365,7 @@
                 crashes[record.run] = record
                 progress.started = True
                 self.forget_start(subtask, record.run)
-                if not progress.finished and not progress.is_done(subtask):
+                if progress.is_needed(subtask):
                     self.suspects.add(subtask)
             case RunStarted():
                 self.started.pop(subtask, None)  # Keeps the order of starts.
@@ -353,6 +376,7 @@
                 self._clear_suspicion(subtask)
             case SubtaskGivenUp():
                 progress.given_up.add(subtask)
+                self._fail(progress)
                 for crash in progress.crashed_runs.get(subtask, {}).values():
                     incarnation = Incarnation(crash.worker, crash.born_ms)
                     self.explained.setdefault(incarnation, subtask.job)
@@ -385,10 +409,17 @@
     def _mark_failed(self, job: str) -> JobProgress | None:
         progress = self.jobs.get(job)
         if progress is not None:
-            progress.failed = True
-            self._forget_suspects(job)
+            self._fail(progress)
         return progress
 
+    def _fail(self, progress: JobProgress) -> None:
+        progress.failed = progress.failed or not progress.cancelled
+        self.suspects = {
+            s
+            for s in self.suspects
+            if s.job != progress.job.id or progress.is_needed(s)
+        }
+
     def _apply_summary(self, record: JobSummary) -> JobProgress:
         progress = self._add_job(record.job, record.at_ms)
         for name in record.done:
--- a/acaciawing/jobs/run_tracking.py
+++ b/acaciawing/jobs/run_tracking.py
@@ -332,6 +332,7 @@
         limit = queue.max_attempts if queue is not None else 1
         if (
             progress.failed_attempts(row.subtask) >= limit
+            and not progress.failed
             and not progress.finished
         ):
             self._fail_job(progress, now)
@@ -351,18 +352,20 @@
                 progress.occurrence(number).queued_steps.add(step)
                 for index in range(progress.job.steps[step].count):
                     subtask = SubtaskId(progress.job.id, number, step, index)
-                    if not progress.is_done(subtask):
+                    if progress.is_needed(subtask):
                         self._enqueue(subtask, now)
 
     def _end_job(self, progress: JobProgress, now: float) -> None:
-        """Stops the remaining runs of a finished job."""
+        """Stops the runs of an ended job, but those that are still needed."""
         job = progress.job.id
-        progress.finished_at_ms = self._unix_ms
-        self._waiting.discard_job(job)
+        if progress.finished:
+            progress.finished_at_ms = self._unix_ms
+        self._waiting.discard_unneeded(progress)
         for view, run in self._runs.runs_of_job(job):
             # A run of a done subtask has ended or was already ordered to stop.
             done = progress.is_done(run.subtask)
-            if run.phase is not Phase.STOPPING and not done:
+            needed = progress.is_needed(run.subtask)
+            if run.phase is not Phase.STOPPING and not done and not needed:
                 self._stop_run(view, run, StopReason.JOB_ENDED, now)
         self._log("JOB_ENDED", job=job, state=progress.state)
 
--- a/acaciawing/jobs/state.py
+++ b/acaciawing/jobs/state.py
@@ -108,6 +108,8 @@
         self._last_record_number = 0
         # Number of the last record of each job.
         self._job_record_numbers: dict[str, int] = {}
+        # Number of the record with which each job was completed or failed.
+        self._final_record_numbers: dict[str, int] = {}
         # Incarnations by the number of their record that is not durable yet.
         self._pending_engagements: dict[int, Incarnation] = {}
         self._unix_ms = 0
@@ -195,13 +197,14 @@
         progress = self.table.jobs.get(job)
         if progress is None:
             return None
-        if self._job_record_numbers.get(
-            job, 0
-        ) > self._last_durable_number and (
-            progress.completed or progress.failed
+        state = progress.state
+        if (
+            state in ("completed", "failed")
+            and self._final_record_numbers.get(job, 0)
+            > self._last_durable_number
         ):
             return "running"
-        return progress.state
+        return state
 
     def waiting_jobs(self, queue: str) -> int:
         """Returns the number of a queue's jobs of which no run has started."""
@@ -264,9 +267,8 @@
         progress = self.table.jobs.get(subtask.job)
         return (
             progress is not None
-            and not progress.finished
             and self.table.find_step(subtask) is not None
-            and not progress.is_done(subtask)
+            and progress.is_needed(subtask)
         )
 
     def _stop_run(
@@ -324,7 +326,10 @@
         self._last_record_number += 1
         self._actions.append(SaveRecord(self._last_record_number, record))
         if progress is not None:
-            self._job_record_numbers[progress.job.id] = self._last_record_number
+            job, number = progress.job.id, self._last_record_number
+            self._job_record_numbers[job] = number
+            if progress.completed or progress.failed:
+                self._final_record_numbers.setdefault(job, number)
         return self._last_record_number
 
     def _queue_of(self, job: Job) -> Queue | None:
--- a/acaciawing/jobs/tests/crash_emulator.py
+++ b/acaciawing/jobs/tests/crash_emulator.py
@@ -98,6 +98,7 @@
         late_starts: Starts of each deadly subtask after its third crash.
         losses: Runs that each sound subtask lost with a worker.
         overloads: Starts that exceeded a worker's capacity.
+        stops: Orders that have stopped a run.
         store_down: Whether no record becomes durable.
         list_unavailable: Whether the list of workers can't be read.
     """
@@ -132,6 +133,7 @@
         self.late_starts: Counter[SubtaskId] = Counter()
         self.losses: Counter[SubtaskId] = Counter()
         self.overloads: list[StartRun] = []
+        self.stops: list[StopRun] = []
         self.store_down = False
         self.list_unavailable = False
         self._unsaved: list[SaveRecord] = []
@@ -353,6 +355,7 @@
 
     def _stop(self, worker: EmulatedWorker | None, order: StopRun) -> None:
         if worker is not None and order.subtask in worker.runs:
+            self.stops.append(order)
             self._end(worker, order.subtask, EndKind.STOPPED)
         done = worker is not None and not worker.silent
         self.harness.cell.receive(StopOrderResult(order, done), self.now)
--- a/acaciawing/jobs/tests/test_crashes.py
+++ b/acaciawing/jobs/tests/test_crashes.py
@@ -10,6 +10,7 @@
     CancelRequested,
     Job,
     JobFailed,
+    JobSubmitted,
     JobTable,
     Record,
     Resources,
@@ -163,6 +164,19 @@
         assert emulator.harness.cell.state("deadly0") == "failed"
         assert emulator.crashes[DEADLY] <= MAX_LATE_CRASHES
 
+    def test_each_deadly_subtask_of_a_long_running_job_is_given_up(
+        self,
+    ) -> None:
+        emulator = CrashEmulator(
+            deadly=lambda subtask: subtask.index < 2,
+            lasting=lambda subtask: subtask.index >= 2,
+        )
+        emulator.submit(*_make_jobs("deadly", 1, subtasks=4, lasting=True))
+        emulator.run(60.0)
+        given_up = emulator.harness.cell.table.jobs["deadly0"].given_up
+        assert given_up == {DEADLY, DEADLY._replace(index=1)}
+        assert max(emulator.late_starts.values(), default=0) <= MAX_LATE_STARTS
+
     def test_few_runs_are_lost_beside_a_deadly_subtask(self) -> None:
         # 41 subtasks of one day were lost with a worker more than three times.
         emulator = CrashEmulator(deadly=_is_first_of_deadly_job)
@@ -242,6 +256,124 @@
         assert not emulator.harness.cell.table.suspects
 
 
+class TestLongRunningSiblings:
+    """Guards against interrupting sound subtasks beside one given up."""
+
+    _siblings = frozenset(SubtaskId("deadly0", 0, 0, i) for i in range(1, 4))
+
+    def _give_up_one(self) -> CrashEmulator:
+        """Returns an emulator whose subtask `DEADLY` was just given up."""
+        emulator = CrashEmulator(
+            deadly=_is_first_of_deadly_job,
+            lasting=lambda subtask: subtask.index > 0,
+        )
+        step = Step(
+            4,
+            Resources(1800),
+            estimated_ms=700,
+            lasting=True,
+            may_miss=1,
+            max_per_worker=1,
+        )
+        emulator.submit(make_job("deadly0", step))
+        while not emulator.harness.cell.table.jobs["deadly0"].given_up:
+            emulator.run(0.05)
+        return emulator
+
+    def test_given_up_subtask_leaves_the_others_at_work(self) -> None:
+        emulator = self._give_up_one()
+        emulator.run(10.0)
+        assert emulator.harness.cell.state("deadly0") == "failed"
+        assert emulator.running("deadly0") == self._siblings
+        assert not emulator.stops
+
+    def test_siblings_of_a_given_up_subtask_start_again_after_a_crash(
+        self,
+    ) -> None:
+        emulator = self._give_up_one()
+        emulator.run(PROVEN_AGE_S + 5.0)
+        sibling = DEADLY._replace(index=1)
+        emulator.crash([emulator.worker_of(sibling)])
+        emulator.run(10.0)
+        assert emulator.running("deadly0") == self._siblings
+
+    def test_new_holder_neither_interrupts_nor_starts_what_it_should_not(
+        self,
+    ) -> None:
+        emulator = self._give_up_one()
+        emulator.run(1.0)
+        emulator.replace_holder()
+        emulator.run(30.0)
+        assert emulator.harness.cell.state("deadly0") == "failed"
+        assert emulator.running("deadly0") == self._siblings
+
+    def test_failed_job_is_not_shown_as_running_again(self) -> None:
+        emulator = self._give_up_one()
+        emulator.run(1.0)
+        sibling = DEADLY._replace(index=1)
+        emulator.crash([emulator.worker_of(sibling)])
+        while sibling not in emulator.running("deadly0"):
+            emulator.run(0.05)
+        emulator.run(0.2)
+        emulator.store_down = True
+        emulator.crash([emulator.worker_of(sibling)])
+        emulator.run(1.0)
+        assert sibling in emulator.harness.cell.table.suspects
+        assert emulator.harness.cell.state("deadly0") == "failed"
+
+    def test_state_and_verdict_outlive_the_first_records_of_their_job(
+        self,
+    ) -> None:
+        emulator = self._give_up_one()
+        table = JobTable()
+        source = emulator.harness.cell.table
+        for record in records_to_rewrite(source, 20_000, 1_000_000):
+            table.apply(record)
+        progress = table.jobs["deadly0"]
+        assert progress.state == "failed"
+        assert not progress.is_needed(DEADLY)
+        assert all(progress.is_needed(sibling) for sibling in self._siblings)
+
+    def test_cancelled_job_ends_with_what_ran_after_its_failure(self) -> None:
+        emulator = self._give_up_one()
+        emulator.run(1.0)
+        cell = emulator.harness.cell
+        cell.fold([CancelRequested("deadly0", 1)], emulator.now, 1)
+        emulator.run(5.0)
+        assert cell.table.jobs["deadly0"].finished
+        assert not emulator.running("deadly0")
+        # A holder that was replaced would still tell it.
+        assert cell.state("deadly0") == "failed"
+
+    def test_cancelled_job_does_not_fail_by_a_late_verdict(self) -> None:
+        table = JobTable()
+        job = _make_jobs("deadly", 1, lasting=True)[0]
+        for record in (
+            JobSubmitted(job, 0),
+            CancelRequested(job.id, 1),
+            SubtaskGivenUp(str(DEADLY)),
+            JobFailed(job.id),
+        ):
+            table.apply(record)
+        assert table.jobs[job.id].state == "cancelled"
+
+    def test_failed_batch_step_leaves_long_running_ones_needed(self) -> None:
+        table = JobTable()
+        job = make_job("j", Step(2), Step(2, lasting=True))
+        table.apply(JobSubmitted(job, 0))
+        table.apply(JobFailed("j"))
+        progress = table.jobs["j"]
+        assert not progress.is_needed(SubtaskId("j", 0, 0, 0))
+        assert progress.is_needed(SubtaskId("j", 0, 1, 0))
+
+    def test_gang_does_not_go_on_without_a_member_given_up(self) -> None:
+        table = JobTable()
+        job = _make_jobs("deadly", 1, subtasks=3, gang=True, lasting=True)[0]
+        table.apply(JobSubmitted(job, 0))
+        table.apply(SubtaskGivenUp(str(DEADLY)))
+        assert not table.jobs[job.id].is_needed(DEADLY._replace(index=1))
+
+
 class TestCrashCounts:
     """Guards against crashes that are forgotten, or counted twice."""
 
--- a/acaciawing/jobs/waiting.py
+++ b/acaciawing/jobs/waiting.py
@@ -86,7 +86,9 @@
         if not found.since:
             del self._steps[found.key]
 
-    def discard_job(self, job: str) -> None:
-        """Removes all subtasks of a job."""
-        for key in [k for k in self._steps if k[0] == job]:
-            del self._steps[key]
+    def discard_unneeded(self, progress: JobProgress) -> None:
+        """Removes the subtasks of a job that need no run any more."""
+        for key in [k for k in self._steps if k[0] == progress.job.id]:
+            for subtask in tuple(self._steps[key].since):
+                if not progress.is_needed(subtask):
+                    self.discard(subtask)
