--- a/acaciawing/jobserver/daemon.py
+++ b/acaciawing/jobserver/daemon.py
@@ -121,6 +121,7 @@
             self._configuration_follower,
             self._peers,
             self._engine.tenure,
+            self._engine.may_order_machines,
         )
         self._machine_watch = MachineWatch(
             settings.machines_address,
--- a/acaciawing/jobserver/engine.py
+++ b/acaciawing/jobserver/engine.py
@@ -130,6 +130,10 @@
         """Returns the tenure of the fleet's cell, or None if it has none."""
         return self._fleet.tenure(steady_s())
 
+    def may_order_machines(self, tenure: FleetTenure) -> bool:
+        """Returns whether machines may be ordered under a tenure."""
+        return self._fleet.may_order(tenure, steady_s())
+
     def holds_cells(self) -> bool:
         """Returns whether this instance holds any cell."""
         return bool(self._cells)
--- a/acaciawing/jobserver/fleet_task.py
+++ b/acaciawing/jobserver/fleet_task.py
@@ -63,6 +63,7 @@
         configuration_follower: Supplies the configuration and the waves.
         peers: Reads the load reports of the cells' holders.
         tenure: Returns the current tenure of the fleet's cell, or None.
+        may_order: Returns whether machines may be ordered under a tenure.
     """
 
     def __init__(
@@ -71,12 +72,14 @@
         configuration_follower: ConfigurationFollower,
         peers: Peers,
         tenure: Callable[[], FleetTenure | None],
+        may_order: Callable[[FleetTenure], bool],
     ) -> None:
         """Stores the arguments; `start` starts the thread."""
         self._settings = settings
         self._configuration_follower = configuration_follower
         self._peers = peers
         self._tenure = tenure
+        self._may_order_machines = may_order
         self._client = MachineClient(settings.machines_address, settings.name)
         self._order_executor = MachineOrderExecutor(
             settings.machines_address, settings.name
@@ -141,7 +144,7 @@
         ][:MAX_ORDERS_PER_ROUND]
         if (
             orders
-            and self._tenure() == tenure
+            and self._may_order_machines(tenure)
             and self._record_orders(orders, tenure)
         ):
             self._carry_out(orders, snapshot, tenure, not_after)
@@ -258,7 +261,7 @@
             orders,
             tenure.fence,
             not_after,
-            lambda: self._tenure() == tenure,
+            lambda: self._may_order_machines(tenure),
         )
         workers = {m.id: m.worker for m in snapshot.machines}
         for order, outcome in zip(orders, outcomes, strict=True):
--- a/acaciawing/jobserver/holdings.py
+++ b/acaciawing/jobserver/holdings.py
@@ -87,14 +87,26 @@
     def tenure(self, now: float) -> FleetTenure | None:
         """Returns the tenure of the fleet's cell; may be called by any thread.
 
-        Returns None if the cell is not held, or if another instance may hold it:
-        the next holder orders machines soon after its takeover.
+        Returns None if the cell is not held or this instance has no authority.
         """
         holding = self._holding
-        if holding is None or not holding.excludes_others(now):
+        if holding is None or not holding.is_valid(now):
             return None
         return FleetTenure(holding.key.fence, self._since)
 
+    def may_order(self, tenure: FleetTenure, now: float) -> bool:
+        """Returns whether machines may be ordered; may be called by any thread.
+
+        The next holder orders machines soon after its takeover, so no other
+        instance may be able to hold the cell yet.
+        """
+        holding = self._holding
+        return (
+            holding is not None
+            and holding.key.fence == tenure.fence
+            and holding.excludes_others(now)
+        )
+
     def update(self, assignment: PartitionsAssigned, now: float) -> None:
         """Confirms, ends or acquires the cell after an answered join."""
         if self._holding is not None and self._holding.update(assignment, now):
--- a/acaciawing/jobserver/tests/test_engine.py
+++ b/acaciawing/jobserver/tests/test_engine.py
@@ -213,10 +213,25 @@
     ) -> None:
         # The next holder orders machines half a second after its takeover.
         instance.join(33.9, 14)
+        tenure = instance.engine.tenure()
+        assert tenure is not None
+        assert instance.engine.may_order_machines(tenure)
         instance.clock.now += MEMBER_TTL_MS / 1000
-        assert instance.engine.tenure() is None
+        assert not instance.engine.may_order_machines(tenure)
         instance.join(35.0, 14)
-        assert instance.engine.tenure() is not None
+        assert instance.engine.may_order_machines(tenure)
+        instance.join(40.0, 24)
+        assert not instance.engine.may_order_machines(tenure)
+
+    def test_plan_of_the_fleet_outlasts_a_short_outage_of_the_store(
+        self, instance: _Instance
+    ) -> None:
+        instance.join(33.9, 14)
+        before = instance.engine.tenure()
+        instance.clock.now += 4.2
+        assert instance.engine.tenure() == before
+        instance.join(38.1, 14)
+        assert instance.engine.tenure() == before
 
     def test_orders_of_the_holder_end_before_the_next_one_begins(
         self, instance: _Instance
